Learn how many requests a kind of machine is worth holding

The hold is now learned per kind: it grows while rooms are full and answers take no longer than uncrowded, shrinks when they do, and moves slower the longer it has learned, as cores do not come and go. One core's hold of four stays as its floor.

Undoing the change fails the test with four held on a backend of seven cores.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,9 +21,21 @@
 /// Proxies that share a backend, where there are more: each keeps connections to a slice of the fleet
 /// only, as a backend takes few and each costs it. The load of so many still evens out, to a fifth of one's.
 const SHARED_BY: f64 = 20.0;
-/// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
-/// capacity holds four on average; more only makes every one of them later.
+/// Requests that all proxies together hold on one backend at least: a single shared processor at four
+/// fifths of its capacity holds four on average. How many cores a kind has nobody tells: `learn_holds` does.
 const HOLD: f64 = 4.0;
+/// A kind's hold grows while its answers take less than this multiple of what they take uncrowded: while
+/// cores are idle one more makes none later, from then on each adds its wait.
+const CROWDED: f64 = 1.4;
+/// The furthest from that target that one look at the latency counts, either way.
+const OFF_MOST: f64 = 0.25;
+/// How fast a hold first moves, a second; after n seconds of learning 1 + n times slower, as a machine's
+/// cores do not come and go while its speed may.
+const HOLD_PACE: f64 = 5.0;
+/// Samples in the mean that a hold follows.
+const QUICK_SAMPLES: f64 = 30.0;
+/// How fast the uncrowded latency is forgotten, a second.
+const FORGET: f64 = 0.005;
 /// Error share from which a backend is ejected: two errors close together reach it.
 const ERROR_LIMIT: f64 = 0.3;
 /// Weight of the newest outcome in a backend's error share.
@@ -94,6 +106,7 @@
     crowd: Rate,
     extra: f64,
     solve_at: Time,
+    solved_at: Time,
     /// When time alone may next call for something, and the timer set for that.
     look_at: Time,
     timer: (u64, Time),
@@ -122,6 +135,7 @@
             crowd: Rate::new(CROWD_MEMORY),
             extra: 0.0,
             solve_at: Time(0),
+            solved_at: Time(0),
             look_at: Time(0),
             timer: (0, Time(u64::MAX)),
             ask: ((cfg.discovery != Discovery::Push).then_some(Time(0)), 0.0),
@@ -245,7 +259,9 @@
                 self.classes[class].latency.add(secs, KIND_SAMPLES);
                 self.overall.add(secs, KIND_SAMPLES);
                 let plain = secs * self.overall.value / self.classes[class].latency.value;
-                self.kinds.entry(p.entry.kind).or_default().latency.add(plain, KIND_SAMPLES);
+                let k = self.kinds.entry(p.entry.kind).or_default();
+                k.latency.add(plain, KIND_SAMPLES);
+                k.quick.add(plain, QUICK_SAMPLES);
                 p.answered = now;
                 p.errors *= 1.0 - ERROR_STEP;
                 p.trials += 1;
@@ -343,6 +359,8 @@
 
     /// Readiness of every backend, speed and share of every kind.
     fn solve(&mut self, now: Time) {
+        self.learn_holds(now - self.solved_at);
+        self.solved_at = now;
         let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
         self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
         self.blocked = 0.0;
@@ -376,6 +394,28 @@
         self.allot();
     }
 
+    /// How many requests a backend of each kind is worth holding. A kind whose rooms are full and whose answers
+    /// take no longer than uncrowded has cores to spare; one whose answers take longer holds too many.
+    fn learn_holds(&mut self, gap: Micros) {
+        let gap = gap.secs().min(1.0);
+        for (kind, k) in &mut self.kinds {
+            k.hold = k.hold.max(HOLD);
+            let Some(quick) = k.quick.get().filter(|_| k.quick.count >= QUICK_SAMPLES) else { continue };
+            let peers = self.peers.values().filter(|p| p.entry.kind == *kind && p.ready > 0.0);
+            let (out, room) = peers.fold((0.0, 0.0), |n, p| (n.0 + f64::from(p.out), n.1 + p.room));
+            k.alone = if k.alone > 0.0 { quick.min(k.alone * (1.0 + FORGET * gap)) } else { quick };
+            if out < room * 0.8 {
+                continue; // not the hold's doing
+            }
+            if k.hold <= HOLD && quick > k.alone * CROWDED {
+                k.alone = quick; // not its crowd makes it slow: this is what it takes now
+            }
+            k.learned += gap;
+            let off = (CROWDED - quick / k.alone).clamp(-OFF_MOST, OFF_MOST);
+            k.hold = (k.hold * (off * gap * HOLD_PACE / (1.0 + k.learned)).exp()).max(HOLD);
+        }
+    }
+
     /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
     /// traffic stays near so far as all proxies together still give every backend the same part: a zone
     /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
@@ -401,7 +441,8 @@
             // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
             let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
             let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
-            let fair = HOLD / proxies * p.ready;
+            let hold = self.kinds.get(&p.entry.kind).map_or(HOLD, |k| k.hold.max(HOLD));
+            let fair = hold / proxies * p.ready;
             p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
             // The trace takes the overflow where all that have a part are full.
             let drawn = part(&self.kinds, p) * bias;
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,6 +114,14 @@
 pub(crate) struct Kind {
     /// Seconds from dispatch to answer, of served requests only, with the class mix taken out.
     pub latency: Mean,
+    /// The same over few samples.
+    pub quick: Mean,
+    /// The same while nothing crowds it: the least lately, slowly forgotten.
+    pub alone: f64,
+    /// Requests that all proxies together hold on one of its backends.
+    pub hold: f64,
+    /// Seconds that went into that number: the more, the slower it moves, as cores do not come and go.
+    pub learned: f64,
     /// Sum of its backends' readiness.
     pub ready: f64,
     /// Requests a second that one backend could serve.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -434,3 +434,46 @@
     };
     assert_eq!(run(false), run(true));
 }
+
+/// What one proxy has out on a backend in the last second of an overload, on average: three backends of so
+/// many cores serve in order of arrival, each request 100 ms of a core.
+fn held_on_each(cores: usize) -> f64 {
+    let mut host = host(Config { proxies: 1, ..config(vec![class(Effect::Free)]) }, fleet(3));
+    let mut left = std::collections::BTreeMap::new();
+    let (mut due, mut held) = (0.0, 0);
+    for step in 0..1_000 {
+        due += 1.5 * 3.0 * cores as f64 * 0.005 / 0.1;
+        for _ in 0..due as usize {
+            host.arrive(0, 900_000);
+        }
+        due -= due.floor();
+        host.advance(5_000);
+        let out = host.out();
+        held += if step >= 800 { out.len() } else { 0 };
+        for b in 0..3 {
+            let on = |k: &&(RequestId, usize)| host.requests[&k.0].tries[k.1].backend.0 == b;
+            let mut line: Vec<_> = out.iter().filter(on).collect();
+            line.sort_by_key(|k| host.requests[&k.0].tries[k.1].at);
+            for &&(id, no) in line.iter().take(cores) {
+                let rest = left.entry((id, no)).or_insert(20u32);
+                *rest -= 1;
+                if *rest == 0 {
+                    host.end(id, no, Outcome::Ok);
+                }
+            }
+        }
+    }
+    held as f64 / 600.0
+}
+
+#[test]
+fn all_cores_of_a_backend_are_put_to_use() {
+    // Found in service: a hold of four, right for one core, left half of every seven-core backend idle.
+    for cores in [7, 16] {
+        let held = held_on_each(cores);
+        let (least, most) = (cores as f64 * 0.9, cores as f64 * 2.0);
+        assert!((least..=most).contains(&held), "{held} held on each backend of {cores} cores");
+    }
+    let held = held_on_each(1);
+    assert!(held <= 6.0, "{held} held on each backend of one core");
+}
