--- a/src/rules.rs
+++ b/src/rules.rs
@@ -394,8 +394,8 @@
         self.allot();
     }
 
-    /// How many requests a backend of each kind is worth holding. A kind whose rooms are full and whose answers
-    /// take no longer than uncrowded has cores to spare; one whose answers take longer holds too many.
+    /// How many requests a backend of each kind is worth holding. A kind whose rooms are full and whose
+    /// answers take no longer than uncrowded has cores to spare; where they take longer it holds too many.
     fn learn_holds(&mut self, gap: Micros) {
         let gap = gap.secs().min(1.0);
         for (kind, k) in &mut self.kinds {
