Reload the configuration on SIGHUP and follow discovery to its new address

A file that cannot be read changes nothing.

The test fails without the change: the connection is refused, as nobody is left to answer.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,11 +9,13 @@
 use net::upstream::Pool;
 use net::{discovery, server, Clock};
 use shaletide::{Balancer, ListUpdate};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
-use tracing::info;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tracing::{info, warn};
 
 /// Descriptors that are kept for all but clients and upstreams.
 const RESERVE: usize = 64;
@@ -40,6 +42,8 @@
     let clock = Clock::new();
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    // Unheard, this one ends the program.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
     let room = node.sockets.saturating_sub(RESERVE).max(2);
     let pool = Rc::new(Pool::new(&node.network, room / 2));
     let mode = node.config.discovery;
@@ -55,11 +59,13 @@
     host.members(ListUpdate::Cached, &node.known);
     let listener =
         server::listen(node.listen).map_err(|e| format!("cannot listen on {}: {e}", node.listen))?;
-    let at = listener.local_addr().unwrap_or(node.listen);
-    info!("{} listens on {at}, {} backends known", node.name, node.known.endpoints.len());
+    let bound = listener.local_addr().unwrap_or(node.listen);
+    info!("{} listens on {bound}, {} backends known", node.name, node.known.endpoints.len());
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.sweep());
-    tokio::task::spawn_local(discovery::watch(host.clone(), node.discovery, node.known.index, mode));
+    let (moved, at) = watch::channel(node.discovery);
+    tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, mode));
+    tokio::task::spawn_local(reload(hangup, moved));
     let server = Server::new(host.clone(), rules, room - room / 2);
     let reporter = server.clone();
     tokio::task::spawn_local(async move {
@@ -79,3 +85,17 @@
     info!("stopped");
     Ok(())
 }
+
+/// On each SIGHUP reads the configuration again and passes on where discovery is now. A file that cannot be
+/// used changes nothing.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Node::read() {
+            Ok(node) => {
+                info!("configuration read again, discovery at {}", node.discovery);
+                discovery.send_if_modified(|at| std::mem::replace(at, node.discovery) != node.discovery);
+            }
+            Err(e) => warn!("configuration not read again: {e}"),
+        }
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tracing::{info, warn};
 
 /// One call waits so long for news.
@@ -125,8 +126,9 @@
     conn: http1::Connection<Stream, Empty<Bytes>>,
 }
 
-/// Keeps the list up to date for as long as the program runs.
-pub async fn watch(host: Rc<Host>, at: SocketAddr, mut index: u64, mode: Discovery) {
+/// Keeps the list up to date for as long as the program runs. When discovery moves, the call that is out is
+/// dropped with its connection and the whole list is asked for at the new address at once.
+pub async fn watch(host: Rc<Host>, mut at: watch::Receiver<SocketAddr>, mut index: u64, mode: Discovery) {
     let asked = mode != Discovery::Push;
     let mut whole = !asked; // an agent's answers cost nothing: begin with the truth
     let (mut link, mut failures) = (None, 0u32);
@@ -141,8 +143,16 @@
             true => ("/api/targets".to_string(), PROMPT),
             false => (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait + PROMPT),
         };
-        let call = tokio::time::timeout(patience, fetch(&mut link, at, &uri));
-        match call.await.unwrap_or(Err(WatchError::Silent)) {
+        let address = *at.borrow_and_update();
+        let call = tokio::time::timeout(patience, fetch(&mut link, address, &uri));
+        let answer = tokio::select! {
+            answer = call => answer.unwrap_or(Err(WatchError::Silent)),
+            Ok(()) = at.changed() => {
+                (link, whole, wait) = (None, true, Duration::ZERO);
+                continue;
+            }
+        };
+        match answer {
             Ok(list) => {
                 if failures > 0 {
                     info!("discovery is back at {}", list.index);
@@ -169,10 +179,16 @@
                 }
                 if asked {
                     host.members(ListUpdate::Lost, &List::default());
-                    host.followed().await; // when to ask again is the module's to say
+                    tokio::select! {
+                        () = host.followed() => {} // when to ask again is the module's to say
+                        Ok(()) = at.changed() => whole = true,
+                    }
                     wait = Duration::ZERO;
                 } else {
-                    tokio::time::sleep(BACKOFF * (1 << failures.min(4)) / 2).await;
+                    tokio::select! {
+                        () = tokio::time::sleep(BACKOFF * (1 << failures.min(4)) / 2) => {}
+                        Ok(()) = at.changed() => whole = true,
+                    }
                 }
             }
         }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -408,3 +408,27 @@
         }
     }
 }
+
+/// The platform moves discovery: the file names the new address, and SIGHUP says so.
+#[test]
+fn on_a_reload_the_list_is_taken_whole_from_where_discovery_is_now() {
+    let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+    let proxy = one(&old);
+    let (_, answer) = proxy.discovery.call();
+    answer.send((200, list(7, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
+    let (_, _unanswered) = proxy.discovery.call(); // the watch waits there when the signal comes
+    let moved = DiscoveryServer::start();
+    let text = std::fs::read_to_string(&proxy.config).unwrap();
+    std::fs::write(&proxy.config, "{").unwrap();
+    proxy.signal("-HUP"); // a file that cannot be read changes nothing
+    assert_eq!(proxy.ask(&read(3.0)).body, b"old");
+    let text = text.replace(&proxy.discovery.address.to_string(), &moved.address.to_string());
+    std::fs::write(&proxy.config, text).unwrap();
+    proxy.signal("-HUP");
+    let (call, answer) = moved.call();
+    assert_eq!(call, "GET /api/targets HTTP/1.1");
+    answer.send((200, list(3, true, &[entry("b1", new.address, "SERVING")]))).unwrap();
+    let (call, _hold) = moved.call();
+    assert!(call.starts_with("GET /api/targets?after=3&wait_ms="), "{call}");
+    assert_eq!(proxy.ask(&read(3.0)).body, b"new");
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -2,8 +2,9 @@
 //! blocking sockets and ports that the kernel picks.
 #![allow(dead_code)]
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
@@ -251,6 +252,8 @@
     pub child: Child,
     pub address: SocketAddr,
     pub discovery: DiscoveryServer,
+    /// The file that it was told to read.
+    pub config: PathBuf,
 }
 
 impl Proxy {
@@ -271,7 +274,10 @@
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
-        let mut child = limited(Some(&config), descriptors).spawn().unwrap();
+        let mut command = limited(Some(&config), descriptors);
+        let path = command.get_envs().find(|e| e.0 == "NODE_CONFIG").and_then(|e| e.1);
+        let config = PathBuf::from(path.unwrap());
+        let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let address = loop {
             let mut line = String::new();
@@ -281,7 +287,7 @@
             }
         };
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Proxy { child, address, discovery }
+        Proxy { child, address, discovery, config }
     }
 
     pub fn client(&self) -> Client {
@@ -294,7 +300,11 @@
     }
 
     pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, which: &str) {
+        let done = Command::new("kill").args([which, &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
     }
 }
@@ -343,6 +353,11 @@
         self.send(request);
         self.answer().expect("a whole answer")
     }
+    /// The proxy ended the connection before this side lost its patience.
+    pub fn let_go(&mut self) -> bool {
+        let waited = [ErrorKind::WouldBlock, ErrorKind::TimedOut];
+        self.0.read(&mut [0]).map_or_else(|e| !waited.contains(&e.kind()), |n| n == 0)
+    }
     /// The proxy ended the connection, with nothing more on it.
     pub fn ended(&mut self) -> bool {
         matches!(self.0.read(&mut [0]), Ok(0) | Err(_))
