--- a/src/rules.rs
+++ b/src/rules.rs
@@ -550,8 +550,8 @@
         proxies > HOLD && held > limit * ready
     }
 
-    /// What one more served request of each class adds to the operator's goal: its worth to the whole and, for
-    /// the class that was served worst so far, its worth to that class's own part.
+    /// What one more served request of each class adds to the operator's goal: its worth to the whole and,
+    /// for the class that was served worst so far, its worth to that class's own part.
     fn gains(&self) -> Vec<f64> {
         let all: f64 = self.classes.iter().map(|c| c.asked).sum();
         let served = |c: &ClassState| if c.asked > 0.0 { c.earned / c.asked } else { 1.0 };
