Let go of peers that never finish their first request

A first head has 2.5 s, its body until 2.8 s after connecting; a later body as long from its head. Connections that served a request may idle as before. Where a connection is chosen to leave, the cut looks once more whether a request came meanwhile, as it would have been lost.

Ruled out: hyper's own limit on heads, which needs a timer that was never set and would close kept connections as well. The test fails without the change: after 20 s the peers were still held.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -33,6 +33,11 @@
 const BACKLOG: u32 = 1024;
 /// A head that is not whole after this time holds its connection no more where room is needed.
 const HEAD_PATIENCE: Micros = Micros(5_000_000);
+/// A peer without a whole head so long after connecting is let go: within three seconds it is owed an end.
+const FIRST_HEAD: Duration = Duration::from_millis(2_500);
+/// The body's last byte comes within this time of connecting, later on a connection of its head: clients send
+/// both at once, and a peer that does not is owed its error in the same three seconds.
+const BODY_PATIENCE: Micros = Micros(2_800_000);
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
 /// Lines about a failing listener come no faster.
@@ -48,6 +53,8 @@
 struct Client {
     stream: Stream,
     busy: Cell<bool>,
+    /// No whole head has come on it yet.
+    fresh: Cell<bool>,
     /// When it was accepted or last answered.
     since: Cell<Time>,
     /// It was chosen to make room.
@@ -160,8 +167,8 @@
         let key = self.next.get();
         self.next.set(key + 1);
         let (stream, since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
-        let (busy, leaving, close) = (Cell::new(false), Cell::new(false), Notify::new());
-        let client = Rc::new(Client { stream, busy, since, leaving, close });
+        let (busy, fresh, leaving) = (Cell::new(false), Cell::new(true), Cell::new(false));
+        let client = Rc::new(Client { stream, busy, fresh, since, leaving, close: Notify::new() });
         self.clients.borrow_mut().insert(key, client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
@@ -174,7 +181,9 @@
     async fn serve(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request| async {
             client.busy.set(true);
-            let answer = self.answer(request).await;
+            let now = self.host.clock.now();
+            let from = if client.fresh.replace(false) { client.since.get() } else { now };
+            let answer = self.answer(request, from + BODY_PATIENCE - now).await;
             client.since.set(self.host.clock.now());
             client.stream.mark_idle();
             client.busy.set(false);
@@ -184,10 +193,21 @@
         builder.max_buf_size(MAX_BODY);
         let mut conn = pin!(builder.serve_connection(client.stream.clone(), service));
         let mut cut = pin!(tokio::time::sleep(Duration::MAX));
+        let mut head = pin!(tokio::time::sleep(FIRST_HEAD));
         loop {
             tokio::select! {
                 _ = conn.as_mut() => return,
-                _ = cut.as_mut(), if client.leaving.get() && !client.busy.get() => return,
+                // Both looked at again when they fire: a request may have come since the wait began.
+                _ = head.as_mut(), if client.fresh.get() => {
+                    if client.fresh.get() {
+                        return;
+                    }
+                }
+                _ = cut.as_mut(), if client.leaving.get() && !client.busy.get() => {
+                    if !client.busy.get() {
+                        return;
+                    }
+                }
                 _ = client.close.notified() => {
                     if client.leaving.get() {
                         cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_PATIENCE);
@@ -201,10 +221,11 @@
         }
     }
 
-    async fn answer(self: &Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// `patience`: how long its body may take.
+    async fn answer(self: &Rc<Self>, request: Request<Incoming>, patience: Micros) -> Response<Full<Bytes>> {
         let mut answer = match request.uri().path() {
             "/-/ready" => plain(StatusCode::OK, "ready\n"),
-            _ => self.proxy(request).await.unwrap_or_else(|(status, text)| plain(status, text)),
+            _ => self.proxy(request, patience).await.unwrap_or_else(|(status, text)| plain(status, text)),
         };
         if self.stopping.get() || self.clients() > self.max {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -213,7 +234,7 @@
     }
 
     async fn proxy(
-        self: &Rc<Self>, request: Request<Incoming>,
+        self: &Rc<Self>, request: Request<Incoming>, patience: Micros,
     ) -> Result<Response<Full<Bytes>>, (StatusCode, &'static str)> {
         let came = self.host.clock.now();
         let (head, body) = request.into_parts();
@@ -238,7 +259,7 @@
         let left = number(&headers, "x-time-left").map_or(most, Micros::from_secs).min(most);
         let deadline = came + Micros(left.0.saturating_sub(self.host.margin().0));
         let body = Limited::new(body, MAX_BODY).collect();
-        let body = match tokio::time::timeout(span(left), body).await {
+        let body = match tokio::time::timeout(span(left.min(patience)), body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"))
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -432,3 +432,22 @@
     assert!(call.starts_with("GET /api/targets?after=3&wait_ms="), "{call}");
     assert_eq!(proxy.ask(&read(3.0)).body, b"new");
 }
+
+/// Anyone may connect. Who sends nothing, or never ends what it began, is let go; who waits between requests
+/// is not.
+#[test]
+fn peers_that_never_finish_a_request_are_not_waited_for() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let patient = SETTINGS.replace("\"deadline_us\":3000000", "\"deadline_us\":90000000");
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 1024, &patient);
+    let (mut kept, mut mute, mut half) = (proxy.client(), proxy.client(), proxy.client());
+    assert_eq!(kept.ask(&read(3.0)).status(), 200);
+    half.send("GET /read/k HTTP/1.1\r\nHost: s\r\nX-Corr");
+    let mut bodiless = proxy.client();
+    let head = pay(80.0);
+    bodiless.send(head.strip_suffix("cash").unwrap());
+    assert_eq!(bodiless.answer().expect("an error").status(), 408);
+    assert!(mute.let_go() && half.let_go());
+    assert_eq!(kept.ask(&read(3.0)).status(), 200);
+    assert_eq!(backend.count(), 2, "nothing of theirs went on");
+}
