Divide a cold backend's budget by the proxies that use it, with turns below one

At fault: `budget`. It divided the fleet's allowance by all proxies and floored the part at one unit of work. But only SHARED_BY proxies use a backend: twenty times one in three seconds is 6.7 a second, however warm it got; a class heavier than the mean never fitted into one unit; out of slice the floor let eighty more send one each. And the capacity behind it was 2 / T, the speed of one core. Now: the part is that of the proxy's slice; below one the coin that the proxies hold evenly spread rounds it, so that the sum over them is the allowance; capacity is also what the others of the kind carry, per ready backend.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -282,6 +282,7 @@
                 let plain = secs * self.overall.value / self.classes[class].latency.value;
                 let k = self.kinds.entry(p.entry.kind).or_default();
                 k.latency.add(plain, KIND_SAMPLES);
+                k.served.add(now, 1.0 / k.ready.max(1.0));
                 k.quick.add(plain, QUICK_SAMPLES);
                 p.answered = now;
                 p.errors *= 1.0 - ERROR_STEP;
@@ -394,7 +395,10 @@
         let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
         let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
         let proxies = f64::from(self.cfg.proxies);
-        self.kinds.values_mut().for_each(|k| k.ready = 0.0);
+        self.kinds.values_mut().for_each(|k| {
+            k.ready = 0.0;
+            k.served.add(now, 0.0);
+        });
         for p in self.peers.values_mut() {
             let k = self.kinds.entry(p.entry.kind).or_default();
             let health = match p.ejected {
@@ -467,10 +471,10 @@
             // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
             // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
             let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
-            let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
+            p.coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
             let hold = self.kinds.get(&p.entry.kind).map_or(HOLD, |k| k.hold.max(HOLD));
             let fair = hold / proxies * p.ready;
-            p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
+            p.room = (fair * (0.5 + 0.5 * bias) + p.coin).floor().max(1.0);
             // The trace takes the overflow where all that have a part are full.
             let drawn = part(&self.kinds, p) * bias;
             p.pull = drawn + p.ready * 1e-6;
@@ -489,10 +493,12 @@
             let to = k.walked / k.pull.max(1e-9);
             let inside = |start: f64| (to.min(start + width) - from.max(start)).max(0.0);
             p.slice = inside(start) + inside(start - 1.0);
+            p.due = p.slice / ((to - from) * width * proxies).max(1e-9);
         }
     }
 
-    /// Work that this proxy may still send to a cold backend inside the present fall window.
+    /// Work that this proxy may still send to a cold backend inside the present fall window: its part of what
+    /// all may, as those do not send there in whose slice the backend is not.
     fn budget(&self, now: Time, p: &Peer) -> f64 {
         let warmth = warmth(&self.cfg, now - self.cfg.fall_window, &p.entry); // as the window began
         if warmth >= 1.0 {
@@ -500,12 +506,14 @@
         }
         let proxies = f64::from(self.cfg.proxies);
         let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
-        // Against few ready backends the speed formula overshoots; twice the bare 1/T is sure.
-        let sure = |k: &Kind| k.latency.get().map(|t| k.speed.min(2.0 / t));
+        // Against few ready backends the speed formula overshoots; twice the bare 1/T is sure, and so is what
+        // the others of its kind carry.
+        let carried = |k: &Kind| k.served.per_s().unwrap_or(0.0) * proxies;
+        let sure = |k: &Kind| k.latency.get().map(|t| k.speed.min(2.0 / t).max(carried(k)));
         let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or(fair);
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
-        let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs() / proxies;
-        (all * FALL_MARGIN).max(1.0) - spent
+        let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs();
+        all * FALL_MARGIN * p.due - spent
     }
 
     fn may_send(&self, now: Time, r: &Request) -> bool {
@@ -534,7 +542,11 @@
             };
             let fresh = r.sent.iter().all(|s| s.to.id != b && known(s));
             let idle = p.silent || now < p.full_until;
-            if p.entry.state != BackendState::Ready || idle || !fresh || self.budget(now, p) < work {
+            if p.entry.state != BackendState::Ready
+                || idle
+                || !fresh
+                || self.budget(now, p) < work * (1.0 - p.coin)
+            {
                 continue;
             }
             if let (Some(until), true) = (p.ejected, p.ready == 0.0) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,13 @@
     at: Option<Time>,
 }
 
+impl Default for Rate {
+    /// With a memory of five seconds: some ten of the requests of a proxy that sees few.
+    fn default() -> Rate {
+        Rate::new(5.0)
+    }
+}
+
 impl Rate {
     pub fn new(memory: f64) -> Rate {
         Rate { memory, events: 0.0, seen: 0.0, at: None }
@@ -132,6 +139,8 @@
     pub pull: f64,
     /// The pull of its backends passed so far, while slices are cut.
     pub walked: f64,
+    /// Requests that this proxy had served there, each as a part of its ready backends.
+    pub served: Rate,
 }
 
 /// What is known of a backend.
@@ -144,6 +153,10 @@
     pub pull: f64,
     /// Its part of this proxy's slice of its kind.
     pub slice: f64,
+    /// This proxy's part of what all proxies send it.
+    pub due: f64,
+    /// Its place in the turns that proxies take where a part is less than one: evenly from 0 to 1 over all.
+    pub coin: f64,
     /// How many attempts of this proxy it may hold.
     pub room: f64,
     /// How many it holds.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,169 @@
+//! What many proxies do together that none of them does alone: all of a fleet's balancers on one clock that
+//! the test drives by hand. Backends answer after a fixed time; sends are counted, nothing else is played.
+
+use shaletide::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const SECOND: u64 = 1_000_000;
+
+/// What falls due at a proxy.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival,
+    Timer(u64),
+    End(RequestId, u32, u32, u64),
+}
+
+struct Fleet {
+    now: u64,
+    proxies: Vec<Balancer>,
+    due: BinaryHeap<Reverse<(u64, usize, Due)>>,
+    next: u64,
+    /// Attempts sent so far by request.
+    tries: BTreeMap<RequestId, u32>,
+    /// Every send: when, by which proxy, and where to.
+    sent: Vec<(u64, usize, u32)>,
+    refused: usize,
+    follows: Vec<(u64, usize)>,
+    /// How long each backend takes, and how it ends.
+    serve: fn(u32) -> (u64, Outcome),
+}
+
+impl Fleet {
+    fn new(cfg: &Config, count: u32, serve: fn(u32) -> (u64, Outcome)) -> Fleet {
+        let proxy = |position| {
+            let cfg = Config { proxies: count, position, ..cfg.clone() };
+            Balancer::new(cfg, 7 + u64::from(position)).expect("sound")
+        };
+        Fleet {
+            now: 1_000 * SECOND,
+            proxies: (0..count).map(proxy).collect(),
+            due: BinaryHeap::new(),
+            next: 0,
+            tries: BTreeMap::new(),
+            sent: Vec::new(),
+            refused: 0,
+            follows: Vec::new(),
+            serve,
+        }
+    }
+
+    fn tell(&mut self, proxy: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.proxies[proxy].handle(Time(self.now), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Dispatch { request, backend } => {
+                    let no = self.tries.entry(request).or_default();
+                    let (takes, _) = (self.serve)(backend.0);
+                    let end = Due::End(request, *no, backend.0, self.now);
+                    self.due.push(Reverse((self.now + takes, proxy, end)));
+                    self.sent.push((self.now, proxy, backend.0));
+                    *no += 1;
+                }
+                Action::SetTimer { token, after } => {
+                    self.due.push(Reverse((self.now + after.0, proxy, Due::Timer(token.0))));
+                }
+                Action::Refuse { .. } => self.refused += 1,
+                Action::Follow => self.follows.push((self.now, proxy)),
+                _ => {}
+            }
+        }
+    }
+
+    fn members(&mut self, update: ListUpdate, backends: &[Backend]) {
+        for proxy in 0..self.proxies.len() {
+            self.tell(proxy, Event::Members { update, backends: backends.to_vec() });
+        }
+    }
+
+    /// So many requests a second at each proxy, for so long, not in step with one another.
+    fn play(&mut self, rate: f64, span: u64) {
+        let gap = (SECOND as f64 / rate) as u64;
+        let (until, count) = (self.now + span, self.proxies.len() as u64);
+        for proxy in 0..count {
+            self.due.push(Reverse((self.now + gap * proxy / count, proxy as usize, Due::Arrival)));
+        }
+        while self.due.peek().is_some_and(|d| d.0 .0 < until) {
+            let Some(Reverse((at, proxy, due))) = self.due.pop() else { return };
+            self.now = at;
+            match due {
+                Due::Arrival => {
+                    self.next += 1;
+                    let (request, class, time_left) = (RequestId(self.next), ClassId(0), Micros(SECOND));
+                    let (tenant, work_hint, repeat) = (None, None, false);
+                    let arrival = Arrival { request, class, tenant, time_left, work_hint, repeat };
+                    self.tell(proxy, Event::Request(arrival));
+                    self.due.push(Reverse((at + gap, proxy, Due::Arrival)));
+                }
+                Due::Timer(token) => self.tell(proxy, Event::Timer { token: TimerToken(token) }),
+                Due::End(request, attempt, backend, sent) => {
+                    let (attempt, outcome) = (AttemptNo(attempt), (self.serve)(backend).1);
+                    let latency = Micros(at - sent);
+                    let end =
+                        AttemptEnd { request, attempt, outcome, latency, settled: outcome == Outcome::Ok };
+                    self.tell(proxy, Event::AttemptEnded(end));
+                }
+            }
+        }
+        self.due.retain(|d| d.0 .2 != Due::Arrival);
+        self.now = until;
+    }
+
+    /// Sends to a backend from one time to another, by all proxies.
+    fn sent_to(&self, backend: u32, from: u64, to: u64) -> usize {
+        self.sent.iter().filter(|s| s.2 == backend && (from..to).contains(&s.0)).count()
+    }
+}
+
+fn backends(ids: std::ops::Range<u32>, booted: Option<Time>) -> Vec<Backend> {
+    let mark = |id: u32| u64::from(id.wrapping_mul(2_654_435_761)) >> 4;
+    let one = |id| Backend {
+        id: BackendId(id),
+        mark: mark(id),
+        state: BackendState::Ready,
+        booted,
+        ..Backend::default()
+    };
+    ids.map(one).collect()
+}
+
+/// Found on join+vast: each proxy might send a cold backend one unit of work in a fall window however many
+/// proxies there were, and no more than a hundredth of the whole though a fifth of the proxies sent there.
+#[test]
+fn many_proxies_together_send_cold_backends_what_they_can_do_and_not_more() {
+    let ramp = 23 * SECOND;
+    let cfg =
+        Config { cold_from: 0.13, ramp: Micros(ramp), fall_window: Micros(3 * SECOND), ..Config::example() };
+    let mut fleet = Fleet::new(&cfg, 100, |_| (120_000, Outcome::Ok));
+    fleet.members(ListUpdate::Full, &backends(0..60, None));
+    fleet.play(15.0, 10 * SECOND);
+    let warm = 15.0 * 100.0 / 60.0; // what one backend was sent a second
+    let boot = fleet.now;
+    let mut list = backends(36..60, None);
+    list.extend(backends(100..136, Some(Time(boot))));
+    fleet.members(ListUpdate::Full, &list);
+    fleet.play(15.0, 12 * SECOND);
+    let warmth = |age: u64| 0.13 + 0.87 * age as f64 / ramp as f64;
+    for id in 100..136 {
+        for from in 0..9 {
+            let (from, to) = (boot + from * SECOND, boot + (from + 3) * SECOND);
+            let most = 3.0 * 3.0 * warm * warmth(from - boot);
+            let got = fleet.sent_to(id, from, to);
+            assert!(
+                got as f64 <= most,
+                "{got} to cold backend {id} of {most} in the window at {}",
+                from - boot
+            );
+        }
+    }
+    // Ten seconds after their start they can do half at least, and no backend is to have idle what others lack.
+    let (from, to) = (boot + 8 * SECOND, boot + 12 * SECOND);
+    let mean = |ids: std::ops::Range<u32>| {
+        let count = ids.len() as f64;
+        ids.map(|id| fleet.sent_to(id, from, to)).sum::<usize>() as f64 / count
+    };
+    let (cold, warm) = (mean(100..136), mean(36..60));
+    assert!(cold >= warm * 0.4, "{cold} to each cold backend beside {warm} to each warm one");
+}
