Measure what a proxy holds over two seconds and on backends in use only

At fault: `crowd` is a mean over CROWD_MEMORY, five seconds, and counts every attempt, also those that hang on backends that have left, while `ready` beside it falls at once. Now: two seconds, the memory of the arrival rate, and only what is out on backends in use. A proxy still needs a quarter of a second of watching first, as before; without that one inherited test of 300 proxies failed.

Test: without the change nothing at all is sent in the second after the fleet shrinks, where 960 would fit.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,9 +12,12 @@
 const SOLVE_EVERY: f64 = 0.1;
 /// ... but not before so many requests have come, and a quota holds as many: fewer are chance alone.
 const FEW: f64 = 5.0;
-/// Where a proxy alone has no room to count, memory of what it holds, s: some ten of its own requests.
-const CROWD_MEMORY: f64 = 5.0;
-/// Memory of the arrival rate and of a tenant's quota, s: short beside a ramp or a failure.
+/// What a proxy holds tells it nothing of the others before it has watched for so long, s.
+const CROWD_KNOWN: f64 = 0.25;
+/// An idle proxy looks about so often, s.
+const IDLE_LOOK: f64 = 5.0;
+/// Memory of the arrival rate, of a tenant's quota and, where a proxy alone has no room to count, of what it
+/// holds, s: short beside a ramp or a failure.
 const RATE_MEMORY: f64 = 2.0;
 /// Samples in a kind's or class's mean: its error is then about a tenth of the spread.
 const KIND_SAMPLES: f64 = 100.0;
@@ -142,7 +145,7 @@
             blocked: 0.0,
             attempts: BTreeMap::new(),
             rate: Rate::new(RATE_MEMORY),
-            crowd: Rate::new(CROWD_MEMORY),
+            crowd: Rate::new(RATE_MEMORY),
             extra: 0.0,
             solve_at: Time(0),
             solved_at: Time(0),
@@ -160,7 +163,9 @@
         if !matches!(event, Event::Request(_) | Event::Timer { .. }) {
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
-        let out = self.attempts.len() as f64;
+        // What is out on backends that drain, are gone or out of use crowds none of the others.
+        let used = self.peers.values().filter(|p| p.ready > 0.0 && !p.silent);
+        let out = used.map(|p| f64::from(p.out)).sum();
         self.crowd.pass(now, out);
         if now >= self.solve_at && (matches!(event, Event::Request(_)) || !self.held.is_empty()) {
             self.solve(now); // never for an idle proxy: a thousand of them would cost all the CPU there is
@@ -331,7 +336,7 @@
 
     /// What time alone brings about, and when to look again.
     fn look_after(&mut self, now: Time) {
-        let mut next = now + Micros::from_secs(CROWD_MEMORY); // nothing else may be due
+        let mut next = now + Micros::from_secs(IDLE_LOOK); // nothing else may be due
         if let (Some(at), Discovery::Subscribe(within)) = (self.ask.0, self.cfg.discovery) {
             if now >= at {
                 self.ask.0 = Some(now + within.times(0.5)); // unanswered so long, the call itself was lost
@@ -586,7 +591,7 @@
             false => HOLD * 2.0,
         };
         let held = self.crowd.per_s().unwrap_or(0.0) * proxies;
-        proxies > HOLD && held > limit * ready
+        proxies > HOLD && self.crowd.seen() > CROWD_KNOWN && held > limit * ready
     }
 
     /// What one more served request of each class adds to the operator's goal: its worth to the whole and,
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,11 @@
         self.at = Some(now);
     }
 
+    /// The seconds that count, the latest in full.
+    pub fn seen(&self) -> f64 {
+        self.seen
+    }
+
     /// `None` until a twentieth of the memory has passed.
     pub fn per_s(&self) -> Option<f64> {
         (self.seen > self.memory / 20.0).then(|| self.events / self.seen)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -189,3 +189,19 @@
     let (most, sent) = refused(|_| (300_000, Outcome::Ok));
     assert!(most > sent, "{most} refused beside {sent} sent");
 }
+
+/// Found on zone+vast and join+vast: after the fleet had shrunk the proxies refused 3100 requests of 3400 a second,
+/// as what they held was a mean over five seconds and counted what was out on backends that had left.
+#[test]
+fn a_shrunk_fleet_is_not_left_idle_for_what_was_held_before() {
+    let mut fleet = Fleet::new(&Config::example(), 100, |_| (200_000, Outcome::Ok));
+    fleet.members(ListUpdate::Full, &backends(0..60, None));
+    fleet.play(15.0, 10 * SECOND);
+    let shrunk = fleet.now;
+    fleet.members(ListUpdate::Full, &backends(0..24, None));
+    fleet.play(15.0, 8 * SECOND);
+    // Held: up to eight on each of 24, 200 ms each, 960 a second.
+    let sent = |from: u64| fleet.sent.iter().filter(|s| s.0 / SECOND == shrunk / SECOND + from).count();
+    let each: Vec<usize> = (1..8).map(sent).collect();
+    assert!(each.iter().all(|n| *n >= 600), "{each:?} sent in each second after it shrank");
+}
