Take the platform's socket, hand over to a new process, and open the operators' door

Ruled out: the configuration, as the first process reads the same file. At fault: main.rs bound `listen` whatever NODE_SOCKET_FD said, and nothing answered /status.

Tests: tests/operations.rs; with no successor ever seen the handover test fails (the old process answers).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -374,6 +374,11 @@
         /// The request.
         request: RequestId,
     },
+    /// So many processes are this proxy together, this one included: two while a new version takes over.
+    Beside {
+        /// How many.
+        processes: u32,
+    },
     /// A timer fell due.
     Timer {
         /// Which.
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,30 +4,39 @@
 mod net;
 
 use net::config::{Node, NodeError};
+use net::control::Control;
+use net::handover::{self, Others, Presence};
 use net::host::Host;
 use net::server::{Rules, Server};
 use net::upstream::Pool;
 use net::{discovery, server, Clock};
 use shaletide::{Balancer, ListUpdate};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tracing::{info, warn};
 
 /// Descriptors that are kept for all but clients and upstreams.
 const RESERVE: usize = 64;
+/// How often a process looks for another one.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// A new process beside a running one waits so long for its first list.
+const FIRST_LIST: Duration = Duration::from_secs(2);
 const REPORT_EVERY: Duration = Duration::from_secs(5);
 
 fn main() -> ExitCode {
     let level = std::env::var("NODE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level).init();
     let outcome = Node::read().map_err(|e| e.to_string()).and_then(|node| {
+        let passed = handover::inherited()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime.map_err(|e| format!("no event loop: {e}"))?, run(node))
+        local.block_on(&runtime.map_err(|e| format!("no event loop: {e}"))?, run(node, passed))
     });
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -38,13 +47,13 @@
     }
 }
 
-async fn run(node: Node) -> Result<(), String> {
+async fn run(node: Node, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     let clock = Clock::new();
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     // Unheard, this one ends the program.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
-    let room = node.sockets.saturating_sub(RESERVE).max(2);
+    let room = room(node.sockets);
     let pool = Rc::new(Pool::new(&node.network, room / 2));
     let mode = node.config.discovery;
     let rules = Rules {
@@ -57,21 +66,30 @@
     let host = Host::new(balancer, node.names, clock, pool.clone());
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, &node.known);
-    let listener =
-        server::listen(node.listen).map_err(|e| format!("cannot listen on {}: {e}", node.listen))?;
+    // Only where operators or the platform take part may there be a second process.
+    let presence = if passed.is_some() || node.control.is_some() { presence() } else { None };
+    let listener = match passed {
+        Some(socket) => TcpListener::from_std(socket).map_err(|e| format!("the passed socket: {e}"))?,
+        None => server::listen(node.listen).map_err(|e| format!("cannot listen on {}: {e}", node.listen))?,
+    };
     let bound = listener.local_addr().unwrap_or(node.listen);
-    info!("{} listens on {bound}, {} backends known", node.name, node.known.endpoints.len());
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.sweep());
     let (moved, at) = watch::channel(node.discovery);
     tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, mode));
     tokio::task::spawn_local(reload(hangup, moved));
     let server = Server::new(host.clone(), rules, room - room / 2);
-    let reporter = server.clone();
+    if let Some(at) = node.control {
+        let door = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
+        info!("control on {}", door.local_addr().unwrap_or(at));
+        tokio::task::spawn_local(Control::new(server.clone()).run(door));
+    }
+    info!("{} listens on {bound}, {} backends known", node.name, node.known.endpoints.len());
+    let (reporter, reported) = (server.clone(), host.clone());
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(REPORT_EVERY).await;
-            host.report(reporter.clients());
+            reported.report(reporter.clients());
         }
     });
     let stop = async {
@@ -81,11 +99,60 @@
         }
         info!("stopping");
     };
-    server.run(listener, stop).await;
+    if presence.as_ref().is_some_and(|p| p.others().older) {
+        // The other one serves on meanwhile, and the list at hand may be old.
+        info!("beside another process: waiting for discovery's list");
+        let _ = tokio::time::timeout(FIRST_LIST, host.listed()).await;
+    }
+    if let Some(Err(e)) = presence.as_ref().map(|p| p.publish()) {
+        warn!("TMPDIR: another process will not see this one: {e}");
+    }
+    if let Some(p) = presence.clone() {
+        tokio::task::spawn_local(share(p, host.clone(), server.clone(), node.sockets));
+    }
+    let succeeded = || presence.as_ref().is_some_and(|p| p.others().younger);
+    server.run(listener, stop, succeeded).await;
     info!("stopped");
     Ok(())
 }
 
+fn presence() -> Option<Rc<Presence>> {
+    let made = match std::env::var_os("TMPDIR") {
+        Some(dir) => Presence::new(&Path::new(&dir).join("shaletide")),
+        None => Err(std::io::Error::other("not set")),
+    };
+    match made {
+        Ok(presence) => Some(Rc::new(presence)),
+        Err(e) => {
+            warn!("TMPDIR: a second process of this proxy would not be seen: {e}");
+            None
+        }
+    }
+}
+
+/// While two processes are this proxy they share its descriptors and what cold backends may get.
+async fn share(presence: Rc<Presence>, host: Rc<Host>, server: Rc<Server>, sockets: usize) {
+    let mut last = Others::default();
+    loop {
+        let others = presence.others();
+        if others != last {
+            let shared = others != Others::default();
+            info!("{}", if shared { "beside another process" } else { "alone again" });
+            let room = room(if shared { sockets.saturating_sub(RESERVE) / 2 } else { sockets });
+            host.pool.limit(room / 2);
+            server.limit(room - room / 2);
+            host.beside(if shared { 2 } else { 1 });
+        }
+        last = others;
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Descriptors for clients and upstreams, of so many.
+fn room(sockets: usize) -> usize {
+    sockets.saturating_sub(RESERVE).max(2)
+}
+
 /// On each SIGHUP reads the configuration again and passes on where discovery is now. A file that cannot be
 /// used changes nothing.
 async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -12,6 +12,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where the operators' door is, if there is one.
+    pub control: Option<SocketAddr>,
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
@@ -28,6 +30,7 @@
     Unset,
     Unreadable(String, std::io::Error),
     Malformed(String, serde_json::Error),
+    Control(String),
     Settings(String),
 }
 
@@ -37,6 +40,7 @@
             NodeError::Unset => write!(f, "NODE_CONFIG is not set: expected the path of the configuration"),
             NodeError::Unreadable(path, e) => write!(f, "cannot read NODE_CONFIG {path}: {e}"),
             NodeError::Malformed(path, e) => write!(f, "NODE_CONFIG {path}: {e}"),
+            NodeError::Control(text) => write!(f, "NODE_CONTROL={text}: expected an address and a port"),
             NodeError::Settings(text) => write!(f, "settings: {text}"),
         }
     }
@@ -49,6 +53,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    control: Option<SocketAddr>,
     seed: serde_json::Value,
     #[serde(default)]
     limits: Limits,
@@ -74,6 +79,11 @@
         let path = std::env::var("NODE_CONFIG").map_err(|_| NodeError::Unset)?;
         let text = std::fs::read_to_string(&path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
         let file: File = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path, e))?;
+        // Two processes may read one file: what only this one is told comes first.
+        let control = match std::env::var("NODE_CONTROL") {
+            Ok(text) if !text.is_empty() => Some(text.parse().map_err(|_| NodeError::Control(text))?),
+            _ => file.control,
+        };
         let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
         let network = settings::network(&file.settings).map_err(NodeError::Settings)?;
         let hex = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
@@ -83,6 +93,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            control,
             seed: seed.ok_or_else(bad_seed)?,
             sockets: file.limits.sockets.max(64),
             known: file.known,
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,117 @@
+//! The listening socket that the platform passes on, and the other process of this proxy while there are two.
+
+use rustix::fs::{flock, FlockOperation};
+use std::fs::File;
+use std::io;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const VARIABLE: &str = "NODE_SOCKET_FD";
+const PREFIX: &str = "process-";
+
+/// The socket that `NODE_SOCKET_FD` names; `None` where it names none. Asked once, before anything else runs.
+pub fn inherited() -> Result<Option<TcpListener>, String> {
+    let Ok(text) = std::env::var(VARIABLE) else { return Ok(None) };
+    let wrong = |what: String| format!("{VARIABLE}={text}: {what}");
+    let number: u16 = text.trim().parse().map_err(|_| wrong("expected a descriptor's number".into()))?;
+    if number < 3 {
+        return Err(wrong("expected a descriptor from 3 on".into()));
+    }
+    // The crate takes the descriptor under the names of systemd's protocol.
+    std::env::remove_var("LISTEN_PID");
+    std::env::set_var("LISTEN_FDS", "1");
+    std::env::set_var("LISTEN_FDS_FIRST_FD", number.to_string());
+    let taken = listenfd::ListenFd::from_env().take_tcp_listener(0);
+    std::env::remove_var("LISTEN_FDS_FIRST_FD");
+    let listener = taken.map_err(|e| wrong(e.to_string()))?;
+    let listener = listener.ok_or_else(|| wrong("expected a socket".into()))?;
+    if !socket2::SockRef::from(&listener).is_listener().unwrap_or(false) {
+        return Err(wrong("expected a listening TCP socket".into()));
+    }
+    listener.set_nonblocking(true).map_err(|e| wrong(e.to_string()))?;
+    Ok(Some(listener))
+}
+
+/// Which other processes of this proxy take clients.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Others {
+    pub older: bool,
+    pub younger: bool,
+}
+
+/// Shows this process to the other one: a file that is locked for as long as the process runs, as the kernel
+/// drops a lock however a process ends.
+pub struct Presence {
+    dir: PathBuf,
+    name: String,
+    lock: File,
+}
+
+impl Presence {
+    /// Locks a file that nobody looks at before `publish`.
+    pub fn new(dir: &Path) -> io::Result<Presence> {
+        std::fs::create_dir_all(dir)?;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let name = format!("{PREFIX}{:020}-{}", now.as_micros(), std::process::id());
+        let lock = File::create_new(dir.join(format!(".{name}")))?;
+        flock(&lock, FlockOperation::NonBlockingLockExclusive)?;
+        Ok(Presence { dir: dir.into(), name, lock })
+    }
+
+    /// From now on the other process sees this one.
+    pub fn publish(&self) -> io::Result<()> {
+        std::fs::rename(self.dir.join(format!(".{}", self.name)), self.dir.join(&self.name))
+    }
+
+    /// Looks now. Files of processes that are gone are removed.
+    pub fn others(&self) -> Others {
+        let mut others = Others::default();
+        let entries = std::fs::read_dir(&self.dir).into_iter().flatten().flatten();
+        for name in entries.filter_map(|e| e.file_name().into_string().ok()) {
+            if !name.starts_with(PREFIX) || name == self.name {
+                continue;
+            }
+            let path = self.dir.join(&name);
+            let Ok(file) = File::open(&path) else { continue };
+            match flock(&file, FlockOperation::NonBlockingLockShared) {
+                Ok(()) => drop(std::fs::remove_file(&path)),
+                Err(_) if name < self.name => others.older = true,
+                Err(_) => others.younger = true,
+            }
+        }
+        others
+    }
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        let _ = flock(&self.lock, FlockOperation::Unlock);
+        let _ = std::fs::remove_file(self.dir.join(&self.name));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Age decides who is whose successor; one that has not published or is gone counts for nothing.
+    #[test]
+    fn processes_see_each_other_while_they_live() {
+        let dir = std::env::temp_dir().join(format!("shaletide-presence-{}", std::process::id()));
+        let old = Presence::new(&dir).unwrap();
+        old.publish().unwrap();
+        std::thread::sleep(std::time::Duration::from_millis(2));
+        let young = Presence::new(&dir).unwrap();
+        assert_eq!(old.others(), Others::default(), "not before it takes clients");
+        assert_eq!(young.others(), Others { older: true, younger: false });
+        young.publish().unwrap();
+        assert_eq!(old.others(), Others { older: false, younger: true });
+        std::fs::write(dir.join(format!("{PREFIX}00000000000000000001-9")), "").unwrap();
+        assert!(!old.others().older, "nobody holds its lock");
+        drop(old);
+        assert_eq!(young.others(), Others::default());
+        drop(young);
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+}
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -10,7 +10,7 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::AbortHandle;
 use tracing::{debug, info, warn};
 
@@ -86,6 +86,8 @@
     pub pool: Rc<Pool>,
     sooner: Notify,
     follow: Notify,
+    /// Discovery has answered.
+    listed: watch::Sender<bool>,
     /// How late timers fire: the largest of late, fading.
     lag: Cell<u64>,
 }
@@ -106,7 +108,8 @@
             counts: Counts::default(),
         };
         let (sooner, follow) = (Notify::new(), Notify::new());
-        Rc::new(Host { state: RefCell::new(state), clock, pool, sooner, follow, lag: Cell::new(0) })
+        let listed = watch::channel(false).0;
+        Rc::new(Host { state: RefCell::new(state), clock, pool, sooner, follow, listed, lag: Cell::new(0) })
     }
 
     pub fn class(&self, name: &str) -> Option<ClassId> {
@@ -221,6 +224,19 @@
             self.pool.shut(shut.map(|(n, _)| BackendId(n as u32)).collect());
         }
         self.tell(Event::Members { update, backends });
+        if matches!(update, ListUpdate::Full | ListUpdate::Changes) {
+            self.listed.send_replace(true);
+        }
+    }
+
+    /// Until discovery has answered for the first time.
+    pub async fn listed(&self) {
+        let _ = self.listed.subscribe().wait_for(|heard| *heard).await;
+    }
+
+    /// So many processes are this proxy now.
+    pub fn beside(self: &Rc<Self>, processes: u32) {
+        self.tell(Event::Beside { processes });
     }
 
     /// Until the module asks discovery for changes.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,9 @@
 //! The proxy on real sockets. It translates between sockets and the decision module, and decides nothing.
 
 pub mod config;
+pub mod control;
 pub mod discovery;
+pub mod handover;
 pub mod host;
 pub mod server;
 pub mod stream;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// After SIGTERM new connections go on coming for up to 0.4 s.
 const LINGER: Duration = Duration::from_millis(500);
@@ -65,9 +65,11 @@
 pub struct Server {
     host: Rc<Host>,
     rules: Rules,
-    max: usize,
+    max: Cell<usize>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
+    /// Clients are taken.
+    taking: Cell<bool>,
     stopping: Cell<bool>,
     left: Notify,
     told: Cell<Time>,
@@ -83,24 +85,61 @@
 impl Server {
     pub fn new(host: Rc<Host>, rules: Rules, max: usize) -> Rc<Server> {
         let (clients, next, told) = (RefCell::default(), Cell::new(0), Cell::default());
-        let (stopping, left) = (Cell::new(false), Notify::new());
-        Rc::new(Server { host, rules, max, clients, next, stopping, left, told })
+        let (taking, stopping, left) = (Cell::new(false), Cell::new(false), Notify::new());
+        let max = Cell::new(max);
+        Rc::new(Server { host, rules, max, clients, next, taking, stopping, left, told })
     }
 
     pub fn clients(&self) -> usize {
         self.clients.borrow().len()
     }
 
-    /// Accepts until told to stop, then answers what it has taken and returns.
-    pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    /// Whether this process takes clients.
+    pub fn taking(&self) -> bool {
+        self.taking.get()
+    }
+
+    /// So many connections from now on.
+    pub fn limit(&self, max: usize) {
+        self.max.set(max);
+    }
+
+    /// Accepts until told to stop, then answers what it has taken and returns. Where `succeeded` says that
+    /// another process takes what comes, the listener and its queue are left to it at once.
+    pub async fn run(
+        self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>, succeeded: impl Fn() -> bool,
+    ) {
         let mut stop = pin!(stop);
+        self.taking.set(true);
         loop {
             tokio::select! {
                 _ = self.accept(&listener) => {}
                 _ = &mut stop => break,
             }
         }
+        self.taking.set(false);
         self.stopping.set(true);
+        if succeeded() {
+            info!("another process takes the clients that come");
+            drop(listener);
+            self.linger().await;
+        } else {
+            self.accept_the_last(listener).await;
+        }
+        self.finish().await;
+    }
+
+    /// Clients go on using the connections they have: each is told to close with its next answer, and what is
+    /// idle is closed only later, as a close may cross a request.
+    async fn linger(&self) {
+        let end = tokio::time::Instant::now() + LINGER;
+        while self.clients() > 0 && tokio::time::Instant::now() < end {
+            let _ = tokio::time::timeout_at(end, self.left.notified()).await;
+        }
+    }
+
+    /// New connections go on coming for a while.
+    async fn accept_the_last(self: &Rc<Self>, listener: TcpListener) {
         let mut linger = pin!(tokio::time::sleep(LINGER));
         loop {
             tokio::select! {
@@ -115,6 +154,9 @@
                 tcp.into_iter().for_each(|tcp| self.take_in(tcp));
             }
         }
+    }
+
+    async fn finish(&self) {
         // Past the longest deadline nothing is owed any more; a client that holds a connection open with half
         // of a request does not keep the program.
         let longest = self.rules.deadlines.iter().max().copied().unwrap_or_default();
@@ -127,7 +169,7 @@
     }
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        while self.clients() >= self.max + OVER_BOUND && !self.close_longest_idle() {
+        while self.clients() >= self.max.get() + OVER_BOUND && !self.close_longest_idle() {
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
         }
         match listener.accept().await {
@@ -161,7 +203,7 @@
     }
 
     fn take_in(self: &Rc<Self>, tcp: TcpStream) {
-        if self.clients() >= self.max {
+        if self.clients() >= self.max.get() {
             self.close_longest_idle();
         }
         let key = self.next.get();
@@ -227,7 +269,7 @@
             "/-/ready" => plain(StatusCode::OK, "ready\n"),
             _ => self.proxy(request, patience).await.unwrap_or_else(|(status, text)| plain(status, text)),
         };
-        if self.stopping.get() || self.clients() > self.max {
+        if self.stopping.get() || self.clients() > self.max.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -69,7 +69,7 @@
     shut: RefCell<HashSet<BackendId>>,
     heard: RefCell<HashMap<BackendId, Instant>>,
     open: Rc<Cell<usize>>,
-    max: usize,
+    max: Cell<usize>,
     keep: Duration,
     connect_timeout: Duration,
     pub opened: Cell<u64>,
@@ -82,7 +82,7 @@
             shut: RefCell::default(),
             heard: RefCell::default(),
             open: Rc::default(),
-            max,
+            max: Cell::new(max),
             keep: span(network.conn_idle.times(IDLE_PART)),
             connect_timeout: span(network.connect_timeout),
             opened: Cell::new(0),
@@ -93,6 +93,12 @@
         self.open.get()
     }
 
+    /// So many connections from now on; those above it go as they fall idle.
+    pub fn limit(&self, max: usize) {
+        self.max.set(max);
+        while self.open() > max && self.close_oldest() {}
+    }
+
     fn usable(&self, c: &Conn) -> bool {
         c.since.elapsed() < self.keep && !c.sender.is_closed() && !c.stream.stirred()
     }
@@ -155,7 +161,7 @@
 
     async fn connect(&self, to: SocketAddr) -> Result<Conn, Outcome> {
         // At the bound an idle connection makes room; where there is none the backend is not to blame.
-        if self.open.get() >= self.max && !self.close_oldest() {
+        if self.open.get() >= self.max.get() && !self.close_oldest() {
             return Err(Outcome::NeverSent);
         }
         self.open.set(self.open.get() + 1);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -125,6 +125,8 @@
     look_at: Time,
     timer: (u64, Time),
     ask: (Option<Time>, f64),
+    /// Processes that are this proxy, and that were until then: what one more had sent still weighs.
+    beside: (u32, u32, Time),
     log_at: Time,
     actions: Vec<Action>,
 }
@@ -154,6 +156,7 @@
             look_at: Time(0),
             timer: (0, Time(u64::MAX)),
             ask: ((cfg.discovery != Discovery::Push).then_some(Time(0)), 0.0),
+            beside: (1, 1, Time(0)),
             log_at: Time(0),
             actions: Vec::new(),
             cfg,
@@ -182,6 +185,9 @@
             }
             Event::AttemptEnded(end) => self.ended(now, end),
             Event::ClientGone { request } => self.close(request),
+            Event::Beside { processes } => {
+                self.beside = (processes.max(1), self.beside.0, now + self.cfg.fall_window);
+            }
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = Time(u64::MAX),
         }
@@ -525,7 +531,8 @@
         let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or(fair);
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
         let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs();
-        all * FALL_MARGIN * p.due - spent
+        let before = if now < self.beside.2 { self.beside.1 } else { 1 };
+        all * FALL_MARGIN * p.due / f64::from(self.beside.0.max(before)) - spent
     }
 
     fn may_send(&self, now: Time, r: &Request) -> bool {
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,115 @@
+//! What operators do with the running program: the door, a new version beside the old one, backends taken out
+//! by hand, settings that change.
+
+mod rig;
+
+use rig::*;
+use std::net::TcpListener;
+use std::os::fd::AsRawFd;
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A listening socket that every child inherits, and how the platform tells of it.
+fn platform() -> (TcpListener, (&'static str, String)) {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    socket2::SockRef::from(&socket).set_cloexec(false).unwrap();
+    let variable = ("NODE_SOCKET_FD", socket.as_raw_fd().to_string());
+    (socket, variable)
+}
+
+fn tmp() -> (&'static str, String) {
+    ("TMPDIR", folder().to_str().unwrap().into())
+}
+
+#[test]
+fn the_door_answers_each_call_and_closes() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::operated(&[entry("b0", backend.address, "SERVING")], SETTINGS, &[tmp()]);
+    proxy.wait_until_serving();
+    for (status, line) in
+        [(404, "GET /"), (404, "GET /status/x"), (405, "PUT /status"), (405, "POST /status")]
+    {
+        assert_eq!(proxy.call(line).status(), status, "{line}");
+    }
+    let mut client = Client::connect(proxy.control.unwrap());
+    assert_eq!(
+        client.ask("GET /status HTTP/1.1\r\nHost: d\r\n\r\nGET /status HTTP/1.1\r\n\r\n").status(),
+        200
+    );
+    assert!(client.ended(), "one call to a connection");
+    let mut client = Client::connect(proxy.control.unwrap());
+    client.send("what is this\r\n\r\n");
+    assert!(client.answer().is_none_or(|a| a.status() == 400));
+    assert_eq!(proxy.call("GET /status").status(), 200);
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+}
+
+/// Callers that hold their connection with no whole call make way, and each is let go in the end.
+#[test]
+fn callers_that_say_nothing_do_not_keep_others_out() {
+    let proxy = Proxy::operated(&[], SETTINGS, &[tmp()]);
+    let mut idle: Vec<Client> = (0..200)
+        .map(|n| {
+            let mut client = Client::connect(proxy.control.unwrap());
+            client.send(if n % 2 == 0 { "" } else { "PUT /maint" });
+            client
+        })
+        .collect();
+    proxy.wait_until_serving();
+    assert!(idle.iter_mut().all(Client::let_go));
+}
+
+/// The old process answers what it has, tells its clients to go, and leaves what comes to the new one.
+#[test]
+fn a_new_version_takes_over_without_a_lost_request() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let first = BackendServer::start(move |n| if n == 0 { Reply::Gate(wait.clone()) } else { ok("old") });
+    let second = BackendServer::start(|_| ok("new"));
+    let ((socket, passed), tmp) = (platform(), tmp());
+    let at = socket.local_addr().unwrap();
+    let start = |known: &[String]| Proxy::operated(known, SETTINGS, &[passed.clone(), tmp.clone()]);
+    let mut old = start(&[entry("b0", first.address, "SERVING")]);
+    assert_eq!(old.address, at);
+    old.wait_until_serving();
+    let (mut busy, mut kept) = (Client::connect(at), Client::connect(at));
+    busy.send(&pay(3.0));
+    first.request();
+    assert_eq!(kept.ask(&read(3.0)).body, b"old");
+    let new = start(&[entry("b1", second.address, "SERVING")]);
+    let (_, answer) = new.discovery.call();
+    assert_ne!(new.call("GET /status").status(), 200, "not before its list is at hand");
+    answer.send((200, list(9, true, &[entry("b1", second.address, "SERVING")]))).unwrap();
+    new.wait_until_serving();
+    old.terminate();
+    while old.call("GET /status").status() == 200 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    for _ in 0..20 {
+        assert_eq!(Client::connect(at).ask(&read(3.0)).body, b"new");
+    }
+    let answer = kept.ask(&read(3.0));
+    assert_eq!((&answer.body[..], answer.header("connection")), (&b"old"[..], Some("close")));
+    gate.open();
+    assert_eq!(busy.answer().expect("the answer that was owed").body, b"gated");
+    assert!(old.child.wait().unwrap().success());
+    assert_eq!(Client::connect(at).ask(&read(3.0)).body, b"new", "the socket was closed, not shut down");
+    assert_eq!(second.connections.load(SeqCst), 1, "a warm connection all along");
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_ends_the_start() {
+    let config = format!(
+        r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","settings":{SETTINGS}}}"#
+    );
+    let bound = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    bound.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    bound.set_cloexec(false).unwrap();
+    for value in ["", "x", "2", "999", "-4", &bound.as_raw_fd().to_string()] {
+        let out = launch(Some(&config)).env("NODE_SOCKET_FD", value).output().unwrap();
+        let text = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success(), "{value}");
+        assert!(text.contains("NODE_SOCKET_FD") && !text.contains("panicked"), "{value}: {text}");
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -254,6 +254,8 @@
     pub discovery: DiscoveryServer,
     /// The file that it was told to read.
     pub config: PathBuf,
+    /// The operators' door, where it has one.
+    pub control: Option<SocketAddr>,
 }
 
 impl Proxy {
@@ -274,20 +276,41 @@
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
-        let mut command = limited(Some(&config), descriptors);
+        Proxy::run(limited(Some(&config), descriptors), discovery)
+    }
+
+    /// With an operators' door and further variables in its environment.
+    pub fn operated(known: &[String], settings: &str, variables: &[(&str, String)]) -> Proxy {
+        let discovery = DiscoveryServer::start();
+        let (at, known) = (discovery.address, list(4, true, known));
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}}}"#
+        );
+        let mut command = limited(Some(&config), 1024);
+        command.env("NODE_CONTROL", "127.0.0.1:0");
+        command.envs(variables.iter().map(|(name, value)| (*name, value)));
+        Proxy::run(command, discovery)
+    }
+
+    fn run(mut command: Command, discovery: DiscoveryServer) -> Proxy {
         let path = command.get_envs().find(|e| e.0 == "NODE_CONFIG").and_then(|e| e.1);
         let config = PathBuf::from(path.unwrap());
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut control = None;
         let address = loop {
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened");
+            if let Some(at) = line.split("control on ").nth(1) {
+                control = Some(at.trim().parse().unwrap());
+            }
             if let Some(at) = line.split("listens on ").nth(1) {
                 break at.split(',').next().unwrap().parse().unwrap();
             }
         };
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Proxy { child, address, discovery, config }
+        Proxy { child, address, discovery, config, control }
     }
 
     pub fn client(&self) -> Client {
@@ -299,6 +322,20 @@
         self.client().ask(request)
     }
 
+    /// One call at the operators' door.
+    pub fn call(&self, line: &str) -> Message {
+        Client::connect(self.control.expect("a door")).ask(&format!("{line} HTTP/1.1\r\nHost: door\r\n\r\n"))
+    }
+
+    /// Waits until it says that it takes clients.
+    pub fn wait_until_serving(&self) {
+        let end = std::time::Instant::now() + PATIENCE;
+        while self.call("GET /status").status() != 200 {
+            assert!(std::time::Instant::now() < end, "it never took clients");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -316,6 +353,14 @@
     }
 }
 
+/// A folder of its own, as `TMPDIR` for the processes of one proxy.
+pub fn folder() -> PathBuf {
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("shaletide-tmp-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
 /// The program's command, with a configuration or without any.
 pub fn launch(config: Option<&str>) -> Command {
     limited(config, 1024)
@@ -325,7 +370,10 @@
     let mut command = Command::new("sh");
     let line = format!("ulimit -n {descriptors}; exec \"$0\"");
     command.args(["-c", &line, env!("CARGO_BIN_EXE_shaletide")]);
-    command.env_remove("NODE_CONFIG").stderr(Stdio::piped()).stdout(Stdio::null());
+    for name in ["NODE_CONFIG", "NODE_CONTROL", "NODE_SOCKET_FD"] {
+        command.env_remove(name);
+    }
+    command.stderr(Stdio::piped()).stdout(Stdio::null());
     if let Some(config) = config {
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
         let path = std::env::temp_dir().join(format!("shaletide-{}-{number}.json", std::process::id()));
