--- a/src/interface.rs
+++ b/src/interface.rs
@@ -374,6 +374,18 @@
         /// The request.
         request: RequestId,
     },
+    /// Operators want nothing more sent to the backend, whatever the list says of it.
+    Withdraw {
+        /// Which.
+        backend: BackendId,
+    },
+    /// Operators want it used again. It may have started at any time until then.
+    Restore {
+        /// Which.
+        backend: BackendId,
+        /// When they said so.
+        since: Time,
+    },
     /// So many processes are this proxy together, this one included: two while a new version takes over.
     Beside {
         /// How many.
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,12 +7,13 @@
 use net::control::Control;
 use net::handover::{self, Others, Presence};
 use net::host::Host;
+use net::maintenance::Maintenance;
 use net::server::{Rules, Server};
 use net::upstream::Pool;
 use net::{discovery, server, Clock};
 use shaletide::{Balancer, ListUpdate};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -67,7 +68,11 @@
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, &node.known);
     // Only where operators or the platform take part may there be a second process.
-    let presence = if passed.is_some() || node.control.is_some() { presence() } else { None };
+    let shared = passed.is_some() || node.control.is_some();
+    let folder = shared.then(folder).flatten();
+    let presence = folder.as_deref().and_then(presence);
+    let maintenance = Maintenance::new(host.clone(), folder);
+    tokio::task::spawn_local(maintenance.clone().follow());
     let listener = match passed {
         Some(socket) => TcpListener::from_std(socket).map_err(|e| format!("the passed socket: {e}"))?,
         None => server::listen(node.listen).map_err(|e| format!("cannot listen on {}: {e}", node.listen))?,
@@ -82,7 +87,7 @@
     if let Some(at) = node.control {
         let door = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
         info!("control on {}", door.local_addr().unwrap_or(at));
-        tokio::task::spawn_local(Control::new(server.clone()).run(door));
+        tokio::task::spawn_local(Control::new(server.clone(), maintenance).run(door));
     }
     info!("{} listens on {bound}, {} backends known", node.name, node.known.endpoints.len());
     let (reporter, reported) = (server.clone(), host.clone());
@@ -116,18 +121,21 @@
     Ok(())
 }
 
-fn presence() -> Option<Rc<Presence>> {
+/// Where processes of this proxy find what they share.
+fn folder() -> Option<PathBuf> {
     let made = match std::env::var_os("TMPDIR") {
-        Some(dir) => Presence::new(&Path::new(&dir).join("shaletide")),
+        Some(dir) => {
+            let dir = Path::new(&dir).join("shaletide");
+            std::fs::create_dir_all(&dir).map(|()| dir)
+        }
         None => Err(std::io::Error::other("not set")),
     };
-    match made {
-        Ok(presence) => Some(Rc::new(presence)),
-        Err(e) => {
-            warn!("TMPDIR: a second process of this proxy would not be seen: {e}");
-            None
-        }
-    }
+    made.inspect_err(|e| warn!("TMPDIR: bans hold in this process only, and no other is seen: {e}")).ok()
+}
+
+fn presence(dir: &Path) -> Option<Rc<Presence>> {
+    let made = Presence::new(dir);
+    made.map(Rc::new).inspect_err(|e| warn!("TMPDIR: no other process of this proxy sees this one: {e}")).ok()
 }
 
 /// While two processes are this proxy they share its descriptors and what cold backends may get.
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,5 +1,6 @@
 //! The operators' door: one call to a connection, on an address of its own.
 
+use super::maintenance::Maintenance;
 use super::server::Server;
 use super::stream::Stream;
 use bytes::Bytes;
@@ -28,11 +29,12 @@
 
 pub struct Control {
     server: Rc<Server>,
+    maintenance: Rc<Maintenance>,
 }
 
 impl Control {
-    pub fn new(server: Rc<Server>) -> Rc<Control> {
-        Rc::new(Control { server })
+    pub fn new(server: Rc<Server>, maintenance: Rc<Maintenance>) -> Rc<Control> {
+        Rc::new(Control { server, maintenance })
     }
 
     /// Answers calls for as long as the program runs.
@@ -81,12 +83,70 @@
     }
 
     fn call(&self, request: &Request<Incoming>) -> Said {
-        let wrong_method = Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"));
-        match (request.uri().path(), request.method()) {
-            ("/status", &Method::GET) if self.server.taking() => Ok("serving\n"),
-            ("/status", &Method::GET) => Err((StatusCode::SERVICE_UNAVAILABLE, "not taking clients\n")),
-            ("/status", _) => wrong_method,
-            _ => Err((StatusCode::NOT_FOUND, "no such call\n")),
+        let unknown = (StatusCode::NOT_FOUND, "no backend of that id was ever listed\n");
+        let path = request.uri().path();
+        let method = match path {
+            "/status" => Method::GET,
+            "/maintenance/enter" | "/maintenance/exit" => Method::PUT,
+            _ => return Err((StatusCode::NOT_FOUND, "no such call\n")),
+        };
+        if request.method() != method {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"));
+        }
+        if path == "/status" {
+            let not_yet = (StatusCode::SERVICE_UNAVAILABLE, "not taking clients\n");
+            return if self.server.taking() { Ok("serving\n") } else { Err(not_yet) };
+        }
+        let id = who(request.uri().query()).map_err(|text| (StatusCode::BAD_REQUEST, text))?;
+        let (known, done) = match path {
+            "/maintenance/enter" => (self.maintenance.enter(&id), "out\n"),
+            _ => (self.maintenance.exit(&id), "back\n"),
+        };
+        known.then_some(done).ok_or(unknown)
+    }
+}
+
+/// The one `who` of a query, decoded.
+fn who(query: Option<&str>) -> Result<String, &'static str> {
+    let pairs = query.unwrap_or_default().split('&').map(|pair| pair.split_once('=').unwrap_or((pair, "")));
+    let mut ids = pairs.filter(|(name, _)| *name == "who").map(|(_, id)| id);
+    match (ids.next(), ids.next()) {
+        (None, _) => Err("who is missing\n"),
+        (Some(_), Some(_)) => Err("who stands twice\n"),
+        (Some(""), None) => Err("who is empty\n"),
+        (Some(id), None) => decoded(id).ok_or("who is badly encoded\n"),
+    }
+}
+
+/// Percent-decoding that takes nothing broken.
+fn decoded(text: &str) -> Option<String> {
+    let mut bytes = text.bytes();
+    let mut out = Vec::with_capacity(text.len());
+    while let Some(byte) = bytes.next() {
+        out.push(match byte {
+            b'%' => {
+                let mut digit = || char::from(bytes.next()?).to_digit(16).map(|d| d as u8);
+                digit()? << 4 | digit()?
+            }
+            b'+' => b' ',
+            other => other,
+        });
+    }
+    String::from_utf8(out).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_id_is_taken_only_from_a_sound_query() {
+        for (query, id) in [("who=a-1", "a-1"), ("x=1&who=a%2F%c3%a9+b&y", "a/é b")] {
+            assert_eq!(who(Some(query)).as_deref(), Ok(id), "{query}");
+        }
+        for bad in ["", "who", "who=", "whom=a", "who=a&who=a", "who=%", "who=%4", "who=%zz", "who=%ff"] {
+            assert!(who(Some(bad)).is_err(), "{bad}");
         }
+        assert!(who(None).is_err());
     }
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -99,6 +99,7 @@
     #[test]
     fn processes_see_each_other_while_they_live() {
         let dir = std::env::temp_dir().join(format!("shaletide-presence-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
         let old = Presence::new(&dir).unwrap();
         old.publish().unwrap();
         std::thread::sleep(std::time::Duration::from_millis(2));
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -47,6 +47,14 @@
 struct Known {
     address: SocketAddr,
     state: BackendState,
+    /// Taken out by hand.
+    withdrawn: bool,
+}
+
+impl Known {
+    fn open(&self) -> bool {
+        self.state == BackendState::Ready && !self.withdrawn
+    }
 }
 
 /// What happened since the last line about it.
@@ -206,13 +214,12 @@
             for e in entries {
                 let next = BackendId(s.backends.len() as u32);
                 let id = *s.numbers.entry(e.name.clone()).or_insert(next);
-                let known = Known { address: e.address, state: e.state };
                 match s.backends.get_mut(id.0 as usize) {
-                    Some(b) => *b = known,
+                    Some(b) => (b.address, b.state) = (e.address, e.state),
                     None => {
                         // The module's lines speak of numbers.
                         info!("backend {} is {} at {}", id.0, e.name, e.address);
-                        s.backends.push(known);
+                        s.backends.push(Known { address: e.address, state: e.state, withdrawn: false });
                     }
                 }
                 if update != ListUpdate::Cached {
@@ -220,8 +227,7 @@
                 }
                 backends.push(s.names.entry(&e.row, id));
             }
-            let shut = s.backends.iter().enumerate().filter(|(_, b)| b.state != BackendState::Ready);
-            self.pool.shut(shut.map(|(n, _)| BackendId(n as u32)).collect());
+            self.shut(s);
         }
         self.tell(Event::Members { update, backends });
         if matches!(update, ListUpdate::Full | ListUpdate::Changes) {
@@ -229,6 +235,64 @@
         }
     }
 
+    /// No connection is kept to a backend that is to get nothing new.
+    fn shut(&self, s: &State) {
+        let shut = s.backends.iter().enumerate().filter(|(_, b)| !b.open());
+        self.pool.shut(shut.map(|(n, _)| BackendId(n as u32)).collect());
+    }
+
+    /// Whether the list ever held a backend of that name.
+    pub fn listed_once(&self, name: &str) -> bool {
+        self.state.borrow().numbers.contains_key(name)
+    }
+
+    /// Whether the backend is out by hand.
+    pub fn withdrawn(&self, name: &str) -> bool {
+        let s = self.state.borrow();
+        s.numbers.get(name).and_then(|id| s.backends.get(id.0 as usize)).is_some_and(|b| b.withdrawn)
+    }
+
+    /// Takes the backend out of use; false where none of that name was ever listed.
+    pub fn withdraw(self: &Rc<Self>, name: &str) -> bool {
+        let known = self.listed_once(name);
+        if known {
+            self.withdraw_unheard(name);
+        }
+        known
+    }
+
+    /// The same for one that the list may name only later.
+    pub fn withdraw_unheard(self: &Rc<Self>, name: &str) {
+        let backend = {
+            let mut s = self.state.borrow_mut();
+            let s = &mut *s;
+            let next = BackendId(s.backends.len() as u32);
+            let id = *s.numbers.entry(name.into()).or_insert(next);
+            if id == next {
+                info!("backend {} is {name}, not listed yet", id.0);
+                let address = SocketAddr::from(([0, 0, 0, 0], 0));
+                s.backends.push(Known { address, state: BackendState::Gone, withdrawn: true });
+            }
+            s.backends.get_mut(id.0 as usize).into_iter().for_each(|b| b.withdrawn = true);
+            self.shut(s);
+            id
+        };
+        self.tell(Event::Withdraw { backend });
+    }
+
+    /// Uses it again, as one that may have started as late as `since`.
+    pub fn restore(self: &Rc<Self>, name: &str, since: Time) {
+        let backend = {
+            let mut s = self.state.borrow_mut();
+            let s = &mut *s;
+            let Some(&id) = s.numbers.get(name) else { return };
+            s.backends.get_mut(id.0 as usize).into_iter().for_each(|b| b.withdrawn = false);
+            self.shut(s);
+            id
+        };
+        self.tell(Event::Restore { backend, since });
+    }
+
     /// Until discovery has answered for the first time.
     pub async fn listed(&self) {
         let _ = self.listed.subscribe().wait_for(|heard| *heard).await;
@@ -350,7 +414,7 @@
     /// is still one that is dropped.
     fn may_send(&self, request: RequestId, backend: BackendId, send_by: Option<Time>) -> bool {
         let s = self.state.borrow();
-        s.backends.get(backend.0 as usize).is_some_and(|b| b.state == BackendState::Ready)
+        s.backends.get(backend.0 as usize).is_some_and(Known::open)
             && s.requests.contains_key(&request)
             && send_by.is_none_or(|at| self.clock.now() < at)
     }
--- /dev/null
+++ b/src/net/maintenance.rs
@@ -0,0 +1,170 @@
+//! Backends that operators took out by hand, kept in `$TMPDIR` for the next process and for one beside this.
+//! One empty file a ban: names appear and go whole, and two processes never overwrite each other's.
+
+use super::host::Host;
+use shaletide::Time;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, UNIX_EPOCH};
+use tracing::{info, warn};
+
+/// Well inside the grace in which a change made at the other process has to reach this one.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+const OUT: &str = "out-";
+const BACK: &str = "back-";
+
+pub struct Maintenance {
+    host: Rc<Host>,
+    dir: Option<PathBuf>,
+    /// The bans that the folder held at the last look, or that were put there since.
+    kept: RefCell<BTreeSet<String>>,
+    /// What was complained of, to be told once.
+    told: RefCell<BTreeSet<String>>,
+}
+
+/// What the folder holds: bans, and backends that came back, each with the time of its file.
+#[derive(Default)]
+struct Kept {
+    out: BTreeSet<String>,
+    back: Vec<(String, Time)>,
+}
+
+impl Maintenance {
+    /// Carries out the bans that are kept already.
+    pub fn new(host: Rc<Host>, dir: Option<PathBuf>) -> Rc<Maintenance> {
+        let (kept, told) = (RefCell::default(), RefCell::default());
+        let this = Maintenance { host, dir, kept, told };
+        for (name, since) in this.look().back {
+            this.host.restore(&name, since);
+        }
+        this.follow_once();
+        Rc::new(this)
+    }
+
+    /// Nothing more to that backend; false where none of that name was ever listed.
+    pub fn enter(&self, name: &str) -> bool {
+        if !self.host.withdraw(name) {
+            return false;
+        }
+        info!("control: {name} is out");
+        if let Some(dir) = &self.dir {
+            match File::create(dir.join(file(OUT, name))) {
+                Ok(_) => drop(self.kept.borrow_mut().insert(name.into())),
+                Err(e) => warn!("TMPDIR: the ban of {name} holds in this process only: {e}"),
+            }
+            let _ = std::fs::remove_file(dir.join(file(BACK, name)));
+        }
+        true
+    }
+
+    /// Use it again; false where none of that name was ever listed.
+    pub fn exit(&self, name: &str) -> bool {
+        if !self.host.listed_once(name) {
+            return false;
+        }
+        let at = self.dir.as_ref().map(|dir| dir.join(file(OUT, name)));
+        let kept = at.as_ref().is_some_and(|at| at.exists());
+        if !kept && !self.host.withdrawn(name) {
+            return true; // a repeated call changes nothing: it is no fresh start
+        }
+        if let Some((dir, at)) = self.dir.as_ref().zip(at).filter(|_| kept) {
+            let marked = File::create(dir.join(file(BACK, name))).map(drop);
+            if let Err(e) = marked.and_then(|()| gone(std::fs::remove_file(at))) {
+                warn!("TMPDIR: the end of the ban of {name} holds in this process only: {e}");
+            }
+        }
+        self.kept.borrow_mut().remove(name);
+        self.host.restore(name, self.host.clock.now());
+        info!("control: {name} is back");
+        true
+    }
+
+    /// Carries out what the other process kept or removed, for as long as the program runs.
+    pub async fn follow(self: Rc<Self>) {
+        while self.dir.is_some() {
+            tokio::time::sleep(LOOK_EVERY).await;
+            self.follow_once();
+        }
+    }
+
+    fn follow_once(&self) {
+        let Some(dir) = &self.dir else { return };
+        if let Err(e) = std::fs::read_dir(dir) {
+            self.tell(format!("TMPDIR: bans kept before hold, others are not seen: {e}"));
+            return;
+        }
+        let now = self.look().out;
+        let before = std::mem::replace(&mut *self.kept.borrow_mut(), now.clone());
+        for name in now.difference(&before) {
+            info!("{name} is out, as kept in TMPDIR");
+            self.host.withdraw_unheard(name);
+        }
+        for name in before.difference(&now) {
+            info!("{name} is back, as TMPDIR keeps it no more");
+            self.host.restore(name, self.host.clock.now());
+        }
+    }
+
+    fn look(&self) -> Kept {
+        let mut kept = Kept::default();
+        let entries = self.dir.iter().filter_map(|dir| std::fs::read_dir(dir).ok()).flatten().flatten();
+        for entry in entries {
+            let name = entry.file_name();
+            let text = name.to_string_lossy();
+            let of = |prefix| text.strip_prefix(prefix).map(decode);
+            match (of(OUT), of(BACK)) {
+                (Some(Some(id)), _) => drop(kept.out.insert(id)),
+                (_, Some(Some(id))) => {
+                    let since = entry.metadata().and_then(|m| m.modified()).ok();
+                    let since = since.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
+                    kept.back.push((id, Time(since.map_or(0, |at| at.as_micros() as u64))));
+                }
+                (Some(None), _) | (_, Some(None)) => self.tell(format!("TMPDIR: {text}: no ban, skipped")),
+                (None, None) => {} // another part's
+            }
+        }
+        kept
+    }
+
+    fn tell(&self, what: String) {
+        if self.told.borrow_mut().insert(what.clone()) {
+            warn!("{what}");
+        }
+    }
+}
+
+fn gone(removed: io::Result<()>) -> io::Result<()> {
+    removed.or_else(|e| if e.kind() == io::ErrorKind::NotFound { Ok(()) } else { Err(e) })
+}
+
+/// Ids may hold anything: in hex they are plain names of files.
+fn file(prefix: &str, id: &str) -> PathBuf {
+    let hex: String = id.bytes().map(|b| format!("{b:02x}")).collect();
+    Path::new(&format!("{prefix}{hex}")).into()
+}
+
+fn decode(hex: &str) -> Option<String> {
+    let digits: Option<Vec<u8>> = hex.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
+    let digits = digits.filter(|d| !d.is_empty() && d.len() % 2 == 0)?;
+    String::from_utf8(digits.chunks(2).map(|d| d[0] << 4 | d[1]).collect()).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_of_files_give_back_the_ids() {
+        for id in ["s-5be2a07c", "../x", "é /", "a"] {
+            let name = file("", id);
+            assert_eq!(decode(name.to_str().unwrap()).as_deref(), Some(id));
+        }
+        for odd in ["", "6", "zz", "+1", "ff", "e9"] {
+            assert_eq!(decode(odd), None, "{odd}");
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod handover;
 pub mod host;
+pub mod maintenance;
 pub mod server;
 pub mod stream;
 pub mod upstream;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The shares are solved this often, s: far faster than the rate's memory.
 const SOLVE_EVERY: f64 = 0.1;
@@ -92,8 +92,9 @@
 }
 
 /// The part of its capacity that a backend has at least.
-fn warmth(cfg: &Config, now: Time, entry: &Backend) -> f64 {
-    let age = entry.booted.map_or(f64::MAX, |boot| (now - boot).secs() / cfg.ramp.secs().max(1e-6));
+fn warmth(cfg: &Config, now: Time, p: &Peer) -> f64 {
+    let age =
+        p.entry.booted.max(p.back).map_or(f64::MAX, |boot| (now - boot).secs() / cfg.ramp.secs().max(1e-6));
     cfg.cold_from + (1.0 - cfg.cold_from) * age.min(1.0)
 }
 
@@ -104,6 +105,8 @@
     peers: BTreeMap<BackendId, Peer>,
     /// The peers by mark, an order that all proxies share.
     order: Vec<BackendId>,
+    /// Taken out by hand: no list, trial or last resort changes that.
+    withdrawn: BTreeSet<BackendId>,
     kinds: BTreeMap<KindId, Kind>,
     classes: Vec<ClassState>,
     overall: Mean,
@@ -139,6 +142,7 @@
             dice: Dice::new(seed),
             peers: BTreeMap::new(),
             order: Vec::new(),
+            withdrawn: BTreeSet::new(),
             kinds: BTreeMap::new(),
             classes: cfg.classes.iter().map(|_| ClassState::default()).collect(),
             overall: Mean::default(),
@@ -185,6 +189,19 @@
             }
             Event::AttemptEnded(end) => self.ended(now, end),
             Event::ClientGone { request } => self.close(request),
+            Event::Withdraw { backend } => {
+                self.withdrawn.insert(backend);
+                self.peers.get_mut(&backend).into_iter().for_each(|p| p.ready = 0.0);
+                self.solve_at = now;
+            }
+            Event::Restore { backend, since } => {
+                self.withdrawn.remove(&backend);
+                if let Some(p) = self.peers.get_mut(&backend) {
+                    let (entry, spent) = (std::mem::take(&mut p.entry), std::mem::take(&mut p.spent));
+                    *p = Peer { entry, spent, out: p.out, back: Some(since), ..Peer::default() };
+                }
+                self.solve_at = now;
+            }
             Event::Beside { processes } => {
                 self.beside = (processes.max(1), self.beside.0, now + self.cfg.fall_window);
             }
@@ -410,7 +427,7 @@
         let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
         self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
         self.blocked = 0.0;
-        let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
+        let listed = self.peers.values().filter(|p| self.offered(p));
         let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
         let proxies = f64::from(self.cfg.proxies);
         self.kinds.values_mut().for_each(|k| {
@@ -420,11 +437,11 @@
         for p in self.peers.values_mut() {
             let k = self.kinds.entry(p.entry.kind).or_default();
             let health = match p.ejected {
-                _ if p.entry.state != BackendState::Ready => 0.0,
+                _ if p.entry.state != BackendState::Ready || self.withdrawn.contains(&p.entry.id) => 0.0,
                 Some(_) => f64::from(out > all * PANIC),
                 None => 1.0 - p.errors,
             };
-            p.ready = health * warmth(&self.cfg, now, &p.entry);
+            p.ready = health * warmth(&self.cfg, now, p);
             k.ready += p.ready;
         }
         self.rate.add(now, 0.0);
@@ -518,7 +535,7 @@
     /// Work that this proxy may still send to a cold backend inside the present fall window: its part of what
     /// all may, as those do not send there in whose slice the backend is not.
     fn budget(&self, now: Time, p: &Peer) -> f64 {
-        let warmth = warmth(&self.cfg, now - self.cfg.fall_window, &p.entry); // as the window began
+        let warmth = warmth(&self.cfg, now - self.cfg.fall_window, p); // as the window began
         if warmth >= 1.0 {
             return f64::MAX;
         }
@@ -545,6 +562,11 @@
         alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
     }
 
+    /// Listed as ready, and not taken out by hand.
+    fn offered(&self, p: &Peer) -> bool {
+        p.entry.state == BackendState::Ready && !self.withdrawn.contains(&p.entry.id)
+    }
+
     /// A backend for the request: kind by share, backend inside it by readiness, both at random.
     fn draw(&mut self, now: Time, r: &Request) -> Option<BackendId> {
         let effect = self.cfg.classes[r.class].effect;
@@ -561,11 +583,7 @@
             };
             let fresh = r.sent.iter().all(|s| s.to.id != b && known(s));
             let idle = p.silent || now < p.full_until;
-            if p.entry.state != BackendState::Ready
-                || idle
-                || !fresh
-                || self.budget(now, p) < work * (1.0 - p.coin)
-            {
+            if !self.offered(p) || idle || !fresh || self.budget(now, p) < work * (1.0 - p.coin) {
                 continue;
             }
             if let (Some(until), true) = (p.ejected, p.ready == 0.0) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,6 +152,8 @@
 #[derive(Default)]
 pub(crate) struct Peer {
     pub entry: Backend,
+    /// When operators gave it back: it may have started as late as that, unless the list tells of a start since.
+    pub back: Option<Time>,
     /// From 0 (send nothing) to 1 (healthy and warm).
     pub ready: f64,
     /// Its part of this proxy's traffic.
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -113,3 +113,88 @@
         assert!(text.contains("NODE_SOCKET_FD") && !text.contains("panicked"), "{value}: {text}");
     }
 }
+
+fn names(backends: &[&BackendServer]) -> Vec<String> {
+    let each = backends.iter().enumerate();
+    each.map(|(n, b)| entry(&format!("b{n}"), b.address, "SERVING")).collect()
+}
+
+#[test]
+fn a_backend_taken_out_gets_nothing_until_it_is_called_back() {
+    let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
+    let proxy = Proxy::operated(&names(&[&a, &b]), SETTINGS, &[tmp()]);
+    proxy.wait_until_serving();
+    for (status, line) in [
+        (404, "PUT /maintenance/enter?who=b7"),
+        (404, "PUT /maintenance/exit?who=b7"),
+        (400, "PUT /maintenance/enter"),
+        (400, "PUT /maintenance/enter?who="),
+        (400, "PUT /maintenance/enter?who=b0&who=b1"),
+        (400, "PUT /maintenance/exit?who=%zz"),
+        (405, "GET /maintenance/enter?who=b0"),
+        (200, "PUT /maintenance/exit?who=b0"),
+        (200, "PUT /maintenance/enter?who=b0"),
+        (200, "PUT /maintenance/enter?who=%620"),
+    ] {
+        assert_eq!(proxy.call(line).status(), status, "{line}");
+    }
+    let before = a.count();
+    for _ in 0..30 {
+        assert_eq!(proxy.ask(&read(3.0)).body, b"b");
+    }
+    assert_eq!(a.count(), before);
+    assert_eq!(proxy.call("PUT /maintenance/exit?who=b0").status(), 200);
+    let end = std::time::Instant::now() + PATIENCE;
+    while a.count() == before {
+        assert!(std::time::Instant::now() < end, "it was never used again");
+        assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    }
+}
+
+/// A ban made at one process reaches the other, and both outlive the process that was told.
+#[test]
+fn bans_reach_a_new_version_and_are_kept_over_it() {
+    let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
+    let ((_socket, passed), tmp) = (platform(), tmp());
+    let kept = std::path::Path::new(&tmp.1).join("shaletide");
+    std::fs::create_dir_all(&kept).unwrap();
+    std::fs::write(kept.join("out-6x"), "").unwrap(); // foreign: skipped
+    let known = names(&[&a, &b]);
+    let start = || Proxy::operated(&known, SETTINGS, &[passed.clone(), tmp.clone()]);
+    let old = start();
+    old.wait_until_serving();
+    assert_eq!(old.call("PUT /maintenance/enter?who=b0").status(), 200);
+    let new = start();
+    new.wait_until_serving();
+    for _ in 0..30 {
+        assert_eq!(new.ask(&read(3.0)).body, b"b", "read before the first request");
+    }
+    assert_eq!(a.count(), 0);
+    assert_eq!(new.call("PUT /maintenance/exit?who=b0").status(), 200);
+    assert_eq!(old.call("PUT /maintenance/enter?who=b1").status(), 200);
+    std::thread::sleep(Duration::from_millis(300)); // the grace is half a second
+    drop(old);
+    let before = b.count();
+    for _ in 0..30 {
+        assert_eq!(new.ask(&read(3.0)).body, b"a");
+    }
+    assert_eq!(b.count(), before);
+    drop(new);
+    let third = start();
+    third.wait_until_serving();
+    assert_eq!(third.ask(&read(3.0)).body, b"a", "kept though no process ran");
+}
+
+/// Without a folder the ban holds all the same.
+#[test]
+fn a_missing_folder_does_not_undo_a_ban() {
+    let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
+    let nowhere = ("TMPDIR", "/proc/none".to_string());
+    let proxy = Proxy::operated(&names(&[&a, &b]), SETTINGS, &[nowhere]);
+    proxy.wait_until_serving();
+    assert_eq!(proxy.call("PUT /maintenance/enter?who=b0").status(), 200);
+    std::thread::sleep(Duration::from_millis(300));
+    for _ in 0..30 {
+        assert_eq!(proxy.ask(&read(3.0)).body, b"b");
+    }
+}
