Share descriptors between two processes by what each holds

Half of the descriptors left it 48 clients, so its accept waited and each answer closed. Test: processes_see_each_other_while_they_live, which has nothing to read without it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 
 use net::config::{Node, NodeError};
 use net::control::Control;
-use net::handover::{self, Others, Presence};
+use net::handover::{self, Held, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
 use net::server::{Rules, Server};
@@ -26,6 +26,9 @@
 const RESERVE: usize = 64;
 /// How often a process looks for another one.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
+const LOOK_BESIDE: Duration = Duration::from_millis(20);
+/// Clients, and as many upstreams, that a process may have whatever the other one holds; out of the reserve.
+const LEAST_PART: usize = 8;
 /// A new process beside a running one waits so long for its first list.
 const FIRST_LIST: Duration = Duration::from_secs(2);
 const REPORT_EVERY: Duration = Duration::from_secs(5);
@@ -138,21 +141,21 @@
     made.map(Rc::new).inspect_err(|e| warn!("TMPDIR: no other process of this proxy sees this one: {e}")).ok()
 }
 
-/// While two processes are this proxy they share its descriptors and what cold backends may get.
+/// While two processes are this proxy they share its descriptors and what cold backends may get. What one holds
+/// the other may not: the clients of the old one come over one by one, and each side's part follows them.
 async fn share(presence: Rc<Presence>, host: Rc<Host>, server: Rc<Server>, sockets: usize) {
-    let mut last = Others::default();
+    let mut shared = false;
     loop {
-        let others = presence.others();
-        if others != last {
-            let shared = others != Others::default();
+        let (room, others) = (room(sockets), presence.others());
+        presence.tell(Held { clients: server.clients(), upstreams: host.pool.open() });
+        host.pool.limit((room / 2).saturating_sub(others.held.upstreams).max(LEAST_PART));
+        server.limit((room - room / 2).saturating_sub(others.held.clients).max(LEAST_PART));
+        if shared != (others.older || others.younger) {
+            shared = !shared;
             info!("{}", if shared { "beside another process" } else { "alone again" });
-            let room = room(if shared { sockets.saturating_sub(RESERVE) / 2 } else { sockets });
-            host.pool.limit(room / 2);
-            server.limit(room - room / 2);
             host.beside(if shared { 2 } else { 1 });
         }
-        last = others;
-        tokio::time::sleep(LOOK_EVERY).await;
+        tokio::time::sleep(if shared { LOOK_BESIDE } else { LOOK_EVERY }).await;
     }
 }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io;
 use std::net::TcpListener;
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -38,6 +39,15 @@
 pub struct Others {
     pub older: bool,
     pub younger: bool,
+    /// What they hold.
+    pub held: Held,
+}
+
+/// Connections of a process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    pub clients: usize,
+    pub upstreams: usize,
 }
 
 /// Shows this process to the other one: a file that is locked for as long as the process runs, as the kernel
@@ -64,6 +74,12 @@
         std::fs::rename(self.dir.join(format!(".{}", self.name)), self.dir.join(&self.name))
     }
 
+    /// Tells the other process what this one holds. Always as long, so that no reader sees half of it.
+    pub fn tell(&self, held: Held) {
+        let text = format!("{:8} {:8}", held.clients, held.upstreams);
+        let _ = self.lock.write_all_at(text.as_bytes(), 0); // unheard, each takes itself for alone
+    }
+
     /// Looks now. Files of processes that are gone are removed.
     pub fn others(&self) -> Others {
         let mut others = Others::default();
@@ -76,8 +92,16 @@
             let Ok(file) = File::open(&path) else { continue };
             match flock(&file, FlockOperation::NonBlockingLockShared) {
                 Ok(()) => drop(std::fs::remove_file(&path)),
-                Err(_) if name < self.name => others.older = true,
-                Err(_) => others.younger = true,
+                Err(_) => {
+                    let older = name < self.name;
+                    (others.older, others.younger) = (others.older | older, others.younger | !older);
+                    let mut text = [0; 17];
+                    let read = file.read_exact_at(&mut text, 0).ok();
+                    let text = read.and_then(|()| std::str::from_utf8(&text).ok()).unwrap_or_default();
+                    let mut numbers = text.split_whitespace().map(|n| n.parse().unwrap_or(0));
+                    others.held.clients += numbers.next().unwrap_or(0);
+                    others.held.upstreams += numbers.next().unwrap_or(0);
+                }
             }
         }
         others
@@ -105,9 +129,12 @@
         std::thread::sleep(std::time::Duration::from_millis(2));
         let young = Presence::new(&dir).unwrap();
         assert_eq!(old.others(), Others::default(), "not before it takes clients");
-        assert_eq!(young.others(), Others { older: true, younger: false });
+        assert_eq!(young.others(), Others { older: true, ..Others::default() });
         young.publish().unwrap();
-        assert_eq!(old.others(), Others { older: false, younger: true });
+        assert_eq!(old.others(), Others { younger: true, ..Others::default() });
+        let held = Held { clients: 128, upstreams: 7 };
+        young.tell(held);
+        assert_eq!(old.others().held, held);
         std::fs::write(dir.join(format!("{PREFIX}00000000000000000001-9")), "").unwrap();
         assert!(!old.others().older, "nobody holds its lock");
         drop(old);
