Take changed settings at SIGHUP as a whole; open requests keep their rules

At fault: reload in main.rs. Seen to fail: with the attempts of the settings in force instead of the request's, and without the inherited estimates.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -391,6 +391,15 @@
         /// How many.
         processes: u32,
     },
+    /// The settings changed. What is open ends under the rules and with the attempts that it came with.
+    Settings {
+        /// All of them; numbers of classes and tenants mean what they meant before, and new ones come last.
+        config: Box<Config>,
+        /// Which classes are still in use.
+        live: Vec<bool>,
+        /// Classes that take over another's estimates: the new number, then the old.
+        heirs: Vec<(ClassId, ClassId)>,
+    },
     /// A timer fell due.
     Timer {
         /// Which.
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,10 @@
 use net::server::{Rules, Server};
 use net::upstream::Pool;
 use net::{discovery, server, Clock};
-use shaletide::{Balancer, ListUpdate};
+use shaletide::settings::{self, Network};
+use shaletide::{Balancer, Config, ListUpdate};
+use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -20,6 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 use tracing::{info, warn};
 
 /// Descriptors that are kept for all but clients and upstreams.
@@ -57,16 +61,13 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     // Unheard, this one ends the program.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
+    let sockets = Rc::new(Cell::new(node.sockets));
     let room = room(node.sockets);
     let pool = Rc::new(Pool::new(&node.network, room / 2));
     let mode = node.config.discovery;
-    let rules = Rules {
-        effects: node.config.classes.iter().map(|c| c.effect).collect(),
-        deadlines: node.network.deadlines,
-        max_retry_after: node.network.max_retry_after,
-    };
-    let balancer =
-        Balancer::new(node.config, node.seed).map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
+    let rules = Rules::new(&node.config, &node.network);
+    let balancer = Balancer::new(node.config.clone(), node.seed)
+        .map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
     let host = Host::new(balancer, node.names, clock, pool.clone());
     // The list from before the restart is in place before anything is served.
     host.members(ListUpdate::Cached, &node.known);
@@ -85,12 +86,10 @@
     tokio::task::spawn_local(pool.sweep());
     let (moved, at) = watch::channel(node.discovery);
     tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, mode));
-    tokio::task::spawn_local(reload(hangup, moved));
     let server = Server::new(host.clone(), rules, room - room / 2);
+    let mut door = Door { at: None, running: None, maintenance, server: server.clone() };
     if let Some(at) = node.control {
-        let door = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
-        info!("control on {}", door.local_addr().unwrap_or(at));
-        tokio::task::spawn_local(Control::new(server.clone(), maintenance).run(door));
+        door.open(at)?;
     }
     info!("{} listens on {bound}, {} backends known", node.name, node.known.endpoints.len());
     let (reporter, reported) = (server.clone(), host.clone());
@@ -100,6 +99,18 @@
             reported.report(reporter.clients());
         }
     });
+    let reload = Reload {
+        host: host.clone(),
+        server: server.clone(),
+        discovery: moved,
+        door,
+        sockets: sockets.clone(),
+        config: node.config,
+        network: node.network,
+        keys: node.keys,
+        listen: node.listen,
+    };
+    tokio::task::spawn_local(reload.run(hangup));
     let stop = async {
         tokio::select! {
             _ = term.recv() => {}
@@ -116,7 +127,7 @@
         warn!("TMPDIR: another process will not see this one: {e}");
     }
     if let Some(p) = presence.clone() {
-        tokio::task::spawn_local(share(p, host.clone(), server.clone(), node.sockets));
+        tokio::task::spawn_local(share(p, host.clone(), server.clone(), sockets));
     }
     let succeeded = || presence.as_ref().is_some_and(|p| p.others().younger);
     server.run(listener, stop, succeeded).await;
@@ -143,10 +154,10 @@
 
 /// While two processes are this proxy they share its descriptors and what cold backends may get. What one holds
 /// the other may not: the clients of the old one come over one by one, and each side's part follows them.
-async fn share(presence: Rc<Presence>, host: Rc<Host>, server: Rc<Server>, sockets: usize) {
+async fn share(presence: Rc<Presence>, host: Rc<Host>, server: Rc<Server>, sockets: Rc<Cell<usize>>) {
     let mut shared = false;
     loop {
-        let (room, others) = (room(sockets), presence.others());
+        let (room, others) = (room(sockets.get()), presence.others());
         presence.tell(Held { clients: server.clients(), upstreams: host.pool.open() });
         host.pool.limit((room / 2).saturating_sub(others.held.upstreams).max(LEAST_PART));
         server.limit((room - room / 2).saturating_sub(others.held.clients).max(LEAST_PART));
@@ -164,16 +175,85 @@
     sockets.saturating_sub(RESERVE).max(2)
 }
 
-/// On each SIGHUP reads the configuration again and passes on where discovery is now. A file that cannot be
-/// used changes nothing.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
-    while hangup.recv().await.is_some() {
-        match Node::read() {
-            Ok(node) => {
-                info!("configuration read again, discovery at {}", node.discovery);
-                discovery.send_if_modified(|at| std::mem::replace(at, node.discovery) != node.discovery);
+/// The operators' door, which the configuration may move.
+struct Door {
+    at: Option<SocketAddr>,
+    running: Option<AbortHandle>,
+    maintenance: Rc<Maintenance>,
+    server: Rc<Server>,
+}
+
+impl Door {
+    /// Opens it there; where that cannot be, it stays where it was.
+    fn open(&mut self, at: SocketAddr) -> Result<(), String> {
+        let listener = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
+        info!("control on {}", listener.local_addr().unwrap_or(at));
+        let control = Control::new(self.server.clone(), self.maintenance.clone());
+        self.close();
+        self.at = Some(at);
+        self.running = Some(tokio::task::spawn_local(control.run(listener)).abort_handle());
+        Ok(())
+    }
+
+    fn close(&mut self) {
+        self.running.take().into_iter().for_each(|task| task.abort());
+        self.at = None;
+    }
+
+    fn move_to(&mut self, at: Option<SocketAddr>) -> Result<(), String> {
+        match at {
+            _ if at == self.at => Ok(()),
+            Some(at) => self.open(at),
+            None => {
+                self.close();
+                Ok(())
+            }
+        }
+    }
+}
+
+/// What a new configuration may change, and what it is checked against.
+struct Reload {
+    host: Rc<Host>,
+    server: Rc<Server>,
+    discovery: watch::Sender<SocketAddr>,
+    door: Door,
+    sockets: Rc<Cell<usize>>,
+    config: Config,
+    network: Network,
+    keys: BTreeSet<String>,
+    listen: SocketAddr,
+}
+
+impl Reload {
+    /// On each SIGHUP reads the configuration again. It is taken as a whole, or nothing of it is.
+    async fn run(mut self, mut hangup: Signal) {
+        while hangup.recv().await.is_some() {
+            match self.take() {
+                Ok(told) => info!("configuration taken: {told}"),
+                Err(e) => warn!("configuration not taken, all stays as it was: {e}"),
             }
-            Err(e) => warn!("configuration not read again: {e}"),
         }
     }
+
+    fn take(&mut self) -> Result<String, String> {
+        let node = Node::read_again(&self.keys).map_err(|e| e.to_string())?;
+        let change = settings::change(&node.settings, &self.host.names(), &self.config, &self.network)?;
+        // The last that can fail; from here on nothing does.
+        self.door.move_to(node.control)?;
+        let mut told = format!("{}, discovery at {}", change.told, node.discovery);
+        if node.listen != self.listen {
+            told += &format!(", clients still at {}", self.listen);
+        }
+        (self.config, self.network, self.keys) = (change.config.clone(), change.network.clone(), node.keys);
+        self.sockets.set(node.sockets);
+        let room = room(node.sockets);
+        self.host.pool.limit(room / 2);
+        self.server.limit(room - room / 2);
+        self.host.pool.retune(&self.network);
+        self.server.retune(Rules::new(&self.config, &self.network));
+        self.host.retune(change);
+        self.discovery.send_if_modified(|at| std::mem::replace(at, node.discovery) != node.discovery);
+        Ok(told)
+    }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,8 +2,10 @@
 
 use super::discovery::List;
 use serde::Deserialize;
+use serde_json::Value;
 use shaletide::settings::{self, Names, Network};
 use shaletide::Config;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -22,6 +24,10 @@
     pub config: Config,
     pub names: Names,
     pub network: Network,
+    /// The settings as they stand in the file.
+    pub settings: Value,
+    /// All keys of the file but those inside lists.
+    pub keys: BTreeSet<String>,
 }
 
 /// Why there is no usable configuration.
@@ -54,12 +60,12 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     control: Option<SocketAddr>,
-    seed: serde_json::Value,
+    seed: Value,
     #[serde(default)]
     limits: Limits,
     #[serde(default)]
     known: List,
-    settings: serde_json::Value,
+    settings: Value,
 }
 
 #[derive(Deserialize)]
@@ -74,11 +80,35 @@
     }
 }
 
+/// The paths of all keys. The door may come and go; all else that stood in a file belongs in the next.
+fn collect(value: &Value, path: &str, keys: &mut BTreeSet<String>) {
+    for (name, inner) in value.as_object().into_iter().flatten() {
+        let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+        collect(inner, &path, keys);
+        if path != "control" {
+            keys.insert(path);
+        }
+    }
+}
+
 impl Node {
+    /// Reads the file again. One that lacks what stood in it before is not whole.
+    pub fn read_again(keys: &BTreeSet<String>) -> Result<Node, NodeError> {
+        let node = Node::read()?;
+        match keys.difference(&node.keys).next() {
+            Some(key) => Err(NodeError::Settings(format!("{key}: missing"))),
+            None => Ok(node),
+        }
+    }
+
     pub fn read() -> Result<Node, NodeError> {
         let path = std::env::var("NODE_CONFIG").map_err(|_| NodeError::Unset)?;
         let text = std::fs::read_to_string(&path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-        let file: File = serde_json::from_str(&text).map_err(|e| NodeError::Malformed(path, e))?;
+        let malformed = |e| NodeError::Malformed(path.clone(), e);
+        let whole: Value = serde_json::from_str(&text).map_err(malformed)?;
+        let mut keys = BTreeSet::new();
+        collect(&whole, "", &mut keys);
+        let file = File::deserialize(whole).map_err(malformed)?;
         // Two processes may read one file: what only this one is told comes first.
         let control = match std::env::var("NODE_CONTROL") {
             Ok(text) if !text.is_empty() => Some(text.parse().map_err(|_| NodeError::Control(text))?),
@@ -100,6 +130,8 @@
             config,
             names,
             network,
+            settings: file.settings,
+            keys,
         })
     }
 }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -3,7 +3,7 @@
 use super::discovery::List;
 use super::upstream::{Call, Ended, Pool, Served};
 use super::Clock;
-use shaletide::settings::Names;
+use shaletide::settings::{Change, Names};
 use shaletide::*;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -298,6 +298,18 @@
         let _ = self.listed.subscribe().wait_for(|heard| *heard).await;
     }
 
+    /// The names in force, with all numbers given so far.
+    pub fn names(&self) -> Names {
+        self.state.borrow().names.clone()
+    }
+
+    /// Takes settings that were read against `names`.
+    pub fn retune(self: &Rc<Self>, change: Change) {
+        self.state.borrow_mut().names = change.names;
+        let Change { config, live, heirs, .. } = change;
+        self.tell(Event::Settings { config: Box::new(config), live, heirs });
+    }
+
     /// So many processes are this proxy now.
     pub fn beside(self: &Rc<Self>, processes: u32) {
         self.tell(Event::Beside { processes });
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -11,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use shaletide::settings::Network;
 use shaletide::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -50,6 +51,16 @@
     pub max_retry_after: Micros,
 }
 
+impl Rules {
+    pub fn new(config: &Config, network: &Network) -> Rules {
+        Rules {
+            effects: config.classes.iter().map(|c| c.effect).collect(),
+            deadlines: network.deadlines.clone(),
+            max_retry_after: network.max_retry_after,
+        }
+    }
+}
+
 struct Client {
     stream: Stream,
     busy: Cell<bool>,
@@ -64,7 +75,7 @@
 
 pub struct Server {
     host: Rc<Host>,
-    rules: Rules,
+    rules: RefCell<Rc<Rules>>,
     max: Cell<usize>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
@@ -86,7 +97,7 @@
     pub fn new(host: Rc<Host>, rules: Rules, max: usize) -> Rc<Server> {
         let (clients, next, told) = (RefCell::default(), Cell::new(0), Cell::default());
         let (taking, stopping, left) = (Cell::new(false), Cell::new(false), Notify::new());
-        let max = Cell::new(max);
+        let (rules, max) = (RefCell::new(Rc::new(rules)), Cell::new(max));
         Rc::new(Server { host, rules, max, clients, next, taking, stopping, left, told })
     }
 
@@ -99,6 +110,11 @@
         self.taking.get()
     }
 
+    /// The settings changed.
+    pub fn retune(&self, rules: Rules) {
+        *self.rules.borrow_mut() = Rc::new(rules);
+    }
+
     /// So many connections from now on.
     pub fn limit(&self, max: usize) {
         self.max.set(max);
@@ -159,7 +175,7 @@
     async fn finish(&self) {
         // Past the longest deadline nothing is owed any more; a client that holds a connection open with half
         // of a request does not keep the program.
-        let longest = self.rules.deadlines.iter().max().copied().unwrap_or_default();
+        let longest = self.rules.borrow().deadlines.iter().max().copied().unwrap_or_default();
         let end = tokio::time::Instant::now() + span(longest) + FLUSH;
         while self.clients() > 0 && tokio::time::Instant::now() < end {
             // Told again and again: one whose request had just arrived is not closed at the first time.
@@ -279,6 +295,7 @@
         self: &Rc<Self>, request: Request<Incoming>, patience: Micros,
     ) -> Result<Response<Full<Bytes>>, (StatusCode, &'static str)> {
         let came = self.host.clock.now();
+        let rules = self.rules.borrow().clone(); // a request keeps those it came under
         let (head, body) = request.into_parts();
         let mut headers = head.headers;
         let class = head.uri.path().split('/').nth(1).and_then(|name| self.host.class(name));
@@ -289,7 +306,7 @@
         }
         // A class that is taken for safer than the request says would be repeated to its harm.
         let keyed = headers.contains_key("idempotency-key");
-        let fits = match self.rules.effects[class.0] {
+        let fits = match rules.effects[class.0] {
             Effect::Free => head.method == Method::GET,
             Effect::Keyed(..) => head.method == Method::POST && keyed,
             Effect::Unsafe => head.method == Method::POST,
@@ -297,7 +314,7 @@
         if !fits {
             return Err(bad("the method or Idempotency-Key does not fit the class\n"));
         }
-        let most = self.rules.deadlines[class.0];
+        let most = rules.deadlines[class.0];
         let left = number(&headers, "x-time-left").map_or(most, Micros::from_secs).min(most);
         let deadline = came + Micros(left.0.saturating_sub(self.host.margin().0));
         let body = Limited::new(body, MAX_BODY).collect();
@@ -322,7 +339,7 @@
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
         let uri = origin.and_then(Result::ok).ok_or(bad("the target has no path\n"))?;
         let call = Call { method: head.method, uri, headers, body };
-        let (id, answer) = self.host.request(arrival, call, self.rules.effects[class.0]);
+        let (id, answer) = self.host.request(arrival, call, rules.effects[class.0]);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
         let answer = tokio::select! {
@@ -342,7 +359,7 @@
             }
             Ok(Answer::Refused(retry_after)) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
-                let advice = retry_after.min(self.rules.max_retry_after).secs();
+                let advice = retry_after.min(rules.max_retry_after).secs();
                 if let Ok(text) = format!("{advice:.3}").parse() {
                     response.headers_mut().insert(RETRY_AFTER, text);
                 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -70,8 +70,8 @@
     heard: RefCell<HashMap<BackendId, Instant>>,
     open: Rc<Cell<usize>>,
     max: Cell<usize>,
-    keep: Duration,
-    connect_timeout: Duration,
+    keep: Cell<Duration>,
+    connect_timeout: Cell<Duration>,
     pub opened: Cell<u64>,
 }
 
@@ -83,8 +83,8 @@
             heard: RefCell::default(),
             open: Rc::default(),
             max: Cell::new(max),
-            keep: span(network.conn_idle.times(IDLE_PART)),
-            connect_timeout: span(network.connect_timeout),
+            keep: Cell::new(span(network.conn_idle.times(IDLE_PART))),
+            connect_timeout: Cell::new(span(network.connect_timeout)),
             opened: Cell::new(0),
         }
     }
@@ -93,6 +93,12 @@
         self.open.get()
     }
 
+    /// The settings changed.
+    pub fn retune(&self, network: &Network) {
+        self.keep.set(span(network.conn_idle.times(IDLE_PART)));
+        self.connect_timeout.set(span(network.connect_timeout));
+    }
+
     /// So many connections from now on; those above it go as they fall idle.
     pub fn limit(&self, max: usize) {
         self.max.set(max);
@@ -100,7 +106,7 @@
     }
 
     fn usable(&self, c: &Conn) -> bool {
-        c.since.elapsed() < self.keep && !c.sender.is_closed() && !c.stream.stirred()
+        c.since.elapsed() < self.keep.get() && !c.sender.is_closed() && !c.stream.stirred()
     }
 
     /// A warm connection, checked at this moment.
@@ -167,7 +173,7 @@
         self.open.set(self.open.get() + 1);
         let slot = Slot(self.open.clone());
         self.opened.set(self.opened.get() + 1);
-        let dial = tokio::time::timeout(self.connect_timeout, TcpStream::connect(to)).await;
+        let dial = tokio::time::timeout(self.connect_timeout.get(), TcpStream::connect(to)).await;
         let stream = match dial {
             Ok(Ok(tcp)) => Stream::new(tcp),
             // Out of descriptors: that is this proxy's own trouble, and no sign of the backend's.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -144,7 +144,7 @@
             order: Vec::new(),
             withdrawn: BTreeSet::new(),
             kinds: BTreeMap::new(),
-            classes: cfg.classes.iter().map(|_| ClassState::default()).collect(),
+            classes: cfg.classes.iter().map(|_| ClassState { live: true, ..Default::default() }).collect(),
             overall: Mean::default(),
             errors: Mean::default(),
             buckets: cfg.tenants.iter().map(|_| Bucket::new(RATE_MEMORY, FEW)).collect(),
@@ -205,6 +205,7 @@
             Event::Beside { processes } => {
                 self.beside = (processes.max(1), self.beside.0, now + self.cfg.fall_window);
             }
+            Event::Settings { config, live, heirs } => self.settings(now, *config, &live, &heirs),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = Time(u64::MAX),
         }
@@ -255,6 +256,23 @@
         (self.solve_at, self.look_at) = (now, now);
     }
 
+    /// Classes and tenants keep their numbers, so that all that is open and learned goes on. The host has
+    /// checked the configuration; one that is unsound or forgets a number all the same changes nothing.
+    fn settings(&mut self, now: Time, cfg: Config, live: &[bool], heirs: &[(ClassId, ClassId)]) {
+        let (classes, tenants) = (cfg.classes.len(), cfg.tenants.len());
+        if cfg.validate().is_err() || classes < self.classes.len() || tenants < self.buckets.len() {
+            return self.log(now, "settings not taken".into());
+        }
+        self.classes.resize_with(classes, ClassState::default);
+        self.buckets.resize_with(tenants, || Bucket::new(RATE_MEMORY, FEW));
+        for (new, old) in heirs {
+            let latency = self.classes.get(old.0).map(|s| s.latency);
+            self.classes.get_mut(new.0).zip(latency).into_iter().for_each(|(s, latency)| s.latency = latency);
+        }
+        self.classes.iter_mut().zip(live).for_each(|(s, live)| s.live = *live);
+        (self.cfg, self.solve_at, self.look_at) = (cfg, now, now);
+    }
+
     fn request(&mut self, now: Time, new: Arrival) {
         let Some(c) = self.cfg.classes.get(new.class.0) else { return };
         if self.requests.contains_key(&new.request) {
@@ -276,7 +294,9 @@
             self.classes[new.class.0].asked += c.worth * quota;
         }
         let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
-        self.requests.insert(new.request, Request { class, came, aim, deadline, value, streaming, sent });
+        let most = self.cfg.max_attempts as usize;
+        self.requests
+            .insert(new.request, Request { class, came, aim, deadline, value, streaming, most, sent });
         self.held.push(new.request);
     }
 
@@ -415,6 +435,11 @@
         known.map_or(self.cfg.classes[class].aim.times(0.25), Micros::from_secs)
     }
 
+    /// The classes that the settings hold, with their numbers.
+    fn live(&self) -> impl Iterator<Item = (usize, &Class)> {
+        self.cfg.classes.iter().enumerate().filter(|(n, _)| self.classes[*n].live)
+    }
+
     /// A class's work beside the mean, so far as latency tells it.
     fn work(&self, class: usize) -> f64 {
         self.classes[class].latency.get().map_or(1.0, |own| own / self.overall.value)
@@ -559,7 +584,7 @@
             Effect::Unsafe => s.never_ran,
         };
         let alone = self.cfg.second_copies || !r.out();
-        alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
+        alone && r.sent.len() < r.most && r.sent.iter().all(safe)
     }
 
     /// Listed as ready, and not taken out by hand.
@@ -571,7 +596,7 @@
     fn draw(&mut self, now: Time, r: &Request) -> Option<BackendId> {
         let effect = self.cfg.classes[r.class].effect;
         let work = self.work(r.class);
-        let any_free = self.cfg.classes.iter().any(|c| c.effect == Effect::Free);
+        let any_free = self.live().any(|(_, c)| c.effect == Effect::Free);
         let may_try = r.sent.is_empty() && (effect == Effect::Free || !any_free);
         let mut open: Vec<(BackendId, KindId, f64)> = Vec::new();
         for (&b, p) in &self.peers {
@@ -616,7 +641,7 @@
         let ready: f64 = self.kinds.values().map(|k| k.ready).sum();
         let quick = |(n, c): (usize, &Class)| self.usual(n).times(WELL_INSIDE) <= c.aim;
         let limit = match value < LOW {
-            true if self.cfg.classes.iter().enumerate().all(quick) => HOLD * 1.5,
+            true if self.live().all(quick) => HOLD * 1.5,
             true => HOLD / 2.0,
             false => HOLD * 2.0,
         };
@@ -627,11 +652,16 @@
     /// What one more served request of each class adds to the operator's goal: its worth to the whole and,
     /// for the class that was served worst so far, its worth to that class's own part.
     fn gains(&self) -> Vec<f64> {
-        let all: f64 = self.classes.iter().map(|c| c.asked).sum();
+        let live = || self.classes.iter().filter(|c| c.live);
+        let all: f64 = live().map(|c| c.asked).sum();
         let served = |c: &ClassState| if c.asked > 0.0 { c.earned / c.asked } else { 1.0 };
-        let worst = self.classes.iter().map(served).fold(f64::MAX, f64::min);
+        let worst = live().map(served).fold(f64::MAX, f64::min);
         let gain = |(c, s): (&Class, &ClassState)| {
-            let own = if served(s) <= worst { self.cfg.goal_worst_class / s.asked.max(1e-9) } else { 0.0 };
+            let own = if s.live && served(s) <= worst {
+                self.cfg.goal_worst_class / s.asked.max(1e-9)
+            } else {
+                0.0
+            };
             c.worth * (self.cfg.goal_whole / all.max(1e-9) + own)
         };
         self.cfg.classes.iter().zip(&self.classes).map(gain).collect()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,8 +9,24 @@
 pub struct Names {
     zones: Vec<String>,
     kinds: Vec<String>,
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    classes: Vec<Named>,
+    tenants: Vec<Named>,
+}
+
+/// The name of a class or tenant. One that the settings dropped keeps its number, for what is still open under it.
+#[derive(Clone, Debug)]
+struct Named {
+    name: String,
+    live: bool,
+}
+
+impl Named {
+    fn new(name: &str) -> Named {
+        Named { name: name.into(), live: true }
+    }
+    fn find(table: &[Named], name: &str) -> Option<usize> {
+        table.iter().position(|n| n.live && n.name == name)
+    }
 }
 
 /// An entry of a backend list under its plain names; each proxy has numbers of its own for these.
@@ -44,12 +60,12 @@
 impl Names {
     /// The class of that name.
     pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|n| n == name).map(ClassId)
+        Named::find(&self.classes, name).map(ClassId)
     }
 
     /// The tenant of that name.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
-        self.tenants.iter().position(|n| n == name).map(TenantId)
+        Named::find(&self.tenants, name).map(TenantId)
     }
 
     /// The row as this instance numbers it.
@@ -102,8 +118,12 @@
 
 /// Reads the settings; unknown keys are skipped.
 pub fn read(settings: &Value) -> Result<(Config, Names), String> {
+    read_with(settings, Names::default())
+}
+
+/// `names`: the places and kinds that have numbers already.
+fn read_with(settings: &Value, mut names: Names) -> Result<(Config, Names), String> {
     let root = Key { path: String::new(), value: Some(settings) };
-    let mut names = Names::default();
     for zone in root.get("zones").list()? {
         number(&mut names.zones, zone.text()?);
     }
@@ -116,10 +136,10 @@
     let mut classes = Vec::new();
     for class in root.get("profiles").list()? {
         let name = class.get("name");
-        if names.classes.iter().any(|n| name.text().is_ok_and(|m| m == n)) {
+        if name.text().is_ok_and(|m| Named::find(&names.classes, m).is_some()) {
             return Err(format!("{}: the name stands twice", name.path));
         }
-        names.classes.push(name.text()?.into());
+        names.classes.push(Named::new(name.text()?));
         let scope = class.get("key_scope");
         let effect = match class.get("effect").text()? {
             "free" => Effect::Free,
@@ -137,6 +157,9 @@
         };
         let stretch = class.get("aim_stretch");
         let (aim, deadline) = (class.get("aim_us"), class.get("deadline_us"));
+        if deadline.micros()?.0 == 0 {
+            return deadline.want(None, "a time above 0");
+        }
         if aim.micros()? > deadline.micros()? {
             return Err(format!("{}: expected no more than deadline_us", aim.path));
         }
@@ -150,7 +173,7 @@
     }
     let mut tenants = Vec::new();
     for tenant in root.get("customers").list()? {
-        names.tenants.push(tenant.get("name").text()?.into());
+        names.tenants.push(Named::new(tenant.get("name").text()?));
         tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real()? });
     }
     let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
@@ -207,3 +230,71 @@
         deadlines: root.get("profiles").list()?.iter().map(deadline).collect::<Result<_, _>>()?,
     })
 }
+
+/// Settings that take the place of others while requests are open.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// The module's part, for [`Event::Settings`].
+    pub config: Config,
+    /// Which numbers of classes are in use.
+    pub live: Vec<bool>,
+    /// New numbers of classes that were there under other rules, each with the old number.
+    pub heirs: Vec<(ClassId, ClassId)>,
+    /// Names for all numbers.
+    pub names: Names,
+    /// The sockets' part.
+    pub network: Network,
+    /// What became of the classes, in words.
+    pub told: String,
+}
+
+/// Reads settings that follow others. A class or tenant keeps its number; a class whose rules differ gets a new one.
+pub fn change(settings: &Value, names: &Names, config: &Config, before: &Network) -> Result<Change, String> {
+    let places = Names { classes: Vec::new(), tenants: Vec::new(), ..names.clone() };
+    let (fresh, fresh_names) = read_with(settings, places)?;
+    let fresh_network = network(settings)?;
+    fresh.validate().map_err(|e| e.to_string())?;
+    if fresh.discovery != config.discovery {
+        return Err("discovery: expected as before, it changes only with a restart".into());
+    }
+    let (mut classes, mut deadlines) = (config.classes.clone(), before.deadlines.clone());
+    let mut named = names.classes.clone();
+    named.iter_mut().for_each(|n| n.live = false);
+    let (mut heirs, mut told) = (Vec::new(), Vec::new());
+    for ((class, new), deadline) in
+        fresh.classes.iter().zip(&fresh_names.classes).zip(&fresh_network.deadlines)
+    {
+        let same =
+            |k: &usize| named[*k].name == new.name && classes[*k] == *class && deadlines[*k] == *deadline;
+        let old = Named::find(&names.classes, &new.name);
+        let number = (0..classes.len()).find(same).unwrap_or_else(|| {
+            classes.push(class.clone());
+            deadlines.push(*deadline);
+            named.push(new.clone());
+            heirs.extend(old.map(|old| (ClassId(classes.len() - 1), ClassId(old))));
+            classes.len() - 1
+        });
+        named[number].live = true;
+        if old != Some(number) {
+            told.push(format!("{} {}", if old.is_some() { "changed" } else { "new" }, new.name));
+        }
+    }
+    let dropped = |n: &&Named| n.live && Named::find(&named, &n.name).is_none();
+    told.extend(names.classes.iter().filter(dropped).map(|n| format!("dropped {}", n.name)));
+    let (mut tenants, mut customers) = (config.tenants.clone(), names.tenants.clone());
+    customers.iter_mut().for_each(|n| n.live = false);
+    for (tenant, new) in fresh.tenants.iter().zip(&fresh_names.tenants) {
+        match customers.iter().position(|n| n.name == new.name) {
+            Some(at) => (customers[at].live, tenants[at]) = (true, tenant.clone()),
+            None => {
+                customers.push(new.clone());
+                tenants.push(tenant.clone());
+            }
+        }
+    }
+    let live = named.iter().map(|n| n.live).collect();
+    let told = if told.is_empty() { "classes as before".into() } else { told.join(", ") };
+    let names = Names { classes: named, tenants: customers, ..fresh_names };
+    let config = Config { classes, tenants, ..fresh };
+    Ok(Change { config, live, heirs, names, network: Network { deadlines, ..fresh_network }, told })
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -189,6 +189,8 @@
 /// What is learned of a class.
 #[derive(Default)]
 pub(crate) struct ClassState {
+    /// The settings hold it still.
+    pub live: bool,
     pub latency: Mean,
     /// Worth that was asked for, and that was earned.
     pub asked: f64,
@@ -215,6 +217,8 @@
     /// Its worth beside a first try within quota.
     pub value: f64,
     pub streaming: bool,
+    /// Attempts allowed when it came.
+    pub most: usize,
     pub sent: Vec<Sent>,
 }
 
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -198,3 +198,97 @@
         assert_eq!(proxy.ask(&read(3.0)).body, b"b");
     }
 }
+
+/// Writes the proxy's configuration anew, with some of its text replaced.
+fn rewrite(proxy: &Proxy, from: &str, to: &str) -> String {
+    let text = std::fs::read_to_string(&proxy.config).unwrap();
+    assert!(text.contains(from), "{from}");
+    std::fs::write(&proxy.config, text.replacen(from, to, 1)).unwrap();
+    text
+}
+
+fn log(left: f64) -> String {
+    read(left).replace("GET /read", "GET /log")
+}
+
+const LOG: &str =
+    r#"{"name":"log","aim_us":900000,"deadline_us":3000000,"effect":"free","gain":1.0,"late_worth":0.5}"#;
+
+/// Asks until the answer is that one: a signal takes its time.
+fn until(proxy: &Proxy, request: impl Fn(f64) -> String, status: u16) {
+    let end = std::time::Instant::now() + PATIENCE;
+    while proxy.ask(&request(3.0)).status() != status {
+        assert!(std::time::Instant::now() < end, "{status} never came");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn on_a_reload_classes_come_and_go_and_open_requests_keep_theirs() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |n| if n == 0 { Reply::Gate(wait.clone()) } else { ok("x") });
+    let proxy = Proxy::operated(&names(&[&backend]), SETTINGS, &[tmp()]);
+    let mut open = proxy.client();
+    open.send(&pay(3.0));
+    backend.request();
+    assert_eq!(proxy.ask(&log(3.0)).status(), 404);
+    // `pay` makes way for `log`, and `read` becomes one that must not be repeated.
+    let text = std::fs::read_to_string(&proxy.config).unwrap();
+    let (from, to) = (text.find(r#"{"name":"pay""#).unwrap(), text.find(r#"{"name":"vote""#).unwrap());
+    rewrite(&proxy, &text[from..to], &format!("{LOG},"));
+    rewrite(&proxy, r#""effect":"free""#, r#""effect":"single_shot""#);
+    proxy.signal("-HUP");
+    until(&proxy, log, 200);
+    assert_eq!(proxy.ask(&pay(3.0)).status(), 404);
+    assert_eq!(proxy.ask(&read(3.0)).status(), 400, "no GET for what must not be repeated");
+    assert_eq!(proxy.ask(&read(3.0).replace("GET", "POST")).status(), 200);
+    gate.open();
+    assert_eq!(open.answer().expect("an answer").body, b"gated");
+    std::fs::write(&proxy.config, text).unwrap();
+    proxy.signal("-HUP");
+    until(&proxy, log, 404);
+    assert_eq!((proxy.ask(&pay(3.0)).status(), proxy.ask(&read(3.0)).status()), (200, 200));
+}
+
+/// Each file is broken in one way and would bring a new class: nothing of it is taken, and a sound one is.
+#[test]
+fn nothing_is_taken_from_a_broken_file() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::operated(&names(&[&backend]), SETTINGS, &[tmp()]);
+    let sound = rewrite(&proxy, r#"{"name":"read""#, &format!(r#"{LOG},{{"name":"read""#));
+    let new = std::fs::read_to_string(&proxy.config).unwrap();
+    let swap = |from: &str, to: &str| {
+        assert!(new.contains(from), "{from}");
+        new.replacen(from, to, 1)
+    };
+    let half = new.len() / 2;
+    let deadline = r#""deadline_us":3000000"#;
+    let attempts = r#""max_attempts":4"#;
+    for broken in [
+        String::new(),
+        "{}".into(),
+        new[..half].into(),
+        swap(r#""seed":"8c1f30d27a5be964","#, ""),
+        swap(r#""limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"#, ""),
+        swap(r#""over_share_worth":0.1,"#, ""),
+        swap(&format!("{deadline},"), ""),
+        swap(deadline, r#""deadline_us":0"#),
+        swap(deadline, r#""deadline_us":-1"#),
+        swap(deadline, r#""deadline_us":"soon""#),
+        swap(&format!("{attempts},"), ""),
+        swap(attempts, r#""max_attempts":0"#),
+        swap(attempts, r#""max_attempts":-4"#),
+        swap(attempts, r#""max_attempts":null"#),
+    ] {
+        std::fs::write(&proxy.config, &broken).unwrap();
+        proxy.signal("-HUP");
+        std::thread::sleep(Duration::from_millis(60));
+        assert_eq!(proxy.ask(&log(3.0)).status(), 404, "{broken}");
+        assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    }
+    std::fs::write(&proxy.config, &new).unwrap();
+    proxy.signal("-HUP");
+    until(&proxy, log, 200);
+    assert_ne!(new, sound);
+}
