Stream what is over 64 KiB both ways with backpressure; patience follows progress

At fault: upstream.rs took an answer over 64 KiB for an error, server.rs a longer body for too large (413) and 2.8 s for the patience with any.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -367,6 +367,23 @@
         /// The attempt.
         attempt: AttemptNo,
     },
+    /// The request's body goes to the attempt's backend as it comes and cannot go to another. Its time counts
+    /// from its last byte.
+    UploadStarted {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+    },
+    /// That last byte has gone out.
+    Uploaded {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
+        /// When the client gives up, from now.
+        time_left: Micros,
+    },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
     /// The client left; no answer is owed.
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,7 +1,7 @@
 //! The decision module's host and sole owner: events go in, actions are carried out.
 
 use super::discovery::List;
-use super::upstream::{Call, Ended, Pool, Served};
+use super::upstream::{Call, Ended, Payload, Pool, Progress, Served};
 use super::Clock;
 use shaletide::settings::{Change, Names};
 use shaletide::*;
@@ -18,6 +18,9 @@
 const MARGIN: Micros = Micros(3_000);
 const MOST_MARGIN: Micros = Micros(20_000);
 
+/// The deadline of a request whose body still comes.
+const UNKNOWN: Time = Time(u64::MAX / 4);
+
 /// The final answer to a request.
 pub enum Answer {
     Served(Served),
@@ -40,6 +43,7 @@
 
 struct Flight {
     backend: BackendId,
+    /// For a body that goes out as it comes: its last byte.
     sent: Time,
     task: AbortHandle,
 }
@@ -135,19 +139,22 @@
 
     /// Takes a request; `arrival.request` is given here.
     pub fn request(
-        self: &Rc<Self>, mut arrival: Arrival, call: Call, effect: Effect,
+        self: &Rc<Self>, mut arrival: Arrival, call: &Rc<Call>, effect: Effect,
     ) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, wait) = oneshot::channel();
         let id = {
             let mut s = self.state.borrow_mut();
             s.last += 1;
             let id = RequestId(s.last);
-            let deadline = self.clock.now() + arrival.time_left;
+            let deadline = match call.body {
+                Payload::Whole(_) => self.clock.now() + arrival.time_left,
+                Payload::Coming(_) => UNKNOWN, // until its last byte
+            };
             let window = match effect {
                 Effect::Keyed(_, window) => Some(window),
                 _ => None,
             };
-            let call = Rc::new(call);
+            let call = call.clone();
             s.requests.insert(id, Live { call, window, ran: None, answer, deadline, attempts: 0 });
             s.counts.requests += 1;
             id
@@ -406,7 +413,12 @@
         let attempt = AttemptNo(live.attempts);
         live.attempts += 1;
         s.counts.attempts += 1;
-        let (call, deadline) = (live.call.clone(), self.clock.instant(live.deadline));
+        let call = live.call.clone();
+        let deadline = match &call.body {
+            Payload::Whole(_) => live.deadline,
+            Payload::Coming(coming) => now + coming.left,
+        };
+        let deadline = self.clock.instant(deadline);
         let Some(to) = s.backends.get(backend.0 as usize).map(|b| b.address) else { return };
         // A keyed repeat that leaves after the window, its connection being slow to come up, would run again.
         let earlier = (0..attempt.0).filter_map(|no| s.attempts.get(&(request, AttemptNo(no))));
@@ -414,8 +426,8 @@
         let send_by = first.zip(live.window).map(|(at, window)| at + window);
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let may_send = || host.may_send(request, backend, send_by);
-            let ended = host.pool.attempt(backend, to, &call, deadline, may_send).await;
+            let leg = Rc::new(Leg { host: host.clone(), request, attempt, backend, send_by });
+            let ended = host.pool.attempt(backend, to, &call, deadline, &leg).await;
             host.attempt_ended(request, attempt, ended);
         });
         let flight = Flight { backend, sent: now, task: task.abort_handle() };
@@ -431,6 +443,39 @@
             && send_by.is_none_or(|at| self.clock.now() < at)
     }
 
+    /// When the request's time is up.
+    pub fn due(&self, id: RequestId) -> Time {
+        self.state.borrow().requests.get(&id).map_or(UNKNOWN, |r| r.deadline)
+    }
+
+    fn uploaded(self: &Rc<Self>, request: RequestId, attempt: AttemptNo) {
+        let now = self.clock.now();
+        let time_left = {
+            let mut s = self.state.borrow_mut();
+            s.attempts.get_mut(&(request, attempt)).into_iter().for_each(|flight| flight.sent = now);
+            let Some(live) = s.requests.get_mut(&request) else { return };
+            let Payload::Coming(coming) = &live.call.body else { return };
+            coming.is_sent();
+            live.deadline = now + Micros(coming.left.0.saturating_sub(self.margin().0));
+            live.deadline - now
+        };
+        self.tell(Event::Uploaded { request, attempt, time_left });
+    }
+
+    /// A long answer begins: it is the client's from here on, and no other attempt is of use.
+    fn streams(self: &Rc<Self>, request: RequestId, attempt: AttemptNo, served: Served) {
+        let others: Vec<AttemptNo> =
+            self.attempts_of(request).into_iter().filter(|no| *no != attempt).collect();
+        {
+            let mut s = self.state.borrow_mut();
+            let Some(live) = s.requests.remove(&request) else { return };
+            s.counts.served += 1;
+            let _ = live.answer.send(Answer::Served(served));
+        }
+        self.tell(Event::StreamStarted { request, attempt });
+        others.into_iter().for_each(|no| self.attempt_ended(request, no, (Outcome::Cancelled, None)));
+    }
+
     /// Fires the module's timers for as long as the program runs.
     pub async fn timers(self: Rc<Self>) {
         loop {
@@ -493,6 +538,30 @@
     }
 }
 
+/// An attempt's ties to its request.
+struct Leg {
+    host: Rc<Host>,
+    request: RequestId,
+    attempt: AttemptNo,
+    backend: BackendId,
+    send_by: Option<Time>,
+}
+
+impl Progress for Leg {
+    fn may_send(&self) -> bool {
+        self.host.may_send(self.request, self.backend, self.send_by)
+    }
+    fn uploading(&self) {
+        self.host.tell(Event::UploadStarted { request: self.request, attempt: self.attempt });
+    }
+    fn uploaded(&self) {
+        self.host.uploaded(self.request, self.attempt);
+    }
+    fn streams(&self, served: Served) {
+        self.host.streams(self.request, self.attempt, served);
+    }
+}
+
 fn finish(s: &mut State, request: RequestId, answer: Answer) {
     if let Some(live) = s.requests.remove(&request) {
         let _ = live.answer.send(answer);
@@ -537,9 +606,9 @@
                     method: hyper::Method::GET,
                     uri: hyper::Uri::from_static("/read/k"),
                     headers: hyper::HeaderMap::new(),
-                    body: bytes::Bytes::new(),
+                    body: Payload::Whole(bytes::Bytes::new()),
                 };
-                let (id, _wait) = host.request(arrival, call, Effect::Free);
+                let (id, _wait) = host.request(arrival, &Rc::new(call), Effect::Free);
                 let (now, b) = (host.clock.now(), BackendId(0));
                 assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
                 assert!(!host.may_send(id, b, Some(now)), "the window is over");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The proxy on real sockets. It translates between sockets and the decision module, and decides nothing.
 
+pub mod body;
 pub mod config;
 pub mod control;
 pub mod discovery;
@@ -13,7 +14,7 @@
 use shaletide::Time;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// The largest body on either side.
+/// What is longer, on either side, is not held but streams.
 pub const MAX_BODY: usize = 64 * 1024;
 
 /// The module's time: the monotonic clock, set once to Unix time so that start times in lists fit it.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,16 +1,17 @@
 //! Clients: the listener, their connections, and the graceful shutdown.
 
+use super::body::{Broken, Flow, Upload};
 use super::host::{Answer, Host};
 use super::stream::Stream;
-use super::upstream::Call;
+use super::upstream::{Call, Coming, Content, Payload};
 use super::{span, strip_hop_by_hop, MAX_BODY};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use shaletide::settings::Network;
 use shaletide::*;
 use std::cell::{Cell, RefCell};
@@ -23,6 +24,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tracing::{info, warn};
 
 /// After SIGTERM new connections go on coming for up to 0.4 s.
@@ -36,14 +38,14 @@
 const HEAD_PATIENCE: Micros = Micros(5_000_000);
 /// A peer without a whole head so long after connecting is let go: within three seconds it is owed an end.
 const FIRST_HEAD: Duration = Duration::from_millis(2_500);
-/// The body's last byte comes within this time of connecting, later on a connection of its head: clients send
-/// both at once, and a peer that does not is owed its error in the same three seconds.
-const BODY_PATIENCE: Micros = Micros(2_800_000);
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
 /// Lines about a failing listener come no faster.
 const ACCEPT_LOG: Micros = Micros(1_000_000);
 
+/// What goes out to a client.
+type Outward = Either<Full<Bytes>, Flow>;
+
 /// What requests are checked against.
 pub struct Rules {
     pub effects: Vec<Effect>,
@@ -148,8 +150,8 @@
     /// Clients go on using the connections they have: each is told to close with its next answer, and what is
     /// idle is closed only later, as a close may cross a request.
     async fn linger(&self) {
-        let end = tokio::time::Instant::now() + LINGER;
-        while self.clients() > 0 && tokio::time::Instant::now() < end {
+        let end = Instant::now() + LINGER;
+        while self.clients() > 0 && Instant::now() < end {
             let _ = tokio::time::timeout_at(end, self.left.notified()).await;
         }
     }
@@ -176,8 +178,11 @@
         // Past the longest deadline nothing is owed any more; a client that holds a connection open with half
         // of a request does not keep the program.
         let longest = self.rules.borrow().deadlines.iter().max().copied().unwrap_or_default();
-        let end = tokio::time::Instant::now() + span(longest) + FLUSH;
-        while self.clients() > 0 && tokio::time::Instant::now() < end {
+        let end = Instant::now() + span(longest) + FLUSH;
+        // A long answer or upload that goes on past that is not this side's to end: the platform does.
+        while self.clients() > 0
+            && (Instant::now() < end || self.clients.borrow().values().any(|c| c.busy.get()))
+        {
             // Told again and again: one whose request had just arrived is not closed at the first time.
             self.clients.borrow().values().for_each(|c| c.close.notify_one());
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
@@ -239,12 +244,22 @@
     async fn serve(self: &Rc<Self>, client: &Rc<Client>) {
         let service = service_fn(|request| async {
             client.busy.set(true);
-            let now = self.host.clock.now();
-            let from = if client.fresh.replace(false) { client.since.get() } else { now };
-            let answer = self.answer(request, from + BODY_PATIENCE - now).await;
-            client.since.set(self.host.clock.now());
-            client.stream.mark_idle();
-            client.busy.set(false);
+            let from = if client.fresh.replace(false) { client.since.get() } else { self.host.clock.now() };
+            let old = request.version() < Version::HTTP_11;
+            let mut answer = self.answer(request, self.host.clock.instant(from)).await;
+            match answer.body_mut() {
+                Either::Left(_) => self.idle(client),
+                Either::Right(flow) => {
+                    let (server, client) = (self.clone(), client.clone());
+                    let unmarked = old && flow.size_hint().exact().is_none();
+                    flow.then(move |broken| {
+                        if broken && unmarked {
+                            client.stream.reset_on_close();
+                        }
+                        server.idle(&client);
+                    });
+                }
+            }
             Ok::<_, Infallible>(answer)
         });
         let mut builder = http1::Builder::new();
@@ -268,7 +283,7 @@
                 }
                 _ = client.close.notified() => {
                     if client.leaving.get() {
-                        cut.as_mut().reset(tokio::time::Instant::now() + CLOSE_PATIENCE);
+                        cut.as_mut().reset(Instant::now() + CLOSE_PATIENCE);
                     }
                     // A request that has just come is answered first; `answer` then ends the connection.
                     if client.busy.get() || !client.stream.stirred() {
@@ -279,11 +294,18 @@
         }
     }
 
-    /// `patience`: how long its body may take.
-    async fn answer(self: &Rc<Self>, request: Request<Incoming>, patience: Micros) -> Response<Full<Bytes>> {
+    /// Its answer is done with.
+    fn idle(&self, client: &Client) {
+        client.since.set(self.host.clock.now());
+        client.stream.mark_idle();
+        client.busy.set(false);
+    }
+
+    /// `from`: since when the patience with its body counts.
+    async fn answer(self: &Rc<Self>, request: Request<Incoming>, from: Instant) -> Response<Outward> {
         let mut answer = match request.uri().path() {
             "/-/ready" => plain(StatusCode::OK, "ready\n"),
-            _ => self.proxy(request, patience).await.unwrap_or_else(|(status, text)| plain(status, text)),
+            _ => self.proxy(request, from).await.unwrap_or_else(|(status, text)| plain(status, text)),
         };
         if self.stopping.get() || self.clients() > self.max.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -292,9 +314,8 @@
     }
 
     async fn proxy(
-        self: &Rc<Self>, request: Request<Incoming>, patience: Micros,
-    ) -> Result<Response<Full<Bytes>>, (StatusCode, &'static str)> {
-        let came = self.host.clock.now();
+        self: &Rc<Self>, request: Request<Incoming>, from: Instant,
+    ) -> Result<Response<Outward>, (StatusCode, &'static str)> {
         let rules = self.rules.borrow().clone(); // a request keeps those it came under
         let (head, body) = request.into_parts();
         let mut headers = head.headers;
@@ -307,7 +328,7 @@
         // A class that is taken for safer than the request says would be repeated to its harm.
         let keyed = headers.contains_key("idempotency-key");
         let fits = match rules.effects[class.0] {
-            Effect::Free => head.method == Method::GET,
+            Effect::Free => head.method == Method::GET || head.method == Method::HEAD,
             Effect::Keyed(..) => head.method == Method::POST && keyed,
             Effect::Unsafe => head.method == Method::POST,
         };
@@ -316,44 +337,53 @@
         }
         let most = rules.deadlines[class.0];
         let left = number(&headers, "x-time-left").map_or(most, Micros::from_secs).min(most);
-        let deadline = came + Micros(left.0.saturating_sub(self.host.margin().0));
-        let body = Limited::new(body, MAX_BODY).collect();
-        let body = match tokio::time::timeout(span(left.min(patience)), body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"))
-            }
-            Ok(Err(_)) => return Err(bad("the body is malformed\n")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")),
-        };
+        let body = receive(Upload::new(body, from), left).await.map_err(|broken| match broken {
+            Broken::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
+            Broken::Malformed => bad("the body is malformed\n"),
+        })?;
+        // Its time counts from its last byte.
+        let time_left = Micros(left.0.saturating_sub(self.host.margin().0));
         let tenant = headers.get("x-account").and_then(|v| v.to_str().ok());
         let arrival = Arrival {
             request: RequestId(0),
             class,
             tenant: tenant.and_then(|name| self.host.tenant(name)),
-            time_left: deadline - self.host.clock.now(),
+            time_left,
             work_hint: number(&headers, "x-weight-hint").map(|us| Micros(us as u64)),
             repeat: headers.get("x-repeat").is_some_and(|v| v == "1"),
         };
         strip_hop_by_hop(&mut headers);
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
         let uri = origin.and_then(Result::ok).ok_or(bad("the target has no path\n"))?;
-        let call = Call { method: head.method, uri, headers, body };
-        let (id, answer) = self.host.request(arrival, call, rules.effects[class.0]);
+        let call = Rc::new(Call { method: head.method, uri, headers, body });
+        let (id, answer) = self.host.request(arrival, &call, rules.effects[class.0]);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
-        let answer = tokio::select! {
-            biased;
-            got = answer.as_mut() => got,
-            _ = tokio::time::sleep_until(self.host.clock.instant(deadline)) => {
-                self.host.deadline(id);
-                answer.await
+        let answer = loop {
+            let due = self.host.clock.instant(self.host.due(id));
+            tokio::select! {
+                biased;
+                got = answer.as_mut() => break got,
+                () = sent(&call.body) => {} // from here on its time runs
+                _ = tokio::time::sleep_until(due) => {
+                    self.host.deadline(id);
+                    break answer.await;
+                }
             }
         };
         owed.open = false;
+        if let (Payload::Coming(coming), false) = (&call.body, matches!(answer, Ok(Answer::Served(_)))) {
+            // A client that is still sending hears the answer only if it is read to its end.
+            if let Some(rest) = coming.take() {
+                tokio::task::spawn_local(rest.collect());
+            }
+        }
         Ok(match answer {
             Ok(Answer::Served(served)) => {
-                let mut response = Response::new(Full::new(served.body));
+                let mut response = Response::new(match served.body {
+                    Content::Whole(body) => Either::Left(Full::new(body)),
+                    Content::Flow(flow) => Either::Right(flow),
+                });
                 *response.headers_mut() = served.headers;
                 response
             }
@@ -392,8 +422,34 @@
     text.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+/// Takes a body whole, or finds that it is too long for that.
+async fn receive(mut upload: Upload, left: Micros) -> Result<Payload, Broken> {
+    let mut held = BytesMut::new();
+    while upload.length().is_none_or(|n| n <= MAX_BODY as u64) {
+        match upload.frame().await {
+            None => return Ok(Payload::Whole(held.freeze())),
+            Some(frame) => held.extend_from_slice(frame?.data_ref().unwrap_or(&Bytes::new())),
+        }
+        if held.len() > MAX_BODY {
+            break;
+        }
+    }
+    if !held.is_empty() {
+        upload.put_back(held.freeze());
+    }
+    Ok(Payload::Coming(Coming::new(upload, left)))
+}
+
+/// Until a body that goes out as it comes has gone out.
+async fn sent(body: &Payload) {
+    match body {
+        Payload::Whole(_) => std::future::pending().await,
+        Payload::Coming(coming) => coming.sent().await,
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Outward> {
+    let mut response = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
     *response.status_mut() = status;
     response
 }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Ends the connection with a reset: the other side can tell that it was not served whole even where only
+    /// the end of the connection ends the answer.
+    pub fn reset_on_close(&self) {
+        let _ = socket2::SockRef::from(&self.0.tcp).set_linger(Some(std::time::Duration::ZERO));
+    }
+
     pub fn mark_idle(&self) {
         self.0.heard.set(false);
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,28 +1,37 @@
 //! Attempts: one request to one backend, and the pool of connections that they use.
 
+use super::body::{Flow, Piece, Upload};
 use super::stream::Stream;
 use super::{span, strip_hop_by_hop, MAX_BODY};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
+use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use shaletide::settings::Network;
-use shaletide::{BackendId, Outcome};
+use shaletide::{BackendId, Micros, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::{mpsc, Notify};
 use tokio::time::Instant;
 
 /// Part of the backends' idle limit after which a connection is no longer used: well inside it, as their
 /// clock may have started earlier than ours.
 const IDLE_PART: f64 = 0.6;
+/// An answer of unknown length is held no longer than this before its first bytes go on.
+const HOLD_BACK: Duration = Duration::from_secs(1);
+/// A backend that began an answer and gives nothing of it for so long is taken for dead.
+const BACKEND_STALL: Duration = Duration::from_secs(10);
+/// A client that takes nothing of its answer for so long is let go; the kernel's buffers hide shorter pauses.
+const CLIENT_STALL: Duration = Duration::from_secs(30);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -31,23 +40,77 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Payload,
+}
+
+/// A request's body.
+pub enum Payload {
+    Whole(Bytes),
+    /// Too long to hold: it goes to one backend as it comes.
+    Coming(Coming),
+}
+
+pub struct Coming {
+    source: RefCell<Option<Upload>>,
+    /// How long the client waits once it has sent all.
+    pub left: Micros,
+    sent: Notify,
+}
+
+impl Coming {
+    pub fn new(source: Upload, left: Micros) -> Coming {
+        Coming { source: RefCell::new(Some(source)), left, sent: Notify::new() }
+    }
+
+    /// Until its last byte has gone out.
+    pub async fn sent(&self) {
+        self.sent.notified().await;
+    }
+
+    /// Its last byte has gone out.
+    pub fn is_sent(&self) {
+        self.sent.notify_one();
+    }
+
+    /// What no backend took.
+    pub fn take(&self) -> Option<Upload> {
+        self.source.take()
+    }
 }
 
 /// A served answer.
 pub struct Served {
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Content,
 }
 
-/// How an attempt ended, with the answer where it was served.
+pub enum Content {
+    Whole(Bytes),
+    Flow(Flow),
+}
+
+/// How an attempt ended, with the answer where it was served and not passed on as it came.
 pub type Ended = (Outcome, Option<Served>);
 
+/// What an attempt asks and tells on its way.
+pub trait Progress {
+    /// Asked at the moment of the first byte: the backend may have begun to drain while the connection came up.
+    fn may_send(&self) -> bool;
+    /// A body that cannot be sent again begins to go out.
+    fn uploading(&self);
+    /// Its last byte has gone out.
+    fn uploaded(&self);
+    /// A long answer begins.
+    fn streams(&self, served: Served);
+}
+
+type Outgoing = Either<Full<Bytes>, Upload>;
+
 /// A connection and its place among the open ones. It is driven only while a request is on it; dropping it
 /// closes the socket, which is how an attempt is cancelled.
 struct Conn {
-    sender: http1::SendRequest<Full<Bytes>>,
-    conn: http1::Connection<Stream, Full<Bytes>>,
+    sender: http1::SendRequest<Outgoing>,
+    conn: http1::Connection<Stream, Outgoing>,
     stream: Stream,
     to: SocketAddr,
     since: Instant,
@@ -185,10 +248,10 @@
         Ok(Conn { sender, conn, stream, to, since: Instant::now(), _slot: slot })
     }
 
-    /// Sends `call` to a backend and waits for the answer. `may_send` is asked at the moment of the first
-    /// byte: the backend may have begun to drain while the connection came up.
+    /// Sends `call` to a backend and waits for the answer.
     pub async fn attempt(
-        &self, id: BackendId, to: SocketAddr, call: &Call, deadline: Instant, may_send: impl Fn() -> bool,
+        &self, id: BackendId, to: SocketAddr, call: &Call, deadline: Instant,
+        progress: &Rc<impl Progress + 'static>,
     ) -> Ended {
         let mut c = match self.take(id, to) {
             Some(c) => c,
@@ -198,58 +261,176 @@
             },
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() || !may_send() {
+        let (body, passed) = match &call.body {
+            _ if left.is_zero() || !progress.may_send() => (None, None),
+            Payload::Whole(bytes) => {
+                c.stream.begin_request(bytes.len());
+                (Some(Either::Left(Full::new(bytes.clone()))), None)
+            }
+            Payload::Coming(coming) => match coming.take() {
+                Some(source) => {
+                    let (passed, told) = (source.passed.clone(), progress.clone());
+                    passed.then(move || told.uploaded());
+                    progress.uploading();
+                    (Some(Either::Right(source)), Some(passed))
+                }
+                None => (None, None),
+            },
+        };
+        let Some(body) = body else {
             self.put(id, c); // an unused connection stays warm
             return (Outcome::NeverSent, None);
-        }
-        let mut request = Request::new(Full::new(call.body.clone()));
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = call.headers.clone();
         if let Ok(text) = format!("{:.3}", left.as_secs_f64()).parse() {
             request.headers_mut().insert("x-time-left", text);
         }
-        c.stream.begin_request(call.body.len());
         let Conn { sender, conn, .. } = &mut c;
         let exchange = async {
             sender.ready().await?;
-            let answer = sender.send_request(request).await?;
-            let outcome = judge(&answer);
-            let (head, body) = answer.into_parts();
-            let body = Limited::new(body, MAX_BODY).collect().await;
-            Ok::<_, hyper::Error>((outcome, head, body))
+            Ok::<_, hyper::Error>(Got::read(sender.send_request(request).await?).await)
         };
         match driven(conn, exchange).await {
-            Some(Ok((outcome, mut head, body))) => {
+            Some(Ok(Got::Whole(outcome, mut head, body))) => {
                 self.heard.borrow_mut().insert(id, Instant::now());
-                // One look: an answer does not wait for a connection that is not ready for more.
-                let again = body.is_ok() && {
-                    let mut next = pin!(driven(conn, sender.ready()));
-                    let next = poll_fn(|cx| Poll::Ready(next.as_mut().poll(cx))).await;
-                    matches!(next, Poll::Ready(Some(Ok(()))))
-                };
-                if again {
-                    self.put(id, c);
-                }
+                self.put_if_ready(id, c, body.is_some());
                 match (outcome, body) {
-                    (Outcome::Ok, Ok(body)) => {
-                        strip_hop_by_hop(&mut head.headers);
-                        head.headers.remove("x-backend-load");
-                        (Outcome::Ok, Some(Served { headers: head.headers, body: body.to_bytes() }))
+                    (Outcome::Ok, Some(body)) => {
+                        let body = Content::Whole(body);
+                        (Outcome::Ok, Some(Served { headers: cleaned(&mut head.headers), body }))
                     }
-                    // Served, but cut off or too long to pass on: it has run.
-                    (Outcome::Ok, Err(e)) if e.is::<hyper::Error>() => (Outcome::Reset, None),
-                    (Outcome::Ok, Err(_)) => (Outcome::Error, None),
+                    // Served, but cut off: it has run.
+                    (Outcome::Ok, None) => (Outcome::Reset, None),
                     (outcome, _) => (outcome, None),
                 }
             }
-            // The backend begins with the last byte, and never before it.
-            _ if !c.stream.request_written() => (Outcome::ConnectFailed, None),
+            Some(Ok(Got::Long(mut head, length, held, body))) => {
+                self.heard.borrow_mut().insert(id, Instant::now());
+                let (pieces, flow) = Flow::new(length);
+                let headers = cleaned(&mut head.headers);
+                progress.streams(Served { headers, body: Content::Flow(flow) });
+                let (outcome, open) = pumped(&mut c.conn, pass_on(held, body, pieces)).await;
+                self.put_if_ready(id, c, open && outcome == Outcome::Ok);
+                (outcome, None)
+            }
+            // The client's body broke off, or the backend's connection before it was all written: the backend
+            // begins with the last byte, and never before it.
+            Some(Err(e)) if e.is_user() && passed.as_ref().is_some_and(|p| !p.ended()) => {
+                (Outcome::NeverSent, None)
+            }
+            _ if passed.as_ref().map_or_else(|| !c.stream.request_written(), |p| !p.ended()) => {
+                (Outcome::ConnectFailed, None)
+            }
             // What cannot be read as an answer is an answer all the same, and no break.
             Some(Err(e)) if e.is_parse() => (Outcome::Error, None),
             _ => (Outcome::Reset, None),
         }
     }
+
+    /// Keeps a connection whose answer was read to its end. One look: an answer does not wait for a connection
+    /// that is not ready for more.
+    fn put_if_ready(&self, id: BackendId, mut c: Conn, whole: bool) {
+        let mut cx = Context::from_waker(Waker::noop());
+        let Conn { sender, conn, .. } = &mut c;
+        let ready = whole && {
+            let next = pin!(driven(conn, sender.ready()));
+            matches!(next.poll(&mut cx), Poll::Ready(Some(Ok(()))))
+        };
+        if ready {
+            self.put(id, c);
+        }
+    }
+}
+
+/// An answer as far as it is held.
+enum Got {
+    /// With its body, where that came whole and is no longer than what is held.
+    Whole(Outcome, Parts, Option<Bytes>),
+    /// Served and long: its length where known, what came so far, and the rest.
+    Long(Parts, Option<u64>, Bytes, Incoming),
+}
+
+impl Got {
+    async fn read(answer: Response<Incoming>) -> Got {
+        let outcome = judge(&answer);
+        let (head, mut body) = answer.into_parts();
+        let length = body.size_hint().exact();
+        if outcome == Outcome::Ok && length.is_some_and(|n| n > MAX_BODY as u64) {
+            return Got::Long(head, length, Bytes::new(), body);
+        }
+        let mut held = BytesMut::new();
+        let mut patience = pin!(tokio::time::sleep(HOLD_BACK));
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = patience.as_mut(), if outcome == Outcome::Ok && length.is_none() && !held.is_empty() => {
+                    return Got::Long(head, None, held.freeze(), body);
+                }
+            };
+            match frame {
+                None => return Got::Whole(outcome, head, Some(held.freeze())),
+                Some(Err(_)) => return Got::Whole(outcome, head, None),
+                Some(Ok(frame)) => held.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+            }
+            if held.len() > MAX_BODY {
+                return match outcome {
+                    Outcome::Ok => Got::Long(head, None, held.freeze(), body),
+                    _ => Got::Whole(outcome, head, None),
+                };
+            }
+        }
+    }
+}
+
+/// Passes a long answer on, a piece at a time, for as long as the backend gives and the client takes.
+async fn pass_on(held: Bytes, mut body: Incoming, pieces: mpsc::Sender<Piece>) -> Outcome {
+    let mut next = held;
+    loop {
+        if !next.is_empty() {
+            let taken = tokio::time::timeout(CLIENT_STALL, pieces.send(Piece::Data(next))).await;
+            if !matches!(taken, Ok(Ok(()))) {
+                return Outcome::Cancelled;
+            }
+        }
+        next = match tokio::time::timeout(BACKEND_STALL, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(None) => {
+                let _ = pieces.send(Piece::End).await; // a client that knows the length may have gone on
+                return Outcome::Ok;
+            }
+            Ok(Some(Err(_))) => return Outcome::Reset,
+            Err(_) => return Outcome::TimedOut,
+        };
+    }
+}
+
+fn cleaned(headers: &mut HeaderMap) -> HeaderMap {
+    strip_hop_by_hop(headers);
+    headers.remove("x-backend-load");
+    std::mem::take(headers)
+}
+
+/// Runs `work` to its end and drives its connection for as long as that lasts; whether it still does. Unlike
+/// in `driven`, what a connection brought before its end may take `work` long to pass on.
+async fn pumped<T>(
+    conn: &mut http1::Connection<Stream, Outgoing>, work: impl Future<Output = T>,
+) -> (T, bool) {
+    let mut work = pin!(work);
+    let mut open = true;
+    poll_fn(|cx| {
+        if let Poll::Ready(done) = work.as_mut().poll(cx) {
+            return Poll::Ready((done, open));
+        }
+        if open && std::pin::Pin::new(&mut *conn).poll(cx).is_ready() {
+            open = false;
+        }
+        work.as_mut().poll(cx).map(|done| (done, open))
+    })
+    .await
 }
 
 /// What an answer says. Whatever the protocol does not list may have run.
@@ -295,7 +476,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use shaletide::Micros;
     use std::io::Read;
 
     fn pool(max: usize) -> Pool {
@@ -307,19 +487,35 @@
 
     fn call() -> Call {
         let uri = Uri::from_static("/pay/k");
-        Call { method: Method::POST, uri, headers: HeaderMap::new(), body: Bytes::from_static(b"cash") }
+        Call {
+            method: Method::POST,
+            uri,
+            headers: HeaderMap::new(),
+            body: Payload::Whole(Bytes::from_static(b"cash")),
+        }
     }
 
     fn soon() -> Instant {
         Instant::now() + Duration::from_secs(20)
     }
 
+    struct Drains;
+
+    impl Progress for Drains {
+        fn may_send(&self) -> bool {
+            false
+        }
+        fn uploading(&self) {}
+        fn uploaded(&self) {}
+        fn streams(&self, _: Served) {}
+    }
+
     /// The backend begins to drain while the connection comes up: not a byte goes out on it.
     #[tokio::test]
     async fn a_backend_that_drains_while_connecting_is_sent_nothing() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let (pool, to) = (pool(4), listener.local_addr().unwrap());
-        let ended = pool.attempt(BackendId(0), to, &call(), soon(), || false).await;
+        let ended = pool.attempt(BackendId(0), to, &call(), soon(), &Rc::new(Drains)).await;
         assert_eq!(ended.0, Outcome::NeverSent);
         let mut peer = listener.accept().unwrap().0;
         drop(pool);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -182,10 +182,21 @@
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
             Event::Request(arrival) => self.request(now, arrival),
-            Event::StreamStarted { request, attempt } => {
+            Event::StreamStarted { request, attempt } => self.stream_started(now, request, attempt),
+            Event::UploadStarted { request, attempt } => {
                 if let Some(r) = self.requests.get_mut(&request) {
-                    r.streaming |= r.sent.get(attempt.0 as usize).is_some_and(|s| s.out);
+                    (r.uploading, r.most) = (true, r.sent.len());
                 }
+                // Until it is whole the backend owes nothing, however long that takes.
+                self.attempts.get_mut(&(request, attempt)).into_iter().for_each(|a| a.2 = Time(u64::MAX));
+            }
+            Event::Uploaded { request, attempt, time_left } => {
+                self.attempts.get_mut(&(request, attempt)).into_iter().for_each(|a| a.2 = now);
+                if let Some(r) = self.requests.get_mut(&request) {
+                    let aim = self.cfg.classes[r.class].aim.min(time_left);
+                    (r.uploading, r.came, r.aim, r.deadline) = (false, now, now + aim, now + time_left);
+                }
+                self.look_at = now;
             }
             Event::AttemptEnded(end) => self.ended(now, end),
             Event::ClientGone { request } => self.close(request),
@@ -293,22 +304,53 @@
         if !new.repeat {
             self.classes[new.class.0].asked += c.worth * quota;
         }
-        let (class, came, streaming, sent) = (new.class.0, now, false, Vec::new());
+        let (class, came, sent) = (new.class.0, now, Vec::new());
+        let (streaming, uploading) = (false, false);
         let most = self.cfg.max_attempts as usize;
-        self.requests
-            .insert(new.request, Request { class, came, aim, deadline, value, streaming, most, sent });
+        self.requests.insert(
+            new.request,
+            Request { class, came, aim, deadline, value, streaming, uploading, most, sent },
+        );
         self.held.push(new.request);
     }
 
+    /// The first bytes of a long answer: from here on the client's pace holds it up, so what there is to
+    /// learn is learned now, and its backend has room again.
+    fn stream_started(&mut self, now: Time, request: RequestId, attempt: AttemptNo) {
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        let Some(s) = r.sent.get_mut(attempt.0 as usize).filter(|s| s.out && !s.begun) else { return };
+        (s.begun, r.streaming, r.uploading) = (true, true, false);
+        let part = if now <= r.aim { 1.0 } else { self.cfg.classes[r.class].late_worth };
+        self.classes[r.class].earned += self.cfg.classes[r.class].worth * r.value * part;
+        let Some(&(backend, class, sent)) = self.attempts.get(&(request, attempt)) else { return };
+        let (outcome, latency) = (Outcome::Ok, now - sent);
+        self.learn(
+            now,
+            backend,
+            class,
+            sent,
+            &AttemptEnd { request, attempt, outcome, latency, settled: true },
+        );
+    }
+
     fn ended(&mut self, now: Time, end: AttemptEnd) {
         let id = end.request;
         let Some((backend, class, sent)) = self.attempts.remove(&(id, end.attempt)) else { return };
-        self.learn(now, backend, class, sent, &end);
+        let sent_as = self.requests.get(&id).and_then(|r| r.sent.get(end.attempt.0 as usize));
+        let begun = sent_as.is_some_and(|s| s.begun);
+        if begun && matches!(end.outcome, Outcome::Error | Outcome::Reset) {
+            // It was counted as served with its first bytes, and gave more until now: the break comes on top.
+            let peer = self.peers.get_mut(&backend);
+            peer.into_iter().for_each(|p| (p.out, p.answered) = (p.out + 1, now));
+        }
+        if !begun || matches!(end.outcome, Outcome::Error | Outcome::Reset) {
+            self.learn(now, backend, class, sent, &end);
+        }
         let Some(r) = self.requests.get_mut(&id) else { return };
         if let Some(s) = r.sent.get_mut(end.attempt.0 as usize) {
             (s.out, s.never_ran) = (false, end.outcome.never_ran());
         }
-        if end.outcome == Outcome::Ok {
+        if end.outcome == Outcome::Ok && !begun {
             let c = &self.cfg.classes[class];
             let part = if now <= r.aim { 1.0 } else { c.late_worth };
             self.classes[class].earned += c.worth * r.value * part;
@@ -394,13 +436,13 @@
         next = self.ask.0.map_or(next, |at| next.min(at));
         self.peers.values_mut().for_each(|p| p.silent = false);
         for &(backend, class, sent) in self.attempts.values() {
-            let quiet = sent + self.usual(class).times(SILENT_AFTER);
+            let quiet = sent + self.usual(class).times(SILENT_AFTER); // far off for what is still uploaded
             next = if quiet > now { next.min(quiet) } else { next };
             let peer = self.peers.get_mut(&backend).filter(|p| now >= quiet && p.answered <= sent);
             peer.into_iter().for_each(|p| p.silent = true);
         }
         let mut over = Vec::new();
-        for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
+        for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming && !r.uploading) {
             let usual = self.usual(r.class);
             let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !r.sent.is_empty();
             let last_start = if late_pays { r.deadline } else { r.aim };
@@ -695,7 +737,7 @@
             if let Some(p) = backend.and_then(|b| self.peers.get_mut(&b)) {
                 self.extra -= f64::from(again);
                 let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
-                r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false });
+                r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false, begun: false });
                 p.out += 1;
                 p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
                 p.spent.push((now, work));
--- a/src/state.rs
+++ b/src/state.rs
@@ -206,6 +206,8 @@
     pub out: bool,
     /// Its outcome proves that it did not run.
     pub never_ran: bool,
+    /// Its answer has begun to stream: its backend has done the work.
+    pub begun: bool,
 }
 
 /// A request that is owed an answer.
@@ -217,6 +219,8 @@
     /// Its worth beside a first try within quota.
     pub value: f64,
     pub streaming: bool,
+    /// Its body goes to one backend as it comes.
+    pub uploading: bool,
     /// Attempts allowed when it came.
     pub most: usize,
     pub sent: Vec<Sent>,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -545,3 +545,44 @@
     let ejected = host.logs.iter().filter(|l| l.contains("ejected")).count();
     assert_eq!(ejected, 0, "{:?}", host.logs);
 }
+
+/// A body that goes out as it comes has no deadline until it is whole, and no second backend.
+#[test]
+fn an_upload_is_bound_to_one_backend_and_timed_from_its_end() {
+    let mut host = Host::new(Config { proxies: 1, ..Config::example() }, 8);
+    host.members(ListUpdate::Full, (0..3).map(|n| backend(n, 0, 0)).collect());
+    for _ in 0..30 {
+        host.burst(3, 0, 500_000);
+        host.serve_all(20_000);
+    }
+    for outcome in [Outcome::Ok, Outcome::ConnectFailed, Outcome::Reset] {
+        let id = host.arrive(0, 500_000);
+        host.event(Event::UploadStarted { request: id, attempt: AttemptNo(0) });
+        // The harness, which knows no uploads, looks on its own clock only.
+        host.requests.get_mut(&id).unwrap().deadline = host.now + Micros(60_000_000);
+        host.advance(5_000_000);
+        assert_eq!(host.requests[&id].answer, None);
+        let time_left = Micros(500_000);
+        host.event(Event::Uploaded { request: id, attempt: AttemptNo(0), time_left });
+        host.requests.get_mut(&id).unwrap().deadline = host.now + time_left;
+        host.advance(100_000);
+        host.end(id, 0, outcome);
+        assert_eq!(host.sent_to(id).len(), 1, "{outcome:?}");
+        assert!(host.requests[&id].answer.is_some(), "{outcome:?}");
+    }
+}
+
+/// With the first bytes of a long answer its backend has room for another request.
+#[test]
+fn an_answer_that_streams_takes_no_room_at_its_backend() {
+    let mut host = Host::new(Config { proxies: 1, ..Config::example() }, 9);
+    host.members(ListUpdate::Full, vec![backend(0, 0, 0)]);
+    let ids = host.burst(20, 0, 500_000);
+    let held = |host: &Host, ids: &[RequestId]| ids.iter().filter(|id| host.sent_to(**id).is_empty()).count();
+    let waiting = held(&host, &ids);
+    assert!(waiting > 0);
+    host.advance(20_000);
+    let out = host.out();
+    out.iter().for_each(|(id, no)| host.start_stream(*id, *no));
+    assert!(held(&host, &ids) < waiting);
+}
