--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -34,8 +34,8 @@
 /// Connections over the bound, out of the reserve: each is closed after its answer.
 const OVER_BOUND: usize = 24;
 const BACKLOG: u32 = 1024;
-/// A head that is not whole after this time holds its connection no more where room is needed.
-const HEAD_PATIENCE: Micros = Micros(5_000_000);
+/// A head that began and of which nothing more came for so long holds its connection no more where room is needed.
+const HEAD_PAUSE: Duration = Duration::from_secs(1);
 /// A peer without a whole head so long after connecting is let go: within three seconds it is owed an end.
 const FIRST_HEAD: Duration = Duration::from_millis(2_500);
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
@@ -190,14 +190,14 @@
     }
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        while self.clients() >= self.max.get() + OVER_BOUND && !self.close_longest_idle() {
+        while self.clients() >= self.max.get() + OVER_BOUND && !self.close_quietest() {
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
         }
         match listener.accept().await {
             Ok((tcp, _)) => self.take_in(tcp),
             Err(e) => {
                 // Out of descriptors, or a client that left in the queue: never the end of the program.
-                let made_room = self.close_longest_idle() || self.host.pool.close_oldest();
+                let made_room = self.close_quietest() || self.host.pool.close_oldest();
                 let now = self.host.clock.now();
                 if now - self.told.get() >= ACCEPT_LOG {
                     self.told.set(now);
@@ -210,14 +210,17 @@
         }
     }
 
-    /// The one that was idle longest leaves; where all are in use, one that never finished its head.
-    fn close_longest_idle(&self) -> bool {
-        let now = self.host.clock.now();
+    /// The one that was quiet longest leaves: between requests, before its first, or stopped half way in a head.
+    fn close_quietest(&self) -> bool {
+        let now = Instant::now();
         let clients = self.clients.borrow();
-        let free = || clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
-        let idle = free().filter(|c| !c.stream.stirred()).min_by_key(|c| c.since.get());
-        let stale = || free().filter(|c| now - c.since.get() > HEAD_PATIENCE).min_by_key(|c| c.since.get());
-        let Some(client) = idle.or_else(stale) else { return false };
+        let quiet = |c: &&Rc<Client>| match c.stream.stopped_since() {
+            Some(at) => (now - at >= HEAD_PAUSE).then_some(at),
+            None => (!c.stream.stirred()).then(|| self.host.clock.instant(c.since.get())),
+        };
+        let free = clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
+        let quietest = free.filter_map(|c| quiet(&c).map(|at| (at, c))).min_by_key(|(at, _)| *at);
+        let Some((_, client)) = quietest else { return false };
         client.leaving.set(true); // another call at the same moment chooses another
         client.close.notify_one();
         true
@@ -225,7 +228,7 @@
 
     fn take_in(self: &Rc<Self>, tcp: TcpStream) {
         if self.clients() >= self.max.get() {
-            self.close_longest_idle();
+            self.close_quietest();
         }
         let key = self.next.get();
         self.next.set(key + 1);
@@ -282,6 +285,10 @@
                     }
                 }
                 _ = client.close.notified() => {
+                    let stopped = client.stream.stopped_since().is_some();
+                    if client.leaving.get() && !client.busy.get() && stopped {
+                        return; // there is no request that an answer is owed to
+                    }
                     if client.leaving.get() {
                         cut.as_mut().reset(Instant::now() + CLOSE_PATIENCE);
                     }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Shared by hyper's side of the stream and the proxy's.
 #[derive(Clone)]
@@ -21,13 +22,16 @@
     body_left: Cell<usize>,
     /// Something was read since the last `mark_idle`.
     heard: Cell<bool>,
+    /// When something was last read.
+    at: Cell<Instant>,
 }
 
 impl Stream {
     pub fn new(tcp: TcpStream) -> Stream {
         let _ = tcp.set_nodelay(true); // small writes are whole messages here
         let (matched, body_left, heard) = (Cell::new(4), Cell::new(0), Cell::new(false));
-        Stream(Rc::new(Inner { tcp, matched, body_left, heard }))
+        let at = Cell::new(Instant::now());
+        Stream(Rc::new(Inner { tcp, matched, body_left, heard, at }))
     }
 
     /// From now on counts the bytes of a new request with a body of that size.
@@ -66,12 +70,21 @@
         self.0.heard.set(false);
     }
 
+    /// The other side began something and has said nothing more since that time; nothing waits in the kernel.
+    pub fn stopped_since(&self) -> Option<Instant> {
+        (self.0.heard.get() && !self.pending()).then(|| self.0.at.get())
+    }
+
     /// Bytes came since `mark_idle`, or wait in the kernel, or the other side has closed. Asks the kernel
     /// itself: the event loop may not have come round to it yet.
     pub fn stirred(&self) -> bool {
+        self.0.heard.get() || self.pending()
+    }
+
+    fn pending(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
         let quiet = |e: io::Error| e.kind() == io::ErrorKind::WouldBlock;
-        self.0.heard.get() || !socket2::SockRef::from(&self.0.tcp).peek(&mut byte).is_err_and(quiet)
+        !socket2::SockRef::from(&self.0.tcp).peek(&mut byte).is_err_and(quiet)
     }
 }
 
@@ -85,7 +98,10 @@
             ready!(self.0.tcp.poll_read_ready(cx))?;
             match self.0.tcp.try_read(&mut chunk[..room]) {
                 Ok(n) => {
-                    self.0.heard.set(self.0.heard.get() || n > 0);
+                    if n > 0 {
+                        self.0.heard.set(true);
+                        self.0.at.set(Instant::now());
+                    }
                     buf.put_slice(&chunk[..n]);
                     return Poll::Ready(Ok(()));
                 }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -350,6 +350,26 @@
     assert!(slow[0].ended());
 }
 
+/// Those that stopped half way make way one by one as room is needed, and not all at the end of their wait.
+#[test]
+fn a_head_that_stopped_makes_way_before_its_time_is_over() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 80, SETTINGS);
+    let (half, rest) = ("GET /read/k HTTP/1.1\r\nHost: s\r\nX-Corr", "elation-Id: 1\r\n\r\n");
+    let mut slow: Vec<Client> = (0..32)
+        .map(|_| {
+            let mut client = proxy.client();
+            client.send(half);
+            client
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(1_200));
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    slow[31].send(rest);
+    assert_eq!(slow[31].answer().expect("it was left alone").status(), 200);
+    assert!(slow[0].ended());
+}
+
 /// On SIGTERM what is under way is answered, and so is what comes while clients do not know of it yet.
 #[test]
 fn a_graceful_shutdown_answers_everything_and_ends() {
