Leave a streaming answer alone when the copy of its request ends

Found by reading: the host ends the other attempts of a request whose answer has begun to stream, each as settled, on which the module closed the request and called back the streaming attempt too; its client would have been cut off. Test: a_copys_end_leaves_the_streaming_answer_alone fails without it (seen).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -355,6 +355,9 @@
             let part = if now <= r.aim { 1.0 } else { c.late_worth };
             self.classes[class].earned += c.worth * r.value * part;
         }
+        if r.streaming && !begun {
+            return; // a copy's end: the answer streams on from another backend
+        }
         if end.settled || end.outcome == Outcome::Ok {
             self.close(id);
         } else if !r.out() && !self.held.contains(&id) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -586,3 +586,24 @@
     out.iter().for_each(|(id, no)| host.start_stream(*id, *no));
     assert!(held(&host, &ids) < waiting);
 }
+
+/// Where a copy was out beside the attempt whose answer streams, its end does not end the answer.
+#[test]
+fn a_copys_end_leaves_the_streaming_answer_alone() {
+    let cfg = Config { proxies: 1, ..config(vec![class(Effect::Free)]) };
+    let mut host = host(cfg, fleet(1));
+    serve(&mut host, 100, 0, |_| 10_000);
+    let two = [host.arrive(0, 900_000), host.arrive(0, 900_000)];
+    host.members(ListUpdate::Full, fleet(6));
+    host.advance(20_000);
+    host.end(two[0], 0, Outcome::Reset); // the backend is ejected, and the other one there gets a copy
+    host.advance(20_000);
+    let copied = two[1];
+    assert_eq!(host.sent_to(copied).len(), 2);
+    host.start_stream(copied, 0);
+    let (attempt, outcome, latency) = (AttemptNo(1), Outcome::Cancelled, Micros(5_000));
+    host.event(Event::AttemptEnded(AttemptEnd { request: copied, attempt, outcome, latency, settled: true }));
+    assert!(!host.cancelled.contains(&(copied, 0)));
+    host.event(Event::ClientGone { request: copied });
+    assert!(host.cancelled.contains(&(copied, 0)), "it ends with its client");
+}
