Give up a backend that takes nothing of a body for ten seconds

Found by reading: the patience with a body does not count time in which the backend takes nothing, and a machine that is cut off takes nothing for ever. Test: a_backend_that_takes_nothing_of_a_body_is_given_up, 10 s with it, no end without (seen).

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -39,14 +39,29 @@
 impl std::error::Error for Broken {}
 
 /// What becomes known of an upload while hyper holds it.
-#[derive(Default)]
 pub struct Passed {
+    /// When a piece was last handed on.
+    moved: Cell<Instant>,
     /// Its last byte was handed on: from then on the backend may run it.
     ended: Cell<bool>,
     told: Cell<Option<Box<dyn FnOnce()>>>,
 }
 
 impl Passed {
+    fn new() -> Passed {
+        Passed { moved: Cell::new(Instant::now()), ended: Cell::new(false), told: Cell::new(None) }
+    }
+
+    /// Until nothing was handed on for so long: the backend takes no more. Never once all was.
+    pub async fn stalled(&self, patience: Duration) {
+        while self.moved.get() + patience > Instant::now() {
+            tokio::time::sleep_until(self.moved.get() + patience).await;
+        }
+        if self.ended() {
+            std::future::pending().await
+        }
+    }
+
     pub fn ended(&self) -> bool {
         self.ended.get()
     }
@@ -81,7 +96,7 @@
     pub fn new(inner: Incoming, from: Instant) -> Upload {
         let (now, until) = (Instant::now(), from + BODY_PATIENCE);
         let timer = Box::pin(tokio::time::sleep_until(until));
-        let (before, waiting, passed) = (None, false, Rc::default());
+        let (before, waiting, passed) = (None, false, Rc::new(Passed::new()));
         Upload { before, inner, until, last: now, timer, waiting, passed }
     }
 
@@ -104,6 +119,7 @@
         mut self: Pin<&mut Self>, cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         if let Some(before) = self.before.take() {
+            self.passed.moved.set(Instant::now());
             if self.inner.is_end_stream() {
                 self.passed.end();
             }
@@ -123,6 +139,7 @@
             return Poll::Ready(Some(Err(Broken::Slow)));
         };
         (self.last, self.waiting) = (now, false);
+        self.passed.moved.set(now);
         Poll::Ready(match got {
             Some(Ok(frame)) => {
                 let bytes = frame.data_ref().map_or(0, Bytes::len);
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -28,7 +28,7 @@
 const IDLE_PART: f64 = 0.6;
 /// An answer of unknown length is held no longer than this before its first bytes go on.
 const HOLD_BACK: Duration = Duration::from_secs(1);
-/// A backend that began an answer and gives nothing of it for so long is taken for dead.
+/// A backend that gives nothing of an answer it began, or takes nothing of a body, for so long is taken for dead.
 const BACKEND_STALL: Duration = Duration::from_secs(10);
 /// A client that takes nothing of its answer for so long is let go; the kernel's buffers hide shorter pauses.
 const CLIENT_STALL: Duration = Duration::from_secs(30);
@@ -293,7 +293,17 @@
             sender.ready().await?;
             Ok::<_, hyper::Error>(Got::read(sender.send_request(request).await?).await)
         };
-        match driven(conn, exchange).await {
+        let stalled = async {
+            match &passed {
+                Some(passed) => passed.stalled(BACKEND_STALL).await,
+                None => std::future::pending().await,
+            }
+        };
+        let exchanged = tokio::select! {
+            exchanged = driven(conn, exchange) => exchanged,
+            () = stalled => None,
+        };
+        match exchanged {
             Some(Ok(Got::Whole(outcome, mut head, body))) => {
                 self.heard.borrow_mut().insert(id, Instant::now());
                 self.put_if_ready(id, c, body.is_some());
--- a/tests/streaming.rs
+++ b/tests/streaming.rs
@@ -199,3 +199,26 @@
         assert_eq!(answer.status(), 400, "{bad}");
     }
 }
+
+/// A backend that stops reading while its connection stays open is given up, and its client with it.
+#[test]
+fn a_backend_that_takes_nothing_of_a_body_is_given_up() {
+    const HUGE: usize = 64 << 20;
+    let (address, _) = raw(move |_, tcp| {
+        std::thread::sleep(4 * PATIENCE);
+        drop(tcp);
+    });
+    let body = text(1 << 20);
+    let proxy = one(address);
+    let mut client = proxy.client();
+    client.send(pay(3.0).replace("Length: 4", &format!("Length: {HUGE}")).strip_suffix("cash").unwrap());
+    let mut writer = client.0.get_ref().try_clone().unwrap();
+    let sending = std::thread::spawn(move || (0..64).all(|_| writer.write_all(body.as_bytes()).is_ok()));
+    let mut first = [0; 12];
+    let got = client.0.read(&mut first);
+    let ended =
+        got.map_or_else(|e| e.kind() != std::io::ErrorKind::WouldBlock, |n| !first[..n].ends_with(b"200"));
+    assert!(ended, "it waits for ever");
+    drop((client, proxy));
+    assert!(!sending.join().unwrap(), "nobody took all of it");
+}
