Keep no traffic near where there are fewer proxies than zones

At fault: allot in rules.rs takes every zone to bring one part in so many of the traffic; two proxies stand in two of three zones, each keeps its own third and more near, and the third zone's backends are left for overflow. Test: a_zone_without_a_proxy_is_used_like_the_others fails without it (seen).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -564,6 +564,9 @@
         let ready = self.peers.values().filter(|p| p.ready > 0.0);
         ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
         let zones = due.len() as f64;
+        // With fewer proxies than zones some zone has none, and nobody is told which: whatever stays near leaves
+        // that zone's backends idle and fills the others.
+        let local = self.cfg.cross_zone_cost > 0.0 && proxies >= zones;
         let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
         let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
         self.kinds.values_mut().for_each(|k| (k.pull, k.walked) = (0.0, 0.0));
@@ -572,7 +575,7 @@
             let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
             let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
             let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            let bias = if self.cfg.cross_zone_cost > 0.0 && here > 0.0 { near / here } else { 1.0 };
+            let bias = if local && here > 0.0 { near / here } else { 1.0 };
             // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
             // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
             let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -387,6 +387,19 @@
     assert!((70..=130).contains(&zones(0.0)), "{} of 300 stayed without a cost", zones(0.0));
 }
 
+/// Two proxies cannot stand in three zones: the backends of the one that has none get their part all the same.
+#[test]
+fn a_zone_without_a_proxy_is_used_like_the_others() {
+    let mut sent = [0; 3];
+    for position in 0..2 {
+        let zone = ZoneId(position);
+        let cfg = Config { cross_zone_cost: 0.05, proxies: 2, position, zone, ..Config::example() };
+        let mut host = host(cfg, (0..6).map(|i| backend(i, i % 3, 0)).collect());
+        serve(&mut host, 300, 0, |_| 10_000).iter().for_each(|b| sent[*b as usize % 3] += 1);
+    }
+    assert!(sent.iter().all(|n| (150..=250).contains(n)), "{sent:?} of 600");
+}
+
 #[test]
 fn a_zone_short_of_backends_sends_its_surplus_out() {
     // Own zone holds one of seven backends; three zones' proxies bring a third each: 3/7 may stay.
