Do not close a connection that has just come to make room

Where descriptors ran out it may still go. Test: one_that_has_just_connected_is_left_time_to_ask fails without it (seen).

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -36,6 +36,8 @@
 const BACKLOG: u32 = 1024;
 /// A head that began and of which nothing more came for so long holds its connection no more where room is needed.
 const HEAD_PAUSE: Duration = Duration::from_secs(1);
+/// One that has just come is not quiet: its request is on its way.
+const JUST_NOW: Duration = Duration::from_millis(200);
 /// A peer without a whole head so long after connecting is let go: within three seconds it is owed an end.
 const FIRST_HEAD: Duration = Duration::from_millis(2_500);
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
@@ -190,14 +192,14 @@
     }
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        while self.clients() >= self.max.get() + OVER_BOUND && !self.close_quietest() {
+        while self.clients() >= self.max.get() + OVER_BOUND && !self.close_quietest(JUST_NOW) {
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
         }
         match listener.accept().await {
             Ok((tcp, _)) => self.take_in(tcp),
             Err(e) => {
                 // Out of descriptors, or a client that left in the queue: never the end of the program.
-                let made_room = self.close_quietest() || self.host.pool.close_oldest();
+                let made_room = self.close_quietest(Duration::ZERO) || self.host.pool.close_oldest();
                 let now = self.host.clock.now();
                 if now - self.told.get() >= ACCEPT_LOG {
                     self.told.set(now);
@@ -210,13 +212,18 @@
         }
     }
 
-    /// The one that was quiet longest leaves: between requests, before its first, or stopped half way in a head.
-    fn close_quietest(&self) -> bool {
+    /// The one that was quiet longest leaves: between requests, before its first and that for `least` at
+    /// least, or stopped half way in a head.
+    fn close_quietest(&self, least: Duration) -> bool {
         let now = Instant::now();
         let clients = self.clients.borrow();
         let quiet = |c: &&Rc<Client>| match c.stream.stopped_since() {
             Some(at) => (now - at >= HEAD_PAUSE).then_some(at),
-            None => (!c.stream.stirred()).then(|| self.host.clock.instant(c.since.get())),
+            None => {
+                let since = self.host.clock.instant(c.since.get());
+                let early = c.fresh.get() && now - since < least;
+                (!early && !c.stream.stirred()).then_some(since)
+            }
         };
         let free = clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
         let quietest = free.filter_map(|c| quiet(&c).map(|at| (at, c))).min_by_key(|(at, _)| *at);
@@ -228,7 +235,7 @@
 
     fn take_in(self: &Rc<Self>, tcp: TcpStream) {
         if self.clients() >= self.max.get() {
-            self.close_quietest();
+            self.close_quietest(JUST_NOW);
         }
         let key = self.next.get();
         self.next.set(key + 1);
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -370,6 +370,26 @@
     assert!(slow[0].ended());
 }
 
+/// A connection that has just come is not the one to make way, though all others are in use.
+#[test]
+fn one_that_has_just_connected_is_left_time_to_ask() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |n| if n < 4 { Reply::Gate(wait.clone()) } else { ok("x") });
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 72, SETTINGS);
+    let mut busy: Vec<Client> = (0..4).map(|_| proxy.client()).collect();
+    for client in &mut busy {
+        client.send(&read(3.0));
+        backend.request();
+    }
+    let mut just_come = proxy.client();
+    assert_eq!(proxy.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+    just_come.send("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n");
+    assert_eq!(just_come.answer().expect("it was left alone").status(), 200);
+    gate.open();
+    assert!(busy.iter_mut().all(|client| client.answer().is_some_and(|a| a.status() == 200)));
+}
+
 /// On SIGTERM what is under way is answered, and so is what comes while clients do not know of it yet.
 #[test]
 fn a_graceful_shutdown_answers_everything_and_ends() {
