--- a/src/main.rs
+++ b/src/main.rs
@@ -33,6 +33,10 @@
 const LOOK_BESIDE: Duration = Duration::from_millis(20);
 /// Clients, and as many upstreams, that a process may have whatever the other one holds; out of the reserve.
 const LEAST_PART: usize = 8;
+/// What a second process needs for all else, and for clients over its bound.
+const BOTH: usize = 40;
+/// Upstreams that a process may open between two looks.
+const MORE_UPSTREAMS: usize = 16;
 /// A new process beside a running one waits so long for its first list.
 const FIRST_LIST: Duration = Duration::from_secs(2);
 const REPORT_EVERY: Duration = Duration::from_secs(5);
@@ -159,9 +163,12 @@
     loop {
         let (room, others) = (room(sockets.get()), presence.others());
         presence.tell(Held { clients: server.clients(), upstreams: host.pool.open() });
-        host.pool.limit((room / 2).saturating_sub(others.held.upstreams).max(LEAST_PART));
-        server.limit((room - room / 2).saturating_sub(others.held.clients).max(LEAST_PART));
-        if shared != (others.older || others.younger) {
+        let beside = others.older || others.younger;
+        let (clients, upstreams) =
+            if beside { parts(room, host.pool.open(), others.held) } else { (room - room / 2, room / 2) };
+        host.pool.limit(upstreams);
+        server.limit(clients);
+        if shared != beside {
             shared = !shared;
             info!("{}", if shared { "beside another process" } else { "alone again" });
             host.beside(if shared { 2 } else { 1 });
@@ -170,6 +177,15 @@
     }
 }
 
+/// What a process may have of the room beside one that holds so much: upstreams a little above those it has, and
+/// clients out of all else, as those of the old one are still waiting when the new one's come.
+fn parts(room: usize, upstreams: usize, held: Held) -> (usize, usize) {
+    let room = room.saturating_sub(BOTH);
+    let upstreams = (upstreams + MORE_UPSTREAMS).min(room / 2);
+    let clients = room.saturating_sub(held.clients + held.upstreams + upstreams);
+    (clients.max(LEAST_PART), upstreams.max(LEAST_PART))
+}
+
 /// Descriptors for clients and upstreams, of so many.
 fn room(sockets: usize) -> usize {
     sockets.saturating_sub(RESERVE).max(2)
@@ -257,3 +273,24 @@
         Ok(told)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// With the clients of the old process still waiting there is room for as many at the new one, where the
+    /// descriptors allow it, and both together never have more than those.
+    #[test]
+    fn two_processes_share_the_room_by_what_each_holds() {
+        let room = room(384);
+        let held = Held { clients: 128, upstreams: 40 };
+        let (clients, upstreams) = parts(room, 0, held);
+        assert!(clients >= 90 && upstreams >= 16, "{clients} {upstreams}");
+        for open in [0, 20, 60, 200] {
+            let (clients, upstreams) = parts(room, open, held);
+            assert!(clients + upstreams + held.clients + held.upstreams <= room, "{open}");
+        }
+        let (clients, upstreams) = parts(room, 0, Held { clients: 300, upstreams: 300 });
+        assert!(clients > 0 && upstreams > 0, "never shut out");
+    }
+}
