--- a/src/rules.rs
+++ b/src/rules.rs
@@ -564,8 +564,8 @@
         let ready = self.peers.values().filter(|p| p.ready > 0.0);
         ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
         let zones = due.len() as f64;
-        // With fewer proxies than zones some zone has none, and nobody is told which: whatever stays near leaves
-        // that zone's backends idle and fills the others.
+        // With fewer proxies than zones some zone has none, and nobody is told which: whatever stays near
+        // leaves that zone's backends idle and fills the others.
         let local = self.cfg.cross_zone_cost > 0.0 && proxies >= zones;
         let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
         let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
