--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,7 +5,9 @@
 pub struct Time(pub u64);
 
 /// A span of time in microseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, serde::Serialize, serde::Deserialize,
+)]
 pub struct Micros(pub u64);
 
 impl std::ops::Add<Micros> for Time {
@@ -417,6 +419,14 @@
         /// Classes that take over another's estimates: the new number, then the old.
         heirs: Vec<(ClassId, ClassId)>,
     },
+    /// What an earlier process of this proxy had learned, `age` old: give it after the first list. Kinds and
+    /// backends that the module does not know by then are forgotten.
+    Recall {
+        /// The memory, as [`Balancer::recollect`](crate::Balancer::recollect) gave it out.
+        memory: Box<Memory>,
+        /// Since it was taken.
+        age: Micros,
+    },
     /// A timer fell due.
     Timer {
         /// Which.
@@ -465,3 +475,52 @@
     /// A line for the operators.
     Log(String),
 }
+
+/// A running mean with the weight of the samples in it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Sampled {
+    /// The mean, in the unit of its samples.
+    pub value: f64,
+    /// How many samples it stands for; fractional once discounted.
+    pub count: f64,
+}
+
+/// What the module learned of a kind of machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct KindMemory {
+    /// Seconds from dispatch to answer of served requests, class mix taken out.
+    pub latency: Sampled,
+    /// The same over few samples.
+    pub quick: Sampled,
+    /// Seconds that it takes while nothing crowds it.
+    pub alone: f64,
+    /// Requests that all proxies together hold on one of its backends.
+    pub hold: f64,
+    /// Seconds of evidence behind the hold.
+    pub learned: f64,
+}
+
+/// What the module knows of one backend that outlives a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct BackendMemory {
+    /// Time left of its ejection when the memory was taken.
+    pub ejected_for: Option<Micros>,
+    /// Ejections without a good answer between them.
+    pub strikes: i32,
+    /// How long before the memory was taken operators gave it back: its slow start.
+    pub back_ago: Option<Micros>,
+}
+
+/// What a proxy learned, to outlive its process: what [`Balancer::recollect`](crate::Balancer::recollect) gives
+/// and [`Event::Recall`] takes. Spans count back from the moment it was taken; ids are this process's numbers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Memory {
+    /// By kind.
+    pub kinds: Vec<(KindId, KindMemory)>,
+    /// Latency of served requests in seconds, by class in use.
+    pub classes: Vec<(ClassId, Sampled)>,
+    /// The same over all classes: the unit of the classes' work, kept with them.
+    pub overall: Sampled,
+    /// By backend, those with something to remember.
+    pub backends: Vec<(BackendId, BackendMemory)>,
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,14 +3,14 @@
 
 mod net;
 
-use net::config::{Node, NodeError};
+use net::config::{Node, NodeError, Snapshots};
 use net::control::Control;
 use net::handover::{self, Held, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
 use net::server::{Rules, Server};
 use net::upstream::Pool;
-use net::{discovery, server, Clock};
+use net::{discovery, server, snapshot, Clock};
 use shaletide::settings::{self, Network};
 use shaletide::{Balancer, Config, ListUpdate};
 use std::cell::Cell;
@@ -73,8 +73,13 @@
     let balancer = Balancer::new(node.config.clone(), node.seed)
         .map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
     let host = Host::new(balancer, node.names, clock, pool.clone());
-    // The list from before the restart is in place before anything is served.
+    // The list from before the restart is in place before anything is served, and before what was learned.
     host.members(ListUpdate::Cached, &node.known);
+    let keeper = node.snapshot.clone().map(|kept| Keeper::new(kept, &node.settings, host.clone()));
+    if let Some(keeper) = keeper.clone() {
+        keeper.recall();
+        tokio::task::spawn_local(keeper.keep());
+    }
     // Only where operators or the platform take part may there be a second process.
     let shared = passed.is_some() || node.control.is_some();
     let folder = shared.then(folder).flatten();
@@ -135,10 +140,72 @@
     }
     let succeeded = || presence.as_ref().is_some_and(|p| p.others().younger);
     server.run(listener, stop, succeeded).await;
+    keeper.iter().for_each(|k| k.write());
     info!("stopped");
     Ok(())
 }
 
+/// Keeps what the module learned in a snapshot, and takes it back at the start.
+#[derive(Clone)]
+struct Keeper {
+    kept: Snapshots,
+    settings: [u8; 32],
+    host: Rc<Host>,
+}
+
+impl Keeper {
+    fn new(kept: Snapshots, settings: &serde_json::Value, host: Rc<Host>) -> Keeper {
+        Keeper { kept, settings: snapshot::settings_hash(settings), host }
+    }
+
+    /// Takes the snapshot in the folder if it holds; one line says what was taken or why not.
+    fn recall(&self) {
+        let most = shaletide::Micros::from_secs(self.kept.max_age_s);
+        let taken = snapshot::read(&self.kept.dir).and_then(|s| {
+            snapshot::check(&s.header, &self.settings, snapshot::wall_us(), most).map(|age| (s, age))
+        });
+        let file = snapshot::path(&self.kept.dir);
+        snapshot::sweep(&self.kept.dir);
+        match taken {
+            Ok((s, age)) => {
+                info!(event = "snapshot_taken", age_s = age.secs(), program = %s.header.program,
+                    kinds = s.saved.kinds.len(), backends = s.saved.backends.len(), "snapshot taken: warm start");
+                self.host.recall(s.saved, age);
+            }
+            Err(snapshot::Refused::Missing) => {
+                info!(event = "snapshot_missing", file = %file.display(), "no snapshot: cold start")
+            }
+            Err(e) => {
+                warn!(event = "snapshot_refused", cause = e.cause(), file = %file.display(), "snapshot refused, cold start: {e}")
+            }
+        }
+    }
+
+    /// Writes one now; a failure is logged and the next write tries again.
+    fn write(&self) {
+        let header = snapshot::Header {
+            program: env!("CARGO_PKG_VERSION").into(),
+            written_us: snapshot::wall_us(),
+            settings: self.settings,
+        };
+        let whole = snapshot::Snapshot { header, saved: self.host.recollect() };
+        let written = snapshot::encode(&whole)
+            .map_err(|e| e.to_string())
+            .and_then(|bytes| snapshot::write(&self.kept.dir, &bytes).map_err(|e| e.to_string()));
+        if let Err(e) = written {
+            warn!(event = "snapshot_not_written", dir = %self.kept.dir.display(), "snapshot not written: {e}");
+        }
+    }
+
+    async fn keep(self) {
+        let every = Duration::from_millis(self.kept.every_ms.max(100));
+        loop {
+            tokio::time::sleep(every).await;
+            self.write();
+        }
+    }
+}
+
 /// Where processes of this proxy find what they share.
 fn folder() -> Option<PathBuf> {
     let made = match std::env::var_os("TMPDIR") {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -28,6 +28,31 @@
     pub settings: Value,
     /// All keys of the file but those inside lists.
     pub keys: BTreeSet<String>,
+    /// Where and how often what was learned is kept; without it nothing is.
+    pub snapshot: Option<Snapshots>,
+}
+
+/// `snapshot` in the configuration.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Snapshots {
+    /// The folder of the file; made where it is missing.
+    pub dir: std::path::PathBuf,
+    /// Milliseconds between two writes.
+    #[serde(default = "Snapshots::every_ms")]
+    pub every_ms: u64,
+    /// Seconds after which a snapshot is refused.
+    #[serde(default = "Snapshots::max_age_s")]
+    pub max_age_s: f64,
+}
+
+impl Snapshots {
+    fn every_ms() -> u64 {
+        2000
+    }
+    fn max_age_s() -> f64 {
+        300.0
+    }
 }
 
 /// Why there is no usable configuration.
@@ -66,6 +91,7 @@
     #[serde(default)]
     known: List,
     settings: Value,
+    snapshot: Option<Snapshots>,
 }
 
 #[derive(Deserialize)]
@@ -132,6 +158,7 @@
             network,
             settings: file.settings,
             keys,
+            snapshot: file.snapshot,
         })
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -28,7 +28,7 @@
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
 /// A list, or the changes to one. Entries are read one by one, so that a bad one spoils no other.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, serde::Serialize)]
 pub struct List {
     pub index: u64,
     pub snapshot: bool,
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -1,6 +1,7 @@
 //! The decision module's host and sole owner: events go in, actions are carried out.
 
 use super::discovery::List;
+use super::snapshot::Saved;
 use super::upstream::{Call, Ended, Payload, Pool, Progress, Served};
 use super::Clock;
 use shaletide::settings::{Change, Names};
@@ -305,6 +306,56 @@
         let _ = self.listed.subscribe().wait_for(|heard| *heard).await;
     }
 
+    /// What is worth keeping over a crash, under the names of kinds, classes and backends.
+    pub fn recollect(&self) -> Saved {
+        let s = self.state.borrow();
+        let memory = s.balancer.recollect(self.clock.now());
+        let mut names = vec![None; s.backends.len()];
+        s.numbers.iter().for_each(|(name, id)| names[id.0 as usize] = Some(name.clone()));
+        let backend = |id: BackendId| names.get(id.0 as usize).cloned().flatten();
+        Saved {
+            kinds: memory
+                .kinds
+                .iter()
+                .filter_map(|(k, m)| Some((s.names.kind_name(*k)?.into(), *m)))
+                .collect(),
+            classes: memory
+                .classes
+                .iter()
+                .filter_map(|(c, m)| Some((s.names.class_name(*c)?.into(), *m)))
+                .collect(),
+            overall: memory.overall,
+            backends: memory.backends.iter().filter_map(|(b, m)| Some((backend(*b)?, *m))).collect(),
+            withdrawn: s
+                .backends
+                .iter()
+                .enumerate()
+                .filter(|(_, b)| b.withdrawn)
+                .filter_map(|(n, _)| names[n].clone())
+                .collect(),
+        }
+    }
+
+    /// Takes what an earlier process kept, `age` old: bans at once, the rest as the module sees fit. Names
+    /// that this process does not know are left out.
+    pub fn recall(self: &Rc<Self>, saved: Saved, age: Micros) {
+        saved
+            .withdrawn
+            .iter()
+            .filter(|name| !self.withdrawn(name))
+            .for_each(|name| self.withdraw_unheard(name));
+        let memory = {
+            let s = self.state.borrow();
+            Memory {
+                kinds: saved.kinds.iter().filter_map(|(n, m)| Some((s.names.kind(n)?, *m))).collect(),
+                classes: saved.classes.iter().filter_map(|(n, m)| Some((s.names.class(n)?, *m))).collect(),
+                overall: saved.overall,
+                backends: saved.backends.iter().filter_map(|(n, m)| Some((*s.numbers.get(n)?, *m))).collect(),
+            }
+        };
+        self.tell(Event::Recall { memory: Box::new(memory), age });
+    }
+
     /// The names in force, with all numbers given so far.
     pub fn names(&self) -> Names {
         self.state.borrow().names.clone()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod host;
 pub mod maintenance;
 pub mod server;
+pub mod snapshot;
 pub mod stream;
 pub mod upstream;
 
--- /dev/null
+++ b/src/net/snapshot.rs
@@ -0,0 +1,290 @@
+//! Checked snapshots of what this proxy learned, so that a start after a crash or a power cut is warm.
+//!
+//! The file is `PREFIX` then a body in postcard: the prefix is the magic `SHTS`, the format version (u16, little
+//! endian), the body's length in bytes (u32) and its CRC-32 (u32). The body holds a [`Header`] and what was
+//! [`Saved`]. A file is replaced whole: written beside, synced, renamed over, and the folder synced.
+
+use serde::{Deserialize, Serialize};
+use shaletide::{BackendMemory, KindMemory, Micros, Sampled};
+use std::fmt;
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+const MAGIC: [u8; 4] = *b"SHTS";
+/// Raised whenever the body's shape changes; older and newer files are refused, not guessed at.
+pub const FORMAT: u16 = 1;
+const PREFIX: usize = 14;
+/// Larger snapshots are neither written nor read: a proxy's memory limit is some hundred MB.
+pub const MOST: usize = 1 << 20;
+const NAME: &str = "snapshot";
+
+/// Who wrote the body, when, and under which settings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Header {
+    /// The program's version, for the log.
+    pub program: String,
+    /// Wall time of writing, microseconds since 1970.
+    pub written_us: u64,
+    /// BLAKE3 of the settings in force.
+    pub settings: [u8; 32],
+}
+
+/// What is kept: the module's memory under names, and the bans by hand. The last list is not: the platform hands
+/// it over at each start as `known`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Saved {
+    /// By kind name.
+    pub kinds: Vec<(String, KindMemory)>,
+    /// Latency of served requests in seconds, by class name.
+    pub classes: Vec<(String, Sampled)>,
+    /// The same over all classes.
+    pub overall: Sampled,
+    /// By backend name.
+    pub backends: Vec<(String, BackendMemory)>,
+    /// Backends out by hand, by name.
+    pub withdrawn: Vec<String>,
+}
+
+/// A whole snapshot.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub header: Header,
+    pub saved: Saved,
+}
+
+/// Why a snapshot is not used. Each is logged once, and the proxy starts cold.
+#[derive(Debug)]
+pub enum Refused {
+    Missing,
+    Unreadable(io::Error),
+    Short { length: usize },
+    Magic([u8; 4]),
+    Format(u16),
+    Length { said: usize, found: usize },
+    TooLarge(usize),
+    Checksum { stored: u32, computed: u32 },
+    Body(postcard::Error),
+    Settings,
+    Stale { age: Micros, most: Micros },
+    Ahead(Micros),
+}
+
+impl Refused {
+    /// A stable name for the log's `cause` field.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Refused::Missing => "missing",
+            Refused::Unreadable(_) => "unreadable",
+            Refused::Short { .. } => "truncated",
+            Refused::Magic(_) => "magic",
+            Refused::Format(_) => "format",
+            Refused::Length { .. } => "length",
+            Refused::TooLarge(_) => "too_large",
+            Refused::Checksum { .. } => "checksum",
+            Refused::Body(_) => "body",
+            Refused::Settings => "settings",
+            Refused::Stale { .. } => "stale",
+            Refused::Ahead(_) => "ahead",
+        }
+    }
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Missing => write!(f, "no snapshot yet"),
+            Refused::Unreadable(e) => write!(f, "cannot read: {e}"),
+            Refused::Short { length } => write!(f, "cut short at {length} bytes"),
+            Refused::Magic(m) => write!(f, "magic {m:02x?}, not a snapshot"),
+            Refused::Format(v) => write!(f, "format {v}, this program reads {FORMAT}"),
+            Refused::Length { said, found } => {
+                write!(f, "body of {found} bytes where the prefix says {said}")
+            }
+            Refused::TooLarge(n) => write!(f, "{n} bytes, over the {MOST} allowed"),
+            Refused::Checksum { stored, computed } => {
+                write!(f, "CRC {computed:08x} where {stored:08x} was stored")
+            }
+            Refused::Body(e) => write!(f, "body does not decode: {e}"),
+            Refused::Settings => write!(f, "written under other settings"),
+            Refused::Stale { age, most } => write!(f, "{:.1} s old, over {:.1} s", age.secs(), most.secs()),
+            Refused::Ahead(by) => write!(f, "written {:.1} s in the future", by.secs()),
+        }
+    }
+}
+
+impl std::error::Error for Refused {}
+
+/// The settings' hash: of their JSON, whose maps are ordered by key, so that equal settings hash the same.
+pub fn settings_hash(settings: &serde_json::Value) -> [u8; 32] {
+    *blake3::hash(settings.to_string().as_bytes()).as_bytes()
+}
+
+/// The file's bytes. Fails only where the body is over [`MOST`].
+pub fn encode(snapshot: &Snapshot) -> Result<Vec<u8>, Refused> {
+    let body = postcard::to_stdvec(snapshot).map_err(Refused::Body)?;
+    if PREFIX + body.len() > MOST {
+        return Err(Refused::TooLarge(PREFIX + body.len()));
+    }
+    let mut bytes = Vec::with_capacity(PREFIX + body.len());
+    bytes.extend_from_slice(&MAGIC);
+    bytes.extend_from_slice(&FORMAT.to_le_bytes());
+    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(bytes)
+}
+
+/// A snapshot from the file's bytes; any other bytes give the reason why not, never a panic.
+pub fn decode(bytes: &[u8]) -> Result<Snapshot, Refused> {
+    let length = bytes.len();
+    if length > MOST {
+        return Err(Refused::TooLarge(length));
+    }
+    let (prefix, body) = bytes.split_at_checked(PREFIX).ok_or(Refused::Short { length })?;
+    let word = |at: usize| u32::from_le_bytes([prefix[at], prefix[at + 1], prefix[at + 2], prefix[at + 3]]);
+    let magic = [prefix[0], prefix[1], prefix[2], prefix[3]];
+    if magic != MAGIC {
+        return Err(Refused::Magic(magic));
+    }
+    let format = u16::from_le_bytes([prefix[4], prefix[5]]);
+    if format != FORMAT {
+        return Err(Refused::Format(format));
+    }
+    let said = word(6) as usize;
+    if said > body.len() {
+        return Err(Refused::Short { length });
+    } else if said < body.len() {
+        return Err(Refused::Length { said, found: body.len() });
+    }
+    let (stored, computed) = (word(10), crc32fast::hash(body));
+    if stored != computed {
+        return Err(Refused::Checksum { stored, computed });
+    }
+    postcard::from_bytes(body).map_err(Refused::Body)
+}
+
+/// Its age at wall time `now_us`, if it was written under these settings and is at most `most` old.
+pub fn check(header: &Header, settings: &[u8; 32], now_us: u64, most: Micros) -> Result<Micros, Refused> {
+    if header.settings != *settings {
+        return Err(Refused::Settings);
+    }
+    // A clock set back by a little after a power cut is no reason to refuse; one far ahead is.
+    let ahead = Micros(header.written_us.saturating_sub(now_us));
+    if ahead > Micros::from_secs(1.0) {
+        return Err(Refused::Ahead(ahead));
+    }
+    let age = Micros(now_us.saturating_sub(header.written_us));
+    if age > most {
+        return Err(Refused::Stale { age, most });
+    }
+    Ok(age)
+}
+
+/// The snapshot's file in `dir`.
+pub fn path(dir: &Path) -> PathBuf {
+    dir.join(NAME)
+}
+
+/// Reads and decodes the file in `dir`.
+pub fn read(dir: &Path) -> Result<Snapshot, Refused> {
+    match fs::read(path(dir)) {
+        Ok(bytes) => decode(&bytes),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Err(Refused::Missing),
+        Err(e) => Err(Refused::Unreadable(e)),
+    }
+}
+
+/// Removes what writers killed half way left behind; what cannot be removed stays, harmless.
+pub fn sweep(dir: &Path) {
+    let parts = fs::read_dir(dir).into_iter().flatten().flatten();
+    let torn = parts.filter(|e| e.file_name().to_string_lossy().ends_with(".part"));
+    torn.for_each(|e| drop(fs::remove_file(e.path())));
+}
+
+/// Replaces the file in `dir` whole: a crash at any point leaves the old file or the new one.
+pub fn write(dir: &Path, bytes: &[u8]) -> io::Result<()> {
+    fs::create_dir_all(dir)?;
+    let temporary = dir.join(format!("{NAME}.{}.part", std::process::id()));
+    let mut file = File::create(&temporary)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    fs::rename(&temporary, path(dir))?;
+    // The rename is durable only once the folder is.
+    File::open(dir)?.sync_all()
+}
+
+/// Wall time in microseconds since 1970; a clock before that reads as 0.
+pub fn wall_us() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |d| d.as_micros() as u64)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn sampled() -> impl Strategy<Value = Sampled> {
+        (any::<f64>(), any::<f64>()).prop_map(|(value, count)| Sampled { value, count })
+    }
+
+    fn snapshot() -> impl Strategy<Value = Snapshot> {
+        let kind = (sampled(), sampled(), any::<f64>(), any::<f64>(), any::<f64>())
+            .prop_map(|k| KindMemory { latency: k.0, quick: k.1, alone: k.2, hold: k.3, learned: k.4 });
+        let micros = proptest::option::of(any::<u64>().prop_map(Micros));
+        let backend = (micros.clone(), any::<i32>(), micros).prop_map(|b| BackendMemory {
+            ejected_for: b.0,
+            strikes: b.1,
+            back_ago: b.2,
+        });
+        let saved = (
+            proptest::collection::vec((".{0,12}", kind), 0..4),
+            proptest::collection::vec((".{0,12}", sampled()), 0..4),
+            proptest::collection::vec((".{0,12}", backend), 0..6),
+            proptest::collection::vec(".{0,12}", 0..3),
+            sampled(),
+        )
+            .prop_map(|s| Saved {
+                kinds: s.0,
+                classes: s.1,
+                backends: s.2,
+                withdrawn: s.3,
+                overall: s.4,
+            });
+        let header = (".{0,8}", any::<u64>(), any::<[u8; 32]>()).prop_map(|h| Header {
+            program: h.0,
+            written_us: h.1,
+            settings: h.2,
+        });
+        (header, saved).prop_map(|(header, saved)| Snapshot { header, saved })
+    }
+
+    /// Bits compare, as NaN is not equal to itself.
+    fn same(a: &Snapshot, b: &Snapshot) -> bool {
+        format!("{a:?}") == format!("{b:?}")
+    }
+
+    proptest! {
+        #[test]
+        fn what_is_encoded_decodes_the_same(s in snapshot()) {
+            let back = decode(&encode(&s).unwrap()).unwrap();
+            prop_assert!(same(&s, &back));
+        }
+
+        /// Any change of any byte, a cut anywhere, or bytes added, are refused or decode to some snapshot: never
+        /// a panic. Inside the body the checksum catches every change of one byte.
+        #[test]
+        fn mutated_bytes_never_panic(s in snapshot(), at in any::<prop::sample::Index>(), flip in 1u8..,
+                                     cut in any::<prop::sample::Index>(), junk in proptest::collection::vec(any::<u8>(), 0..64)) {
+            let bytes = encode(&s).unwrap();
+            let mut changed = bytes.clone();
+            let i = at.index(changed.len());
+            changed[i] ^= flip;
+            prop_assert!(decode(&changed).is_err(), "a change at byte {} was taken", i);
+            let _ = decode(&bytes[..cut.index(bytes.len())]);
+            let _ = decode(&junk);
+            prop_assert!(decode(&[bytes.clone(), junk.clone()].concat()).is_err() || junk.is_empty());
+        }
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,6 +66,8 @@
 const WELL_INSIDE: f64 = 2.0;
 /// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
 const LOW: f64 = 0.5;
+/// Seconds in which a recalled memory loses half its weight: a minute is some hundred answers per kind.
+const RECALL_HALF_LIFE: f64 = 60.0;
 
 /// HALB: the clamped M/G/1/PS optimum. For kinds of (ready count, speed of one backend) and the arrival
 /// rate, the part of the traffic for each kind; all zero when nothing is ready.
@@ -217,6 +219,7 @@
                 self.beside = (processes.max(1), self.beside.0, now + self.cfg.fall_window);
             }
             Event::Settings { config, live, heirs } => self.settings(now, *config, &live, &heirs),
+            Event::Recall { memory, age } => self.recall(now, *memory, age),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = Time(u64::MAX),
         }
@@ -235,6 +238,40 @@
         actions.append(&mut self.actions);
     }
 
+    /// What was learned and outlives a second, for a later process of this proxy (see [`Memory`]).
+    pub fn recollect(&self, now: Time) -> Memory {
+        let live = self.classes.iter().enumerate().filter(|(_, c)| c.live && c.latency.count > 0.0);
+        let backends = self.peers.iter().map(|(id, p)| (*id, p.memory(now)));
+        Memory {
+            kinds: self.kinds.iter().map(|(id, k)| (*id, k.memory())).collect(),
+            classes: live.map(|(n, c)| (ClassId(n), c.latency.sampled())).collect(),
+            overall: self.overall.sampled(),
+            backends: backends.filter(|(_, m)| *m != Default::default()).collect(),
+        }
+    }
+
+    /// Takes a memory `age` old: its samples weigh less the older it is, so that new answers soon outweigh
+    /// it; what the list no longer names is dropped.
+    fn recall(&mut self, now: Time, memory: Memory, age: Micros) {
+        let weight = 0.5f64.powf(age.secs() / RECALL_HALF_LIFE);
+        let mean = |s: Sampled| Mean { value: s.value, count: s.count * weight };
+        let listed = |id: &KindId| self.peers.values().any(|p| p.entry.kind == *id);
+        let kinds: Vec<_> = memory.kinds.into_iter().filter(|(id, _)| listed(id)).collect();
+        kinds.into_iter().for_each(|(id, m)| self.kinds.entry(id).or_default().recall(&m, weight, HOLD));
+        // A class's work is its latency over the overall one: the two come together or not at all.
+        if memory.overall.count > 0.0 {
+            self.overall = mean(memory.overall);
+            for (id, s) in memory.classes {
+                self.classes.get_mut(id.0).into_iter().for_each(|c| c.latency = mean(s));
+            }
+        }
+        for (id, m) in memory.backends {
+            self.peers.get_mut(&id).into_iter().for_each(|p| p.recall(&m, now, age));
+        }
+        (self.solve_at, self.look_at) = (now, now);
+        self.log(now, format!("recalled a memory {:.1} s old at weight {weight:.2}", age.secs()));
+    }
+
     fn members(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) {
         match (update, self.cfg.discovery) {
             // A lost subscription is asked for again, later each time and not in step with others: discovery
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -68,6 +68,21 @@
         Named::find(&self.tenants, name).map(TenantId)
     }
 
+    /// The kind of that name, if a list or the settings named it.
+    pub fn kind(&self, name: &str) -> Option<KindId> {
+        self.kinds.iter().position(|k| k == name).map(|n| KindId(n as u32))
+    }
+
+    /// The name of a kind.
+    pub fn kind_name(&self, kind: KindId) -> Option<&str> {
+        self.kinds.get(kind.0 as usize).map(String::as_str)
+    }
+
+    /// The name of a class in use.
+    pub fn class_name(&self, class: ClassId) -> Option<&str> {
+        self.classes.get(class.0).filter(|n| n.live).map(|n| n.name.as_str())
+    }
+
     /// The row as this instance numbers it.
     pub fn entry(&mut self, row: &Row, id: BackendId) -> Backend {
         let zone = ZoneId(number(&mut self.zones, &row.zone));
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,39 @@
     pub fn get(&self) -> Option<f64> {
         (self.count > 0.0).then_some(self.value)
     }
+
+    pub fn sampled(&self) -> Sampled {
+        Sampled { value: self.value, count: self.count }
+    }
+}
+
+impl Kind {
+    pub fn memory(&self) -> KindMemory {
+        let (latency, quick) = (self.latency.sampled(), self.quick.sampled());
+        KindMemory { latency, quick, alone: self.alone, hold: self.hold, learned: self.learned }
+    }
+
+    /// Takes a memory whose samples and evidence count `weight` each, with a hold of at least `least`.
+    pub fn recall(&mut self, m: &KindMemory, weight: f64, least: f64) {
+        let mean = |s: Sampled| Mean { value: s.value, count: s.count * weight };
+        (self.latency, self.quick, self.alone) = (mean(m.latency), mean(m.quick), m.alone);
+        (self.hold, self.learned) = (m.hold.max(least), m.learned * weight);
+    }
+}
+
+impl Peer {
+    /// What outlives a second, with spans counted back from `now`.
+    pub fn memory(&self, now: Time) -> BackendMemory {
+        let ejected_for = self.ejected.map(|until| until - now);
+        BackendMemory { ejected_for, strikes: self.strikes, back_ago: self.back.map(|back| now - back) }
+    }
+
+    /// Takes a memory `age` old. A term that ran out meanwhile leaves it to its trials, as at the end of any term.
+    pub fn recall(&mut self, m: &BackendMemory, now: Time, age: Micros) {
+        self.ejected = m.ejected_for.map(|left| now + Micros(left.0.saturating_sub(age.0)));
+        self.strikes = m.strikes;
+        self.back = m.back_ago.map(|ago| now - Micros(ago.0.saturating_add(age.0)));
+    }
 }
 
 /// Events a second over about the last `memory` seconds, unbiased from the start on.
--- /dev/null
+++ b/tests/recovery.rs
@@ -0,0 +1,170 @@
+//! Recovery after a crash: the snapshot of what was learned, with real processes killed outright.
+
+mod rig;
+
+use rig::*;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::Child;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// One process of the proxy, and what it said until it listened.
+struct Started {
+    child: Child,
+    address: SocketAddr,
+    control: SocketAddr,
+    said: String,
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Started {
+    fn ask(&self) -> u16 {
+        Client::connect(self.address).ask(&read(3.0)).status()
+    }
+    fn call(&self, line: &str) -> u16 {
+        Client::connect(self.control).ask(&format!("{line} HTTP/1.1\r\nHost: door\r\n\r\n")).status()
+    }
+    fn kill_outright(mut self) {
+        let _ = self.child.kill(); // SIGKILL
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts the program with a snapshot folder and its own `TMPDIR`, as on the platform where nothing else lasts.
+fn start(known: &[String], settings: &str, dir: &Path, extra: &str, discovery: &DiscoveryServer) -> Started {
+    let (at, known) = (discovery.address, list(4, true, known));
+    let dir = dir.display();
+    let config = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings},
+        "snapshot":{{"dir":"{dir}","every_ms":100{extra}}}}}"#
+    );
+    let mut command = launch(Some(&config));
+    command.env("NODE_CONTROL", "127.0.0.1:0").env("TMPDIR", folder());
+    let mut child = command.spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let (mut said, mut control) = (String::new(), None);
+    let address = loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened: {said}");
+        said += &line;
+        if let Some(at) = line.split("control on ").nth(1) {
+            control = Some(at.trim().parse().unwrap());
+        }
+        if let Some(at) = line.split("listens on ").nth(1) {
+            break at.split(',').next().unwrap().parse().unwrap();
+        }
+    };
+    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    Started { child, address, control: control.expect("a door"), said }
+}
+
+fn snapshots() -> PathBuf {
+    folder().join("kept")
+}
+
+/// A ban by hand outlives a crash and a `TMPDIR` that starts empty: the snapshot brings it back.
+#[test]
+fn a_ban_outlives_a_crash_through_the_snapshot() {
+    let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
+    let known = [entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")];
+    let (dir, discovery) = (snapshots(), DiscoveryServer::start());
+    let first = start(&known, SETTINGS, &dir, "", &discovery);
+    assert!(first.said.contains("no snapshot: cold start"), "{}", first.said);
+    assert_eq!(first.call("PUT /maintenance/enter?who=b0"), 200);
+    std::thread::sleep(Duration::from_millis(500)); // several writes
+    first.kill_outright();
+    let second = start(&known, SETTINGS, &dir, "", &discovery);
+    assert!(second.said.contains("snapshot taken"), "{}", second.said);
+    let before = a.count();
+    for _ in 0..30 {
+        assert_eq!(second.ask(), 200);
+    }
+    assert_eq!(a.count(), before, "the banned backend got requests after the crash");
+}
+
+/// Every kind of broken or unfit file is refused with its cause named, and the proxy serves from a cold start.
+#[test]
+fn each_unfit_snapshot_is_refused_by_name_and_the_start_is_cold() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let known = [entry("b0", backend.address, "SERVING")];
+    let (dir, discovery) = (snapshots(), DiscoveryServer::start());
+    let first = start(&known, SETTINGS, &dir, "", &discovery);
+    for _ in 0..20 {
+        assert_eq!(first.ask(), 200);
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    first.kill_outright();
+    let good = std::fs::read(dir.join("snapshot")).unwrap();
+    let flipped = {
+        let mut bytes = good.clone();
+        let at = bytes.len() / 2;
+        bytes[at] ^= 0x10;
+        bytes
+    };
+    let future = [&good[..4], &[9, 0], &good[6..]].concat();
+    let other = SETTINGS.replace("\"quota_rps\":500.0", "\"quota_rps\":400.0");
+    let cases: [(&str, Vec<u8>, &str, &str); 6] = [
+        ("truncated", good[..good.len() - 3].to_vec(), SETTINGS, ""),
+        ("checksum", flipped, SETTINGS, ""),
+        ("magic", vec![0; good.len()], SETTINGS, ""),
+        ("format", future, SETTINGS, ""),
+        ("settings", good.clone(), &other, ""),
+        ("stale", good.clone(), SETTINGS, r#","max_age_s":0.01"#),
+    ];
+    for (cause, bytes, settings, extra) in cases {
+        let dir = snapshots();
+        std::fs::create_dir_all(&dir).unwrap();
+        std::fs::write(dir.join("snapshot"), bytes).unwrap();
+        let proxy = start(&known, settings, &dir, extra, &discovery);
+        let line = proxy.said.lines().find(|l| l.contains("snapshot refused, cold start"));
+        let line = line.unwrap_or_else(|| panic!("{cause}: no refusal in {}", proxy.said));
+        assert!(line.contains(&format!("cause=\"{cause}\"")), "{cause}: {line}");
+        assert_eq!(proxy.ask(), 200, "{cause}: serves cold");
+    }
+}
+
+/// Killed outright again and again while it writes under load, each new process finds a whole snapshot.
+#[test]
+fn kill_9_in_a_loop_under_load_never_leaves_a_torn_snapshot() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let known = [entry("b0", backend.address, "SERVING")];
+    let (dir, discovery) = (snapshots(), DiscoveryServer::start());
+    let mut seed = 0x9e37_79b9_u32;
+    let mut proxy = start(&known, SETTINGS, &dir, "", &discovery);
+    for round in 0..8 {
+        let (at, busy) = (proxy.address, Arc::new(AtomicBool::new(true)));
+        let load = {
+            let busy = busy.clone();
+            std::thread::spawn(move || {
+                while busy.load(Ordering::SeqCst) {
+                    let Ok(mut tcp) = TcpStream::connect(at) else { return };
+                    let _ = tcp.set_read_timeout(Some(Duration::from_secs(1)));
+                    let _ = tcp.write_all(read(3.0).as_bytes());
+                    let _ = Message::read(&mut BufReader::new(tcp));
+                }
+            })
+        };
+        seed = seed.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        std::thread::sleep(Duration::from_millis(150 + u64::from(seed >> 24)));
+        proxy.kill_outright();
+        busy.store(false, Ordering::SeqCst);
+        load.join().unwrap();
+        proxy = start(&known, SETTINGS, &dir, "", &discovery);
+        assert!(proxy.said.contains("snapshot taken"), "round {round}: {}", proxy.said);
+        let parts = std::fs::read_dir(&dir).unwrap().flatten();
+        assert!(parts.filter(|e| !e.file_name().eq("snapshot")).count() <= 1, "parts pile up");
+    }
+    for _ in 0..20 {
+        assert_eq!(proxy.ask(), 200, "a warm start serves at once: {}", proxy.said);
+    }
+}
