--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -46,6 +46,16 @@
     pub max_age_s: f64,
 }
 
+impl Default for Snapshots {
+    fn default() -> Snapshots {
+        Snapshots {
+            dir: Default::default(),
+            every_ms: Snapshots::every_ms(),
+            max_age_s: Snapshots::max_age_s(),
+        }
+    }
+}
+
 impl Snapshots {
     fn every_ms() -> u64 {
         2000
@@ -140,6 +150,12 @@
             Ok(text) if !text.is_empty() => Some(text.parse().map_err(|_| NodeError::Control(text))?),
             _ => file.control,
         };
+        let snapshot = match std::env::var_os("NODE_SNAPSHOT") {
+            Some(dir) if !dir.is_empty() => {
+                Some(Snapshots { dir: dir.into(), ..file.snapshot.unwrap_or_default() })
+            }
+            _ => file.snapshot,
+        };
         let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
         let network = settings::network(&file.settings).map_err(NodeError::Settings)?;
         let hex = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
@@ -158,7 +174,7 @@
             network,
             settings: file.settings,
             keys,
-            snapshot: file.snapshot,
+            snapshot,
         })
     }
 }
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -41,15 +41,20 @@
 
 /// Starts the program with a snapshot folder and its own `TMPDIR`, as on the platform where nothing else lasts.
 fn start(known: &[String], settings: &str, dir: &Path, extra: &str, discovery: &DiscoveryServer) -> Started {
+    let kept = format!(r#","snapshot":{{"dir":"{}","every_ms":100{extra}}}"#, dir.display());
+    launched(known, settings, &kept, discovery, &[])
+}
+
+fn launched(
+    known: &[String], settings: &str, kept: &str, discovery: &DiscoveryServer, variables: &[(&str, &Path)],
+) -> Started {
     let (at, known) = (discovery.address, list(4, true, known));
-    let dir = dir.display();
     let config = format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings},
-        "snapshot":{{"dir":"{dir}","every_ms":100{extra}}}}}"#
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}{kept}}}"#
     );
     let mut command = launch(Some(&config));
-    command.env("NODE_CONTROL", "127.0.0.1:0").env("TMPDIR", folder());
+    command.env("NODE_CONTROL", "127.0.0.1:0").env("TMPDIR", folder()).envs(variables.iter().copied());
     let mut child = command.spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let (mut said, mut control) = (String::new(), None);
@@ -72,7 +77,8 @@
     folder().join("kept")
 }
 
-/// A ban by hand outlives a crash and a `TMPDIR` that starts empty: the snapshot brings it back.
+/// A ban by hand outlives a crash and a `TMPDIR` that starts empty: the snapshot brings it back, in a folder
+/// named by the configuration or by `NODE_SNAPSHOT`.
 #[test]
 fn a_ban_outlives_a_crash_through_the_snapshot() {
     let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
@@ -83,7 +89,7 @@
     assert_eq!(first.call("PUT /maintenance/enter?who=b0"), 200);
     std::thread::sleep(Duration::from_millis(500)); // several writes
     first.kill_outright();
-    let second = start(&known, SETTINGS, &dir, "", &discovery);
+    let second = launched(&known, SETTINGS, "", &discovery, &[("NODE_SNAPSHOT", &dir)]);
     assert!(second.said.contains("snapshot taken"), "{}", second.said);
     let before = a.count();
     for _ in 0..30 {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -370,7 +370,7 @@
     let mut command = Command::new("sh");
     let line = format!("ulimit -n {descriptors}; exec \"$0\"");
     command.args(["-c", &line, env!("CARGO_BIN_EXE_shaletide")]);
-    for name in ["NODE_CONFIG", "NODE_CONTROL", "NODE_SOCKET_FD"] {
+    for name in ["NODE_CONFIG", "NODE_CONTROL", "NODE_SOCKET_FD", "NODE_SNAPSHOT"] {
         command.env_remove(name);
     }
     command.stderr(Stdio::piped()).stdout(Stdio::null());
