Leave a zone when half its backends are out and take it back on a ramp

Change: settings locality (leave_share, ramp_us) give Config::locality; the module keeps a state per zone, leaves one whose listed ready backends are ejected or silent at leave_share, takes it back below half of that, ramps its readiness from cold_from over ramp_us doubled for each time it was left within a minute, and logs left, returning and back. Where all zones would be left none is.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -115,6 +115,18 @@
     pub fall_multiple: f64,
     /// ... over this time falls over.
     pub fall_window: Micros,
+    /// Zones that are left on evidence and come back on a ramp; `None`: zones are never left as a whole.
+    pub locality: Option<Locality>,
+}
+
+/// How whole zones are left and taken back (settings `locality`).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Locality {
+    /// Part of a zone's listed ready backends that, ejected or silent, leaves the zone; it returns below half of it.
+    pub leave_share: f64,
+    /// Time over which a returning zone's readiness ramps up from `cold_from`, doubled for each further time that
+    /// it was left within a minute.
+    pub ramp: Micros,
 }
 
 impl Config {
@@ -145,6 +157,7 @@
             ramp: Micros(10_000_000),
             fall_multiple: 3.0,
             fall_window: Micros(2_000_000),
+            locality: None,
         }
     }
 
@@ -170,6 +183,11 @@
             (self.tick.0 > 0, "tick", "a time above 0"),
             (part(self.cold_from), "cold_from", "a part from 0 to 1"),
             (above_zero(self.fall_multiple), "fall_multiple", "a finite number above 0"),
+            (
+                self.locality.is_none_or(|l| l.leave_share > 0.0 && part(l.leave_share)),
+                "leave_share",
+                "(0, 1]",
+            ),
         ];
         let failed = tests.into_iter().find(|t| !t.0);
         failed.map_or(Ok(()), |(_, field, expected)| Err(ConfigError { field, expected }))
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -110,6 +110,7 @@
     /// Taken out by hand: no list, trial or last resort changes that.
     withdrawn: BTreeSet<BackendId>,
     kinds: BTreeMap<KindId, Kind>,
+    zones: BTreeMap<ZoneId, Zone>,
     classes: Vec<ClassState>,
     overall: Mean,
     /// The part of all answers and breaks that were errors or breaks.
@@ -146,6 +147,7 @@
             order: Vec::new(),
             withdrawn: BTreeSet::new(),
             kinds: BTreeMap::new(),
+            zones: BTreeMap::new(),
             classes: cfg.classes.iter().map(|_| ClassState { live: true, ..Default::default() }).collect(),
             overall: Mean::default(),
             errors: Mean::default(),
@@ -541,13 +543,15 @@
             k.ready = 0.0;
             k.served.add(now, 0.0);
         });
+        let zones = self.zones(now);
         for p in self.peers.values_mut() {
             let k = self.kinds.entry(p.entry.kind).or_default();
-            let health = match p.ejected {
-                _ if p.entry.state != BackendState::Ready || self.withdrawn.contains(&p.entry.id) => 0.0,
-                Some(_) => f64::from(out > all * PANIC),
-                None => 1.0 - p.errors,
-            };
+            let health = zones.get(&p.entry.zone).copied().unwrap_or(1.0)
+                * match p.ejected {
+                    _ if p.entry.state != BackendState::Ready || self.withdrawn.contains(&p.entry.id) => 0.0,
+                    Some(_) => f64::from(out > all * PANIC),
+                    None => 1.0 - p.errors,
+                };
             p.ready = health * warmth(&self.cfg, now, p);
             k.ready += p.ready;
         }
@@ -642,6 +646,46 @@
         }
     }
 
+    /// Each zone's factor on its backends' readiness: none while it is left, a ramp while it returns. Where
+    /// every zone would be left, none is: some backends may still serve.
+    fn zones(&mut self, now: Time) -> BTreeMap<ZoneId, f64> {
+        let (Some(rules), mut factors) = (self.cfg.locality, BTreeMap::new()) else { return BTreeMap::new() };
+        let mut counts: BTreeMap<ZoneId, (f64, f64)> = BTreeMap::new();
+        for p in self.peers.values().filter(|p| self.offered(p)) {
+            let c = counts.entry(p.entry.zone).or_default();
+            *c = (c.0 + 1.0, c.1 + f64::from(p.ejected.is_some() || p.silent));
+        }
+        for (id, (all, out)) in counts {
+            let z = self.zones.entry(id).or_default();
+            z.lefts.retain(|at| now - *at < Micros::from_secs(60.0));
+            let ramp = rules.ramp.times(f64::from(1u32 << z.lefts.len().clamp(1, 6)) / 2.0);
+            let said = match (z.left, out / all) {
+                (false, part) if part >= rules.leave_share => {
+                    (z.left, z.since) = (true, None);
+                    z.lefts.push(now);
+                    Some(format!("zone {} left: {out} of {all} out", id.0))
+                }
+                (true, part) if part < rules.leave_share / 2.0 => {
+                    (z.left, z.since) = (false, Some(now));
+                    Some(format!("zone {} returning over {:.1} s", id.0, ramp.secs()))
+                }
+                (false, _) if z.since.is_some_and(|since| now - since >= ramp) => {
+                    z.since = None;
+                    Some(format!("zone {} back", id.0))
+                }
+                _ => None,
+            };
+            self.actions.extend(said.map(Action::Log));
+            let age = z.since.map_or(1.0, |since| (now - since).secs() / ramp.secs().max(1e-6));
+            let ramped = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age.min(1.0);
+            factors.insert(id, if z.left { 0.0 } else { ramped });
+        }
+        if factors.values().all(|f| *f == 0.0) {
+            factors.values_mut().for_each(|f| *f = 1.0);
+        }
+        factors
+    }
+
     /// Work that this proxy may still send to a cold backend inside the present fall window: its part of what
     /// all may, as those do not send there in whose slice the backend is not.
     fn budget(&self, now: Time, p: &Peer) -> f64 {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -216,10 +216,19 @@
         ramp: rules.get("ramp_time_us").micros()?,
         fall_multiple: rules.get("fall_multiple").real()?,
         fall_window: rules.get("tip_after_us").micros()?,
+        locality: locality(&root.get("locality"))?,
     };
     Ok((config, names))
 }
 
+/// `locality`, where it stands: both keys, or an error that names the missing one.
+fn locality(key: &Key) -> Result<Option<Locality>, String> {
+    if key.value.is_none() {
+        return Ok(None);
+    }
+    Ok(Some(Locality { leave_share: key.get("leave_share").real()?, ramp: key.get("ramp_us").micros()? }))
+}
+
 /// What only a proxy on real sockets needs of the settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Network {
--- a/src/state.rs
+++ b/src/state.rs
@@ -265,3 +265,14 @@
         self.sent.iter().any(|s| s.out)
     }
 }
+
+/// What is known of a zone as a whole (see [`Locality`]).
+#[derive(Default)]
+pub(crate) struct Zone {
+    /// Out of use as a whole.
+    pub left: bool,
+    /// When it began to return; `None` while it has never been left, or after its ramp.
+    pub since: Option<Time>,
+    /// When it was left, within the last minute.
+    pub lefts: Vec<Time>,
+}
