--- a/src/interface.rs
+++ b/src/interface.rs
@@ -503,19 +503,14 @@
     pub count: f64,
 }
 
-/// What the module learned of a kind of machine.
+/// What the module learned of a kind of machine and keeps over a start. Not its hold or uncrowded latency: those
+/// speak of the backends of the moment, and a fleet that changed under them made a new process refuse more.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct KindMemory {
     /// Seconds from dispatch to answer of served requests, class mix taken out.
     pub latency: Sampled,
     /// The same over few samples.
     pub quick: Sampled,
-    /// Seconds that it takes while nothing crowds it.
-    pub alone: f64,
-    /// Requests that all proxies together hold on one of its backends.
-    pub hold: f64,
-    /// Seconds of evidence behind the hold.
-    pub learned: f64,
 }
 
 /// What the module knows of one backend that outlives a second.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -259,7 +259,7 @@
         let mean = |s: Sampled| Mean { value: s.value, count: s.count * weight };
         let listed = |id: &KindId| self.peers.values().any(|p| p.entry.kind == *id);
         let kinds: Vec<_> = memory.kinds.into_iter().filter(|(id, _)| listed(id)).collect();
-        kinds.into_iter().for_each(|(id, m)| self.kinds.entry(id).or_default().recall(&m, weight, HOLD));
+        kinds.into_iter().for_each(|(id, m)| self.kinds.entry(id).or_default().recall(&m, weight));
         // A class's work is its latency over the overall one: the two come together or not at all.
         if memory.overall.count > 0.0 {
             self.overall = mean(memory.overall);
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,15 +52,13 @@
 
 impl Kind {
     pub fn memory(&self) -> KindMemory {
-        let (latency, quick) = (self.latency.sampled(), self.quick.sampled());
-        KindMemory { latency, quick, alone: self.alone, hold: self.hold, learned: self.learned }
+        KindMemory { latency: self.latency.sampled(), quick: self.quick.sampled() }
     }
 
-    /// Takes a memory whose samples and evidence count `weight` each, with a hold of at least `least`.
-    pub fn recall(&mut self, m: &KindMemory, weight: f64, least: f64) {
+    /// Takes a memory whose samples count `weight` each.
+    pub fn recall(&mut self, m: &KindMemory, weight: f64) {
         let mean = |s: Sampled| Mean { value: s.value, count: s.count * weight };
-        (self.latency, self.quick, self.alone) = (mean(m.latency), mean(m.quick), m.alone);
-        (self.hold, self.learned) = (m.hold.max(least), m.learned * weight);
+        (self.latency, self.quick) = (mean(m.latency), mean(m.quick));
     }
 }
 
