Share the ramp from cold and the recalled mean instead of writing each twice

Need: reading the change again, the zones' ramp wrote warmth's formula from cold_from to 1 a second time, and the recall of a kept mean stood once in rules.rs and once in state.rs; the recall of kinds also gathered them in a vector it did not need. Change: from_cold serves warmth and the zones' ramp, Mean::recalled serves kinds, classes and the overall mean, and the kinds are recalled straight from the filter. Behaviour is the same.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -97,7 +97,12 @@
 fn warmth(cfg: &Config, now: Time, p: &Peer) -> f64 {
     let age =
         p.entry.booted.max(p.back).map_or(f64::MAX, |boot| (now - boot).secs() / cfg.ramp.secs().max(1e-6));
-    cfg.cold_from + (1.0 - cfg.cold_from) * age.min(1.0)
+    from_cold(cfg, age)
+}
+
+/// Readiness after `part` of a ramp: from `cold_from` at its start to 1 at its end and after.
+fn from_cold(cfg: &Config, part: f64) -> f64 {
+    cfg.cold_from + (1.0 - cfg.cold_from) * part.min(1.0)
 }
 
 /// The decisions of one proxy. Give it every event in order; it answers with actions.
@@ -256,15 +261,15 @@
     /// it; what the list no longer names is dropped.
     fn recall(&mut self, now: Time, memory: Memory, age: Micros) {
         let weight = 0.5f64.powf(age.secs() / RECALL_HALF_LIFE);
-        let mean = |s: Sampled| Mean { value: s.value, count: s.count * weight };
         let listed = |id: &KindId| self.peers.values().any(|p| p.entry.kind == *id);
-        let kinds: Vec<_> = memory.kinds.into_iter().filter(|(id, _)| listed(id)).collect();
-        kinds.into_iter().for_each(|(id, m)| self.kinds.entry(id).or_default().recall(&m, weight));
+        for (id, m) in memory.kinds.into_iter().filter(|(id, _)| listed(id)) {
+            self.kinds.entry(id).or_default().recall(&m, weight);
+        }
         // A class's work is its latency over the overall one: the two come together or not at all.
         if memory.overall.count > 0.0 {
-            self.overall = mean(memory.overall);
+            self.overall = Mean::recalled(memory.overall, weight);
             for (id, s) in memory.classes {
-                self.classes.get_mut(id.0).into_iter().for_each(|c| c.latency = mean(s));
+                self.classes.get_mut(id.0).into_iter().for_each(|c| c.latency = Mean::recalled(s, weight));
             }
         }
         for (id, m) in memory.backends {
@@ -677,8 +682,7 @@
             };
             self.actions.extend(said.map(Action::Log));
             let age = z.since.map_or(1.0, |since| (now - since).secs() / ramp.secs().max(1e-6));
-            let ramped = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age.min(1.0);
-            factors.insert(id, if z.left { 0.0 } else { ramped });
+            factors.insert(id, if z.left { 0.0 } else { from_cold(&self.cfg, age) });
         }
         if factors.values().all(|f| *f == 0.0) {
             factors.values_mut().for_each(|f| *f = 1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -48,6 +48,11 @@
     pub fn sampled(&self) -> Sampled {
         Sampled { value: self.value, count: self.count }
     }
+
+    /// A kept mean whose samples count `weight` each.
+    pub fn recalled(kept: Sampled, weight: f64) -> Mean {
+        Mean { value: kept.value, count: kept.count * weight }
+    }
 }
 
 impl Kind {
@@ -57,8 +62,7 @@
 
     /// Takes a memory whose samples count `weight` each.
     pub fn recall(&mut self, m: &KindMemory, weight: f64) {
-        let mean = |s: Sampled| Mean { value: s.value, count: s.count * weight };
-        (self.latency, self.quick) = (mean(m.latency), mean(m.quick));
+        (self.latency, self.quick) = (Mean::recalled(m.latency, weight), Mean::recalled(m.quick, weight));
     }
 }
 
