Start the recovery tests' processes through the rig's Proxy, not a copy of it

Need: tests/recovery.rs had its own launcher that read the log until the proxy listened, found the door and killed on drop: the rig's Proxy::run again, with the lines kept. Change: the rig's Proxy keeps what it logged until it listened (said), Proxy::configured takes further keys of the configuration, and operated calls it; the recovery tests use them and kill by dropping, SIGKILL as before.

--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -3,74 +3,25 @@
 mod rig;
 
 use rig::*;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
-use std::process::Child;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// One process of the proxy, and what it said until it listened.
-struct Started {
-    child: Child,
-    address: SocketAddr,
-    control: SocketAddr,
-    said: String,
-}
-
-impl Drop for Started {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Started {
-    fn ask(&self) -> u16 {
-        Client::connect(self.address).ask(&read(3.0)).status()
-    }
-    fn call(&self, line: &str) -> u16 {
-        Client::connect(self.control).ask(&format!("{line} HTTP/1.1\r\nHost: door\r\n\r\n")).status()
-    }
-    fn kill_outright(mut self) {
-        let _ = self.child.kill(); // SIGKILL
-        let _ = self.child.wait();
-    }
-}
-
 /// Starts the program with a snapshot folder and its own `TMPDIR`, as on the platform where nothing else lasts.
-fn start(known: &[String], settings: &str, dir: &Path, extra: &str, discovery: &DiscoveryServer) -> Started {
+fn start(known: &[String], settings: &str, dir: &Path, extra: &str) -> Proxy {
     let kept = format!(r#","snapshot":{{"dir":"{}","every_ms":100{extra}}}"#, dir.display());
-    launched(known, settings, &kept, discovery, &[])
+    Proxy::configured(known, settings, &kept, &[tmp()])
 }
 
-fn launched(
-    known: &[String], settings: &str, kept: &str, discovery: &DiscoveryServer, variables: &[(&str, &Path)],
-) -> Started {
-    let (at, known) = (discovery.address, list(4, true, known));
-    let config = format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}{kept}}}"#
-    );
-    let mut command = launch(Some(&config));
-    command.env("NODE_CONTROL", "127.0.0.1:0").env("TMPDIR", folder()).envs(variables.iter().copied());
-    let mut child = command.spawn().unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let (mut said, mut control) = (String::new(), None);
-    let address = loop {
-        let mut line = String::new();
-        assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened: {said}");
-        said += &line;
-        if let Some(at) = line.split("control on ").nth(1) {
-            control = Some(at.trim().parse().unwrap());
-        }
-        if let Some(at) = line.split("listens on ").nth(1) {
-            break at.split(',').next().unwrap().parse().unwrap();
-        }
-    };
-    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    Started { child, address, control: control.expect("a door"), said }
+fn tmp() -> (&'static str, String) {
+    ("TMPDIR", folder().to_str().unwrap().into())
+}
+
+fn status(proxy: &Proxy) -> u16 {
+    proxy.ask(&read(3.0)).status()
 }
 
 fn snapshots() -> PathBuf {
@@ -83,17 +34,18 @@
 fn a_ban_outlives_a_crash_through_the_snapshot() {
     let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
     let known = [entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")];
-    let (dir, discovery) = (snapshots(), DiscoveryServer::start());
-    let first = start(&known, SETTINGS, &dir, "", &discovery);
+    let dir = snapshots();
+    let first = start(&known, SETTINGS, &dir, "");
     assert!(first.said.contains("no snapshot: cold start"), "{}", first.said);
-    assert_eq!(first.call("PUT /maintenance/enter?who=b0"), 200);
+    assert_eq!(first.call("PUT /maintenance/enter?who=b0").status(), 200);
     std::thread::sleep(Duration::from_millis(500)); // several writes
-    first.kill_outright();
-    let second = launched(&known, SETTINGS, "", &discovery, &[("NODE_SNAPSHOT", &dir)]);
+    drop(first); // SIGKILL
+    let named = ("NODE_SNAPSHOT", dir.to_str().unwrap().into());
+    let second = Proxy::configured(&known, SETTINGS, "", &[tmp(), named]);
     assert!(second.said.contains("snapshot taken"), "{}", second.said);
     let before = a.count();
     for _ in 0..30 {
-        assert_eq!(second.ask(), 200);
+        assert_eq!(status(&second), 200);
     }
     assert_eq!(a.count(), before, "the banned backend got requests after the crash");
 }
@@ -103,13 +55,13 @@
 fn each_unfit_snapshot_is_refused_by_name_and_the_start_is_cold() {
     let backend = BackendServer::start(|_| ok("x"));
     let known = [entry("b0", backend.address, "SERVING")];
-    let (dir, discovery) = (snapshots(), DiscoveryServer::start());
-    let first = start(&known, SETTINGS, &dir, "", &discovery);
+    let dir = snapshots();
+    let first = start(&known, SETTINGS, &dir, "");
     for _ in 0..20 {
-        assert_eq!(first.ask(), 200);
+        assert_eq!(status(&first), 200);
     }
     std::thread::sleep(Duration::from_millis(300));
-    first.kill_outright();
+    drop(first); // SIGKILL
     let good = std::fs::read(dir.join("snapshot")).unwrap();
     let flipped = {
         let mut bytes = good.clone();
@@ -131,11 +83,11 @@
         let dir = snapshots();
         std::fs::create_dir_all(&dir).unwrap();
         std::fs::write(dir.join("snapshot"), bytes).unwrap();
-        let proxy = start(&known, settings, &dir, extra, &discovery);
+        let proxy = start(&known, settings, &dir, extra);
         let line = proxy.said.lines().find(|l| l.contains("snapshot refused, cold start"));
         let line = line.unwrap_or_else(|| panic!("{cause}: no refusal in {}", proxy.said));
         assert!(line.contains(&format!("cause=\"{cause}\"")), "{cause}: {line}");
-        assert_eq!(proxy.ask(), 200, "{cause}: serves cold");
+        assert_eq!(status(&proxy), 200, "{cause}: serves cold");
     }
 }
 
@@ -144,9 +96,9 @@
 fn kill_9_in_a_loop_under_load_never_leaves_a_torn_snapshot() {
     let backend = BackendServer::start(|_| ok("x"));
     let known = [entry("b0", backend.address, "SERVING")];
-    let (dir, discovery) = (snapshots(), DiscoveryServer::start());
+    let dir = snapshots();
     let mut seed = 0x9e37_79b9_u32;
-    let mut proxy = start(&known, SETTINGS, &dir, "", &discovery);
+    let mut proxy = start(&known, SETTINGS, &dir, "");
     for round in 0..8 {
         let (at, busy) = (proxy.address, Arc::new(AtomicBool::new(true)));
         let load = {
@@ -162,15 +114,15 @@
         };
         seed = seed.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
         std::thread::sleep(Duration::from_millis(150 + u64::from(seed >> 24)));
-        proxy.kill_outright();
+        drop(proxy); // SIGKILL
         busy.store(false, Ordering::SeqCst);
         load.join().unwrap();
-        proxy = start(&known, SETTINGS, &dir, "", &discovery);
+        proxy = start(&known, SETTINGS, &dir, "");
         assert!(proxy.said.contains("snapshot taken"), "round {round}: {}", proxy.said);
         let parts = std::fs::read_dir(&dir).unwrap().flatten();
         assert!(parts.filter(|e| !e.file_name().eq("snapshot")).count() <= 1, "parts pile up");
     }
     for _ in 0..20 {
-        assert_eq!(proxy.ask(), 200, "a warm start serves at once: {}", proxy.said);
+        assert_eq!(status(&proxy), 200, "a warm start serves at once: {}", proxy.said);
     }
 }
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -256,6 +256,8 @@
     pub config: PathBuf,
     /// The operators' door, where it has one.
     pub control: Option<SocketAddr>,
+    /// What it logged until it listened.
+    pub said: String,
 }
 
 impl Proxy {
@@ -281,11 +283,16 @@
 
     /// With an operators' door and further variables in its environment.
     pub fn operated(known: &[String], settings: &str, variables: &[(&str, String)]) -> Proxy {
+        Proxy::configured(known, settings, "", variables)
+    }
+
+    /// The same with `more` keys at the end of its configuration, each written with its leading comma.
+    pub fn configured(known: &[String], settings: &str, more: &str, variables: &[(&str, String)]) -> Proxy {
         let discovery = DiscoveryServer::start();
         let (at, known) = (discovery.address, list(4, true, known));
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}}}"#
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}{more}}}"#
         );
         let mut command = limited(Some(&config), 1024);
         command.env("NODE_CONTROL", "127.0.0.1:0");
@@ -298,10 +305,11 @@
         let config = PathBuf::from(path.unwrap());
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut control = None;
+        let (mut control, mut said) = (None, String::new());
         let address = loop {
             let mut line = String::new();
-            assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened");
+            assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened: {said}");
+            said += &line;
             if let Some(at) = line.split("control on ").nth(1) {
                 control = Some(at.trim().parse().unwrap());
             }
@@ -310,7 +318,7 @@
             }
         };
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Proxy { child, address, discovery, config, control }
+        Proxy { child, address, discovery, config, control, said }
     }
 
     pub fn client(&self) -> Client {
