Tell each kind's hold at debug level, to time how soon it settles after a start

Need: the recovery issue asks for the time until the hold is within 10% of its settled value, and no line showed the hold. Change: Balancer::holds gives it out, the host tells it four times a second at NODE_LOG=debug only.

--- a/src/main.rs
+++ b/src/main.rs
@@ -40,6 +40,8 @@
 /// A new process beside a running one waits so long for its first list.
 const FIRST_LIST: Duration = Duration::from_secs(2);
 const REPORT_EVERY: Duration = Duration::from_secs(5);
+/// How often the holds are told at debug level: several times in the second or two that they take to settle.
+const HOLDS_EVERY: Duration = Duration::from_millis(250);
 
 fn main() -> ExitCode {
     let level = std::env::var("NODE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
@@ -101,6 +103,15 @@
         door.open(at)?;
     }
     info!("{} listens on {bound}, {} backends known", node.name, node.known.endpoints.len());
+    if tracing::enabled!(tracing::Level::DEBUG) {
+        let told = host.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(HOLDS_EVERY).await;
+                told.report_holds();
+            }
+        });
+    }
     let (reporter, reported) = (server.clone(), host.clone());
     tokio::task::spawn_local(async move {
         loop {
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -561,6 +561,14 @@
         }
     }
 
+    /// One line at debug level with each kind's hold, for timing how soon it settles.
+    pub fn report_holds(&self) {
+        let s = self.state.borrow();
+        let of = |(kind, hold)| Some(format!("{}={hold:.2}", s.names.kind_name(kind)?));
+        let holds: Vec<String> = s.balancer.holds().filter_map(of).collect();
+        debug!(event = "holds", holds = holds.join(" "), "holds");
+    }
+
     /// One line on what went on since the last.
     pub fn report(&self, clients: usize) {
         let mut s = self.state.borrow_mut();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -257,6 +257,11 @@
         }
     }
 
+    /// The hold of each kind: requests that all proxies together keep on one of its backends.
+    pub fn holds(&self) -> impl Iterator<Item = (KindId, f64)> + '_ {
+        self.kinds.iter().map(|(id, k)| (*id, k.hold))
+    }
+
     /// Takes a memory `age` old: its samples weigh less the older it is, so that new answers soon outweigh
     /// it; what the list no longer names is dropped.
     fn recall(&mut self, now: Time, memory: Memory, age: Micros) {
