--- a/src/bin/shaletide-adapter/wire.rs
+++ b/src/bin/shaletide-adapter/wire.rs
@@ -271,6 +271,7 @@
         }
         Action::SetTimer { token, after } => writeln!(reply, "[\"AFTER\",\"{who}\",{},{}]", token.0, after.0),
         Action::Follow => writeln!(reply, "[\"FOLLOW\",\"{who}\",true]"),
+        Action::Tell { .. } => Ok(()), // no state is shared there
         Action::Log(text) => writeln!(reply, "{}", serde_json::json!(["WRITE_LOG", who, text])),
     };
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -64,6 +64,8 @@
     ZoneId(u32);
     /// A handful of backends that share which keys they have seen.
     CellId(u64);
+    /// Another proxy, numbered by the host.
+    OriginId(u32);
     /// A sort of machine: backends of one kind are taken as equally fast.
     KindId(u32);
     /// Index into [`Config::classes`].
@@ -368,6 +370,40 @@
     pub settled: bool,
 }
 
+/// What a proxy's own evidence says of a backend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Verdict {
+    /// Ejected, for so long at first.
+    Out {
+        /// The ejection's term.
+        term: Micros,
+        /// Ejections without a good answer between them, this one included.
+        strikes: u8,
+    },
+    /// Its trials went well: in use again.
+    Back,
+}
+
+/// A verdict that the proxies share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heard {
+    /// The backend.
+    pub backend: BackendId,
+    /// Whose it is; `None` is this proxy's own.
+    pub origin: Option<OriginId>,
+    /// What it says.
+    pub verdict: Verdict,
+    /// Since it was born.
+    pub age: Micros,
+    /// A verdict older than this is not used.
+    pub bound: Micros,
+    /// Live proxies beside this one.
+    pub others: u32,
+    /// This proxy's place, from 0, in an order of the live proxies that is drawn anew for each verdict and is the
+    /// same at all of them; its origin comes last.
+    pub turn: u32,
+}
+
 /// What the host tells the module.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -445,6 +481,8 @@
         /// Since it was taken.
         age: Micros,
     },
+    /// A proxy's verdict on a backend: another's, or this one's own as it goes out. Each is told once.
+    Heard(Heard),
     /// A timer fell due.
     Timer {
         /// Which.
@@ -490,6 +528,13 @@
     },
     /// Ask discovery for changes from now on.
     Follow,
+    /// Let the other proxies know, where state is shared.
+    Tell {
+        /// The backend.
+        backend: BackendId,
+        /// What this proxy found by itself.
+        verdict: Verdict,
+    },
     /// A line for the operators.
     Log(String),
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use net::handover::{self, Held, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
+use net::peers::Peers;
 use net::server::{Rules, Server};
 use net::upstream::Pool;
 use net::{discovery, server, snapshot, Clock};
@@ -78,8 +79,9 @@
     // The list from before the restart is in place before anything is served, and before what was learned.
     host.members(ListUpdate::Cached, &node.known);
     let keeper = node.snapshot.clone().map(|kept| Keeper::new(kept, &node.settings, host.clone()));
+    let mut cold = true;
     if let Some(keeper) = keeper.clone() {
-        keeper.recall();
+        cold = !keeper.recall();
         tokio::task::spawn_local(keeper.keep());
     }
     // Only where operators or the platform take part may there be a second process.
@@ -98,7 +100,17 @@
     let (moved, at) = watch::channel(node.discovery);
     tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, mode));
     let server = Server::new(host.clone(), rules, room - room / 2);
-    let mut door = Door { at: None, running: None, maintenance, server: server.clone() };
+    let peers = match node.peers {
+        Some(rules) => {
+            let (settings, fleet) = (snapshot::settings_hash(&node.settings), node.config.proxies);
+            let at = rules.listen;
+            let peers = Peers::start(host.clone(), rules, settings, fleet, node.seed, cold).await;
+            Some(peers.map_err(|e| format!("peers: cannot listen on {at}: {e}"))?)
+        }
+        None => None,
+    };
+    let mut door =
+        Door { at: None, running: None, maintenance, server: server.clone(), peers: peers.clone() };
     if let Some(at) = node.control {
         door.open(at)?;
     }
@@ -152,6 +164,7 @@
     let succeeded = || presence.as_ref().is_some_and(|p| p.others().younger);
     server.run(listener, stop, succeeded).await;
     keeper.iter().for_each(|k| k.write());
+    peers.iter().for_each(|p| p.leave());
     info!("stopped");
     Ok(())
 }
@@ -169,8 +182,8 @@
         Keeper { kept, settings: snapshot::settings_hash(settings), host }
     }
 
-    /// Takes the snapshot in the folder if it holds; one line says what was taken or why not.
-    fn recall(&self) {
+    /// Takes the snapshot in the folder if it holds; one line says what was taken or why not. Whether it did.
+    fn recall(&self) -> bool {
         let most = shaletide::Micros::from_secs(self.kept.max_age_s);
         let taken = snapshot::read(&self.kept.dir).and_then(|s| {
             snapshot::check(&s.header, &self.settings, snapshot::wall_us(), most).map(|age| (s, age))
@@ -182,6 +195,7 @@
                 info!(event = "snapshot_taken", age_s = age.secs(), program = %s.header.program,
                     kinds = s.saved.kinds.len(), backends = s.saved.backends.len(), "snapshot taken: warm start");
                 self.host.recall(s.saved, age);
+                return true;
             }
             Err(snapshot::Refused::Missing) => {
                 info!(event = "snapshot_missing", file = %file.display(), "no snapshot: cold start")
@@ -190,15 +204,12 @@
                 warn!(event = "snapshot_refused", cause = e.cause(), file = %file.display(), "snapshot refused, cold start: {e}")
             }
         }
+        false
     }
 
     /// Writes one now; a failure is logged and the next write tries again.
     fn write(&self) {
-        let header = snapshot::Header {
-            program: env!("CARGO_PKG_VERSION").into(),
-            written_us: snapshot::wall_us(),
-            settings: self.settings,
-        };
+        let header = snapshot::Header::now(self.settings);
         let whole = snapshot::Snapshot { header, saved: self.host.recollect() };
         let written = snapshot::encode(&whole)
             .map_err(|e| e.to_string())
@@ -275,6 +286,7 @@
     running: Option<AbortHandle>,
     maintenance: Rc<Maintenance>,
     server: Rc<Server>,
+    peers: Option<Rc<Peers>>,
 }
 
 impl Door {
@@ -282,7 +294,7 @@
     fn open(&mut self, at: SocketAddr) -> Result<(), String> {
         let listener = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
         info!("control on {}", listener.local_addr().unwrap_or(at));
-        let control = Control::new(self.server.clone(), self.maintenance.clone());
+        let control = Control::new(self.server.clone(), self.maintenance.clone(), self.peers.clone());
         self.close();
         self.at = Some(at);
         self.running = Some(tokio::task::spawn_local(control.run(listener)).abort_handle());
@@ -347,6 +359,8 @@
         self.host.pool.retune(&self.network);
         self.server.retune(Rules::new(&self.config, &self.network));
         self.host.retune(change);
+        let hash = snapshot::settings_hash(&node.settings);
+        self.door.peers.iter().for_each(|p| p.retune(hash));
         self.discovery.send_if_modified(|at| std::mem::replace(at, node.discovery) != node.discovery);
         Ok(told)
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -30,6 +30,8 @@
     pub keys: BTreeSet<String>,
     /// Where and how often what was learned is kept; without it nothing is.
     pub snapshot: Option<Snapshots>,
+    /// How state is shared with other proxies; without it none is.
+    pub peers: Option<Sharing>,
 }
 
 /// `snapshot` in the configuration.
@@ -46,6 +48,29 @@
     pub max_age_s: f64,
 }
 
+/// `peers` in the configuration: state shared with the fleet's other proxies.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sharing {
+    /// Where this proxy takes datagrams (UDP).
+    pub listen: SocketAddr,
+    /// Where the others reach it; without it the address that it listens at.
+    pub advertise: Option<SocketAddr>,
+    /// The fleet's name: datagrams of others are refused.
+    pub cluster: String,
+    /// Members to join through, this one or not.
+    pub seeds: Vec<SocketAddr>,
+    /// Seconds after which a shared fact is neither used nor passed on.
+    #[serde(default = "Sharing::max_age_s")]
+    pub max_age_s: f64,
+}
+
+impl Sharing {
+    fn max_age_s() -> f64 {
+        5.0
+    }
+}
+
 impl Default for Snapshots {
     fn default() -> Snapshots {
         Snapshots {
@@ -102,6 +127,7 @@
     known: List,
     settings: Value,
     snapshot: Option<Snapshots>,
+    peers: Option<Sharing>,
 }
 
 #[derive(Deserialize)]
@@ -175,6 +201,7 @@
             settings: file.settings,
             keys,
             snapshot,
+            peers: file.peers,
         })
     }
 }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,7 @@
 //! The operators' door: one call to a connection, on an address of its own.
 
 use super::maintenance::Maintenance;
+use super::peers::Peers;
 use super::server::Server;
 use super::stream::Stream;
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use std::borrow::Cow;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -25,16 +27,17 @@
 const MAX_HEAD: usize = 8 * 1024;
 
 /// What a call comes to.
-type Said = Result<&'static str, (StatusCode, &'static str)>;
+type Said = Result<Cow<'static, str>, (StatusCode, &'static str)>;
 
 pub struct Control {
     server: Rc<Server>,
     maintenance: Rc<Maintenance>,
+    peers: Option<Rc<Peers>>,
 }
 
 impl Control {
-    pub fn new(server: Rc<Server>, maintenance: Rc<Maintenance>) -> Rc<Control> {
-        Rc::new(Control { server, maintenance })
+    pub fn new(server: Rc<Server>, maintenance: Rc<Maintenance>, peers: Option<Rc<Peers>>) -> Rc<Control> {
+        Rc::new(Control { server, maintenance, peers })
     }
 
     /// Answers calls for as long as the program runs.
@@ -71,12 +74,13 @@
     fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         let (status, text) = match self.call(request) {
             Ok(text) => (StatusCode::OK, text),
-            Err(no) => no,
+            Err((status, text)) => (status, Cow::Borrowed(text)),
         };
-        let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+        let mut response = Response::new(Full::new(Bytes::from(text.into_owned())));
         *response.status_mut() = status;
         if status == StatusCode::METHOD_NOT_ALLOWED {
-            let allowed = if request.uri().path() == "/status" { "GET" } else { "PUT" };
+            let read = ["/status", "/peers"].contains(&request.uri().path());
+            let allowed = if read { "GET" } else { "PUT" };
             response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
         }
         response
@@ -86,7 +90,7 @@
         let unknown = (StatusCode::NOT_FOUND, "no backend of that id was ever listed\n");
         let path = request.uri().path();
         let method = match path {
-            "/status" => Method::GET,
+            "/status" | "/peers" => Method::GET,
             "/maintenance/enter" | "/maintenance/exit" => Method::PUT,
             _ => return Err((StatusCode::NOT_FOUND, "no such call\n")),
         };
@@ -95,14 +99,18 @@
         }
         if path == "/status" {
             let not_yet = (StatusCode::SERVICE_UNAVAILABLE, "not taking clients\n");
-            return if self.server.taking() { Ok("serving\n") } else { Err(not_yet) };
+            return if self.server.taking() { Ok("serving\n".into()) } else { Err(not_yet) };
+        }
+        if path == "/peers" {
+            let alone = (StatusCode::NOT_FOUND, "state is not shared: no peers in the configuration\n");
+            return self.peers.as_ref().map(|p| p.status().into()).ok_or(alone);
         }
         let id = who(request.uri().query()).map_err(|text| (StatusCode::BAD_REQUEST, text))?;
         let (known, done) = match path {
             "/maintenance/enter" => (self.maintenance.enter(&id), "out\n"),
             _ => (self.maintenance.exit(&id), "back\n"),
         };
-        known.then_some(done).ok_or(unknown)
+        known.then_some(done.into()).ok_or(unknown)
     }
 }
 
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -11,7 +11,7 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::task::AbortHandle;
 use tracing::{debug, info, warn};
 
@@ -103,6 +103,8 @@
     listed: watch::Sender<bool>,
     /// How late timers fire: the largest of late, fading.
     lag: Cell<u64>,
+    /// Where the module's verdicts go, while state is shared.
+    tell: RefCell<Option<mpsc::Sender<(String, Verdict)>>>,
 }
 
 impl Host {
@@ -122,7 +124,8 @@
         };
         let (sooner, follow) = (Notify::new(), Notify::new());
         let listed = watch::channel(false).0;
-        Rc::new(Host { state: RefCell::new(state), clock, pool, sooner, follow, listed, lag: Cell::new(0) })
+        let (lag, tell) = (Cell::new(0), RefCell::new(None));
+        Rc::new(Host { state: RefCell::new(state), clock, pool, sooner, follow, listed, lag, tell })
     }
 
     pub fn class(&self, name: &str) -> Option<ClassId> {
@@ -356,6 +359,17 @@
         self.tell(Event::Recall { memory: Box::new(memory), age });
     }
 
+    /// From now on the module's verdicts go there, under the backends' names.
+    pub fn share(&self, tell: mpsc::Sender<(String, Verdict)>) {
+        *self.tell.borrow_mut() = Some(tell);
+    }
+
+    /// A shared verdict; one on a backend that no list named here is nothing to this proxy.
+    pub fn heard(self: &Rc<Self>, name: &str, word: Heard) {
+        let backend = self.state.borrow().numbers.get(name).copied();
+        backend.into_iter().for_each(|backend| self.tell(Event::Heard(Heard { backend, ..word.clone() })));
+    }
+
     /// The names in force, with all numbers given so far.
     pub fn names(&self) -> Names {
         self.state.borrow().names.clone()
@@ -455,6 +469,13 @@
                 s.timers.push(Reverse((at, token)));
             }
             Action::Follow => self.follow.notify_one(),
+            Action::Tell { backend, verdict } => {
+                if let Some(tell) = &*self.tell.borrow() {
+                    let name = s.numbers.iter().find(|(_, id)| **id == backend).map(|(name, _)| name.clone());
+                    // A full queue drops the newest: a verdict late by so many is of no use.
+                    name.into_iter().for_each(|name| drop(tell.try_send((name, verdict))));
+                }
+            }
             Action::Log(text) => info!("{text}"),
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod handover;
 pub mod host;
 pub mod maintenance;
+pub mod peers;
 pub mod server;
 pub mod snapshot;
 pub mod stream;
--- /dev/null
+++ b/src/net/peers/facts.rs
@@ -0,0 +1,131 @@
+//! Facts that proxies share, as foca's custom broadcasts: each is passed on while it is news and within its bound.
+
+use super::wire::{fresh, Refused};
+use super::Member;
+use foca::{BroadcastHandler, Invalidates};
+use serde::{Deserialize, Serialize};
+use shaletide::{Micros, Verdict};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Bytes of a backend's name that is passed on at most.
+const MOST_NAME: usize = 200;
+/// Verdicts remembered: two hundred backends, each found out by dozens.
+const MOST: usize = 16_384;
+
+/// One proxy's verdict on one backend.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fact {
+    /// The proxy's advertised address.
+    pub origin: SocketAddr,
+    /// When it found this, wall time in microseconds since 1970: the fact's version too.
+    pub born_us: u64,
+    /// The backend's name in discovery's list.
+    pub backend: String,
+    pub verdict: Verdict,
+}
+
+impl Fact {
+    /// Its bytes as a broadcast; `None` where the name is longer than is passed on.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        (self.backend.len() <= MOST_NAME).then(|| postcard::to_stdvec(self).ok()).flatten()
+    }
+}
+
+/// Of two facts on one backend from one proxy the later born one stays.
+pub struct Key {
+    of: (String, SocketAddr),
+    born_us: u64,
+}
+
+impl Invalidates for Key {
+    fn invalidates(&self, other: &Key) -> bool {
+        self.of == other.of && self.born_us >= other.born_us
+    }
+}
+
+/// What was heard, and what of it is news.
+#[derive(Default)]
+pub struct Board {
+    newest: HashMap<(String, SocketAddr), u64>,
+    /// Others' facts that have not been taken up yet.
+    pub news: Vec<Fact>,
+    /// Facts that came past their bound.
+    pub stale: u64,
+}
+
+/// foca's handler of facts.
+pub struct Facts {
+    pub board: Rc<RefCell<Board>>,
+    pub own: SocketAddr,
+    pub bound: Micros,
+}
+
+impl BroadcastHandler<Member> for Facts {
+    type Key = Key;
+    type Error = Refused;
+
+    fn receive_item(&mut self, data: &[u8], sender: Option<&Member>) -> Result<Option<Key>, Refused> {
+        let fact: Fact = postcard::from_bytes(data).map_err(Refused::Garbled)?;
+        if fact.backend.len() > MOST_NAME {
+            return Err(Refused::Oversized(fact.backend.len()));
+        }
+        let now_us = crate::net::snapshot::wall_us();
+        let mut board = self.board.borrow_mut();
+        if fresh(fact.born_us, now_us, self.bound).is_err() {
+            board.stale += 1;
+            return Ok(None); // whoever passed it on had it in time: nothing is wrong with the datagram
+        }
+        let echo = fact.origin == self.own && sender.is_some();
+        let of = (fact.backend.clone(), fact.origin);
+        if echo || board.newest.get(&of).is_some_and(|born| *born >= fact.born_us) {
+            return Ok(None);
+        }
+        if board.newest.len() >= MOST {
+            let bound = self.bound.0;
+            board.newest.retain(|_, born| born.saturating_add(bound) >= now_us);
+            if board.newest.len() >= MOST {
+                return Ok(None); // a flood: what is known stays
+            }
+        }
+        board.newest.insert(of.clone(), fact.born_us);
+        let key = Key { of, born_us: fact.born_us };
+        if sender.is_some() {
+            board.news.push(fact);
+        }
+        Ok(Some(key))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::snapshot::wall_us;
+
+    /// The merge rule, by hand: later born wins for each origin, whatever the order; stale and own echoes are
+    /// dropped; garbage is an error and changes nothing.
+    #[test]
+    fn the_last_writer_wins_for_each_origin_within_the_bound() {
+        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let board = Rc::new(RefCell::new(Board::default()));
+        let mut facts = Facts { board: board.clone(), own: at(1), bound: Micros(5_000_000) };
+        let now = wall_us();
+        let sender = Member { addr: at(9), start_us: 1 };
+        let mut hear = |origin: u16, born_us: u64, verdict: Verdict| {
+            let fact = Fact { origin: at(origin), born_us, backend: "s-1".into(), verdict };
+            facts.receive_item(&fact.encode().unwrap(), Some(&sender)).unwrap().is_some()
+        };
+        let out = Verdict::Out { term: Micros(1_000_000), strikes: 1 };
+        assert!(hear(2, now - 100, out));
+        assert!(hear(2, now - 50, Verdict::Back), "the later");
+        assert!(!hear(2, now - 100, out) && !hear(2, now - 50, out), "replayed, in any order");
+        assert!(hear(3, now - 100, out), "another origin's stands beside it");
+        assert!(!hear(4, now - 6_000_000, out), "past the bound");
+        assert!(!hear(1, now, out), "its own echo");
+        assert!(facts.receive_item(&[0xff; 40], Some(&sender)).is_err());
+        let board = board.borrow();
+        assert_eq!((board.news.len(), board.stale, board.newest.len()), (3, 1, 2));
+    }
+}
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -30,6 +30,13 @@
     pub settings: [u8; 32],
 }
 
+impl Header {
+    /// Of a body that this program writes now.
+    pub fn now(settings: [u8; 32]) -> Header {
+        Header { program: env!("CARGO_PKG_VERSION").into(), written_us: wall_us(), settings }
+    }
+}
+
 /// What is kept: the module's memory under names, and the bans by hand. The last list is not: the platform hands
 /// it over at each start as `known`.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -115,9 +122,14 @@
 
 impl std::error::Error for Refused {}
 
-/// The settings' hash: of their JSON, whose maps are ordered by key, so that equal settings hash the same.
+/// The settings' hash: of their JSON, whose maps are ordered by key, so that equal settings hash the same. Left out
+/// is what differs between the proxies of one fleet, as they share what they learned.
 pub fn settings_hash(settings: &serde_json::Value) -> [u8; 32] {
-    *blake3::hash(settings.to_string().as_bytes()).as_bytes()
+    let mut shared = settings.clone();
+    for own in ["position", "my_zone"] {
+        shared.as_object_mut().into_iter().for_each(|keys| drop(keys.remove(own)));
+    }
+    *blake3::hash(shared.to_string().as_bytes()).as_bytes()
 }
 
 /// The file's bytes. Fails only where the body is over [`MOST`].
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,6 +66,8 @@
 const WELL_INSIDE: f64 = 2.0;
 /// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
 const LOW: f64 = 0.5;
+/// Proxies whose word takes a backend out here: one may be on a broken link of its own, two rarely are.
+const WORDS: u32 = 2;
 /// Seconds in which a recalled memory loses half its weight: a minute is some hundred answers per kind.
 const RECALL_HALF_LIFE: f64 = 60.0;
 
@@ -227,6 +229,7 @@
             }
             Event::Settings { config, live, heirs } => self.settings(now, *config, &live, &heirs),
             Event::Recall { memory, age } => self.recall(now, *memory, age),
+            Event::Heard(word) => self.heard(now, &word),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = Time(u64::MAX),
         }
@@ -439,8 +442,12 @@
                 if p.ejected.is_none() {
                     p.strikes = 0;
                 } else if p.trials >= TRIALS {
-                    (p.ejected, p.errors) = (None, 0.0);
+                    (p.ejected, p.hearsay, p.errors) = (None, None, 0.0);
+                    self.actions.push(Action::Tell { backend: id, verdict: Verdict::Back });
                     self.log(now, format!("backend {} is back", id.0));
+                } else if p.hearsay.is_some_and(|since| sent <= since) {
+                    // It answers what it was sent before the others' word came: they are cut off from it.
+                    (p.ejected, p.hearsay) = (None, None);
                 }
             }
             // A full backend answers, and is left alone for a moment: busy is not ill.
@@ -468,14 +475,52 @@
     fn eject(&mut self, now: Time, id: BackendId, why: Outcome) {
         let term = EJECT_TERM * (0.75 + 0.5 * self.dice.unit());
         let Some(p) = self.peers.get_mut(&id) else { return };
+        p.failed = now;
         if p.ejected.is_none_or(|until| now >= until) {
-            p.ejected = Some(now + Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2()));
+            let term = Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2());
+            (p.ejected, p.hearsay) = (Some(now + term), None);
             (p.strikes, p.trials, p.ready) = (p.strikes + 1, 0, 0.0);
+            let strikes = p.strikes.clamp(0, 255) as u8;
+            self.actions.push(Action::Tell { backend: id, verdict: Verdict::Out { term, strikes } });
             self.look_at = now;
             self.log(now, format!("backend {} ejected: {why:?}", id.0));
         }
     }
 
+    /// A verdict of the fleet's, unless this proxy knows better from an answer or a failure since. Trials of
+    /// what is out go round: after each verdict one proxy's turn comes at the end of its term, the next's a
+    /// first term later, so that one's word reaches the others first, and no broken link holds it for long.
+    fn heard(&mut self, now: Time, word: &Heard) {
+        let (born, id) = (now - word.age, word.backend);
+        let Some(p) = self.peers.get_mut(&id).filter(|_| word.age <= word.bound) else { return };
+        p.heard.retain(|h| Some(h.0) != word.origin && now - h.1 <= word.bound);
+        let Verdict::Out { term, strikes } = word.verdict else {
+            if p.ejected.is_some() && born > p.failed {
+                (p.ejected, p.hearsay, p.errors, p.strikes) = (None, None, 0.0, 0);
+                p.heard.clear();
+                self.solve_at = now;
+                self.log(now, format!("backend {} is back, as a peer says", id.0));
+            }
+            return;
+        };
+        if born < p.answered.max(p.failed) {
+            return;
+        }
+        p.heard.extend(word.origin.map(|origin| (origin, born)));
+        if born >= p.word.0 {
+            let defer = Micros::from_secs(EJECT_TERM * f64::from(word.turn)).min(word.bound);
+            p.word = (born, born + term + defer); // the newest verdict says to all whose turn it is
+        }
+        if p.ejected.is_some() {
+            (p.ejected, p.strikes) = (Some(p.word.1), p.strikes.max(i32::from(strikes)));
+        } else if p.heard.len() >= WORDS.min(word.others) as usize {
+            (p.ejected, p.hearsay, p.strikes) = (Some(p.word.1), Some(now), i32::from(strikes));
+            (p.trials, p.ready, self.look_at) = (0, 0.0, now);
+            let words = p.heard.len();
+            self.log(now, format!("backend {} ejected on the word of {words} peers", id.0));
+        }
+    }
+
     /// What time alone brings about, and when to look again.
     fn look_after(&mut self, now: Time) {
         let mut next = now + Micros::from_secs(IDLE_LOOK); // nothing else may be due
--- a/src/state.rs
+++ b/src/state.rs
@@ -215,6 +215,14 @@
     pub strikes: i32,
     /// Good answers since the ejection.
     pub trials: u32,
+    /// When this proxy last found it failing.
+    pub failed: Time,
+    /// Other proxies that found it out, and when: one verdict each.
+    pub heard: Vec<(OriginId, Time)>,
+    /// The newest verdict: when it was born, and when this proxy's turn to try comes by it.
+    pub word: (Time, Time),
+    /// When it was ejected on their word alone.
+    pub hearsay: Option<Time>,
     /// It was full and is left alone until then.
     pub full_until: Time,
     /// Work sent inside the fall window.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -39,6 +39,7 @@
     pub timers_set: usize,
     pub cancelled: Vec<(RequestId, usize)>,
     pub logs: Vec<String>,
+    pub told: Vec<(BackendId, Verdict)>,
     pub last: Vec<Action>,
     pub repeat: bool,
     next: u64,
@@ -74,6 +75,7 @@
             timers_set: 0,
             cancelled: Vec::new(),
             logs: Vec::new(),
+            told: Vec::new(),
             last: Vec::new(),
             repeat: false,
             next: 0,
@@ -145,6 +147,7 @@
                 assert_ne!(self.cfg.discovery, Discovery::Push);
                 self.follows += 1;
             }
+            Action::Tell { backend, verdict } => self.told.push((backend, verdict)),
             Action::Log(text) => self.logs.push(text),
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -72,7 +72,7 @@
 fn at_light_load_the_faster_kind_takes_nearly_all() {
     let list = (0..6).map(|i| backend(i, 0, i % 2)).collect();
     let mut host = host(Config { proxies: 1, ..Config::example() }, list);
-    let time = |b: u32| if b % 2 == 0 { 20_000 } else { 80_000 };
+    let time = |b: u32| if b.is_multiple_of(2) { 20_000 } else { 80_000 };
     serve(&mut host, 150, 0, time);
     let chosen = serve(&mut host, 100, 0, time);
     let fast = chosen.iter().filter(|b| *b % 2 == 0).count();
--- /dev/null
+++ b/tests/rig/faults.rs
@@ -0,0 +1,109 @@
+//! Faults between the proxies of a fleet: each one's datagrams come through a relay of the test's own on loopback,
+//! which drops, delays, reorders, doubles or cuts them off one way, by a seed.
+
+use super::*;
+use std::collections::{HashMap, HashSet};
+use std::net::UdpSocket;
+
+/// What happens to datagrams between proxies.
+#[derive(Default)]
+pub struct Rules {
+    /// Parts of all, from 0 to 1.
+    pub drop: f64,
+    pub double: f64,
+    /// Each is late by an even draw up to this, so that they overtake each other.
+    pub late: Duration,
+    /// From, to: nothing passes that way.
+    pub cut: HashSet<(usize, usize)>,
+    /// From, to: all that passes that way takes so long.
+    pub slow: HashMap<(usize, usize), Duration>,
+}
+
+/// The relays of a fleet, numbered as its proxies.
+pub struct Faults {
+    sockets: Vec<Arc<UdpSocket>>,
+    real: Arc<Mutex<HashMap<SocketAddr, usize>>>,
+    pub rules: Arc<Mutex<Rules>>,
+    /// The last datagram that passed towards each proxy, to be replayed.
+    pub last: Arc<Mutex<HashMap<usize, Vec<u8>>>>,
+}
+
+impl Faults {
+    pub fn new(proxies: usize, seed: u64) -> Faults {
+        let bind = |_| Arc::new(UdpSocket::bind("127.0.0.1:0").unwrap());
+        let sockets: Vec<Arc<UdpSocket>> = (0..proxies).map(bind).collect();
+        let (real, rules, last) = (Arc::default(), Arc::default(), Arc::default());
+        let faults = Faults { sockets, real, rules, last };
+        (0..proxies).for_each(|to| faults.relay(to, seed + to as u64));
+        faults
+    }
+
+    /// Where the others reach that proxy.
+    pub fn address(&self, proxy: usize) -> SocketAddr {
+        self.sockets[proxy].local_addr().unwrap()
+    }
+
+    /// Where the proxy listens, as its first lines say; an earlier process of it is forgotten.
+    pub fn started(&self, proxy: usize, said: &str) -> SocketAddr {
+        let at = said.lines().find(|l| l.contains("peers_start")).expect("it shares state");
+        let at = at.split("listen=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap();
+        let mut real = self.real.lock().unwrap();
+        real.retain(|_, number| *number != proxy);
+        real.insert(at, proxy);
+        at
+    }
+
+    /// What passes between two groups takes so long, both ways.
+    pub fn part(&self, one: &[usize], other: &[usize], time: Duration) {
+        let both = one.iter().flat_map(|a| other.iter().flat_map(move |b| [(*a, *b), (*b, *a)]));
+        self.rules.lock().unwrap().slow = both.map(|pair| (pair, time)).collect();
+    }
+
+    /// Whatever was wrong ends.
+    pub fn heal(&self) {
+        *self.rules.lock().unwrap() = Rules::default();
+    }
+
+    fn relay(&self, to: usize, seed: u64) {
+        let (socket, real) = (self.sockets[to].clone(), self.real.clone());
+        let (rules, last) = (self.rules.clone(), self.last.clone());
+        let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let mut chance = move || {
+            state ^= state << 13;
+            state ^= state >> 7;
+            state ^= state << 17;
+            (state >> 11) as f64 / (1u64 << 53) as f64
+        };
+        std::thread::spawn(move || {
+            let mut bytes = [0; 2048];
+            while let Ok((length, source)) = socket.recv_from(&mut bytes) {
+                let (from, target) = {
+                    let real = real.lock().unwrap();
+                    let target = real.iter().find(|(_, number)| **number == to).map(|(at, _)| *at);
+                    (real.get(&source).copied(), target)
+                };
+                let (Some(from), Some(target)) = (from, target) else { continue };
+                let (copies, late, slow) = {
+                    let rules = rules.lock().unwrap();
+                    let lost = rules.cut.contains(&(from, to)) || chance() < rules.drop;
+                    let copies = if lost { 0 } else { 1 + u32::from(chance() < rules.double) };
+                    (copies, rules.late, rules.slow.get(&(from, to)).copied().unwrap_or_default())
+                };
+                let data = bytes[..length].to_vec();
+                for _ in 0..copies {
+                    last.lock().unwrap().insert(to, data.clone());
+                    let (socket, data, wait) = (socket.clone(), data.clone(), slow + late.mul_f64(chance()));
+                    let send = move || drop(socket.send_to(&data, target));
+                    if wait.is_zero() {
+                        send();
+                    } else {
+                        std::thread::spawn(move || {
+                            std::thread::sleep(wait);
+                            send();
+                        });
+                    }
+                }
+            }
+        });
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -10,6 +10,8 @@
 use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::time::Duration;
 
+pub mod faults;
+
 /// No wait in these tests is meant to last as long: it only ends a test that would hang.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -258,6 +260,8 @@
     pub control: Option<SocketAddr>,
     /// What it logged until it listened.
     pub said: String,
+    /// All that it logged since.
+    log: Arc<Mutex<String>>,
 }
 
 impl Proxy {
@@ -288,10 +292,17 @@
 
     /// The same with `more` keys at the end of its configuration, each written with its leading comma.
     pub fn configured(known: &[String], settings: &str, more: &str, variables: &[(&str, String)]) -> Proxy {
+        Proxy::seeded(0x8c1f_30d2_7a5b_e964, known, settings, more, variables)
+    }
+
+    /// The same with a seed of its own, as proxies of one fleet have.
+    pub fn seeded(
+        seed: u64, known: &[String], settings: &str, more: &str, variables: &[(&str, String)],
+    ) -> Proxy {
         let discovery = DiscoveryServer::start();
         let (at, known) = (discovery.address, list(4, true, known));
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"{seed:016x}",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}{more}}}"#
         );
         let mut command = limited(Some(&config), 1024);
@@ -317,8 +328,20 @@
                 break at.split(',').next().unwrap().parse().unwrap();
             }
         };
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        Proxy { child, address, discovery, config, control, said }
+        let kept = Arc::new(Mutex::new(String::new()));
+        let keep = kept.clone();
+        std::thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                eprintln!("{line}");
+                *keep.lock().unwrap() += &(line + "\n");
+            }
+        });
+        Proxy { child, address, discovery, config, control, said, log: kept }
+    }
+
+    /// Lines logged since it listened that hold these words.
+    pub fn logged(&self, words: &str) -> usize {
+        self.log.lock().unwrap().lines().filter(|line| line.contains(words)).count()
     }
 
     pub fn client(&self) -> Client {
