Recall holds after a crash, where no process is beside that holds as much

Change: KindMemory carries the hold and the uncrowded latency again (format 3); they are taken back, without the evidence behind them, only where this process is the proxy alone, as beside a live one the hold counted twice; main looks for the other process before it takes the memory. A memory whose numbers make no sense counts for none: a broken overall mean had every request refused. The kill -9 test now shows too that what may run once reaches the backend once.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -548,14 +548,18 @@
     pub count: f64,
 }
 
-/// What the module learned of a kind of machine and keeps over a start. Not its hold or uncrowded latency: those
-/// speak of the backends of the moment, and a fleet that changed under them made a new process refuse more.
+/// What the module learned of a kind of machine and keeps over a start. Not for how long it learned the hold: one
+/// that moves as fast as a new one follows a fleet that changed meanwhile.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct KindMemory {
     /// Seconds from dispatch to answer of served requests, class mix taken out.
     pub latency: Sampled,
     /// The same over few samples.
     pub quick: Sampled,
+    /// Seconds that it takes while nothing crowds it.
+    pub alone: f64,
+    /// Requests that all proxies together hold on one of its backends.
+    pub hold: f64,
 }
 
 /// What the module knows of one backend that outlives a second.
--- a/src/main.rs
+++ b/src/main.rs
@@ -78,16 +78,19 @@
     let host = Host::new(balancer, node.names, clock, pool.clone());
     // The list from before the restart is in place before anything is served, and before what was learned.
     host.members(ListUpdate::Cached, &node.known);
+    // Only where operators or the platform take part may there be a second process.
+    let shared = passed.is_some() || node.control.is_some();
+    let folder = shared.then(folder).flatten();
+    let presence = folder.as_deref().and_then(presence);
+    if presence.as_ref().is_some_and(|p| p.others().older) {
+        host.beside(2); // before what was learned is taken: some of it the other process still uses
+    }
     let keeper = node.snapshot.clone().map(|kept| Keeper::new(kept, &node.settings, host.clone()));
     let mut cold = true;
     if let Some(keeper) = keeper.clone() {
         cold = !keeper.recall();
         tokio::task::spawn_local(keeper.keep());
     }
-    // Only where operators or the platform take part may there be a second process.
-    let shared = passed.is_some() || node.control.is_some();
-    let folder = shared.then(folder).flatten();
-    let presence = folder.as_deref().and_then(presence);
     let maintenance = Maintenance::new(host.clone(), folder);
     tokio::task::spawn_local(maintenance.clone().follow());
     let listener = match passed {
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -13,7 +13,7 @@
 
 const MAGIC: [u8; 4] = *b"SHTS";
 /// Raised whenever the body's shape changes; older and newer files are refused, not guessed at.
-pub const FORMAT: u16 = 2;
+pub const FORMAT: u16 = 3;
 const PREFIX: usize = 14;
 /// Larger snapshots are neither written nor read: a proxy's memory limit is some hundred MB.
 pub const MOST: usize = 1 << 20;
@@ -242,7 +242,12 @@
     }
 
     fn snapshot() -> impl Strategy<Value = Snapshot> {
-        let kind = (sampled(), sampled()).prop_map(|k| KindMemory { latency: k.0, quick: k.1 });
+        let kind = (sampled(), sampled(), any::<f64>(), any::<f64>()).prop_map(|k| KindMemory {
+            latency: k.0,
+            quick: k.1,
+            alone: k.2,
+            hold: k.3,
+        });
         let micros = proptest::option::of(any::<u64>().prop_map(Micros));
         let backend = (micros.clone(), any::<i32>(), micros).prop_map(|b| BackendMemory {
             ejected_for: b.0,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -271,11 +271,13 @@
         let weight = 0.5f64.powf(age.secs() / RECALL_HALF_LIFE);
         let listed = |id: &KindId| self.peers.values().any(|p| p.entry.kind == *id);
         for (id, m) in memory.kinds.into_iter().filter(|(id, _)| listed(id)) {
-            self.kinds.entry(id).or_default().recall(&m, weight);
+            // Beside the process that learned it, which goes on holding as much, a hold would count twice.
+            self.kinds.entry(id).or_default().recall(&m, weight, self.beside.0 == 1);
         }
         // A class's work is its latency over the overall one: the two come together or not at all.
-        if memory.overall.count > 0.0 {
-            self.overall = Mean::recalled(memory.overall, weight);
+        let overall = Mean::recalled(memory.overall, weight);
+        if overall.count > 0.0 {
+            self.overall = overall;
             for (id, s) in memory.classes {
                 self.classes.get_mut(id.0).into_iter().for_each(|c| c.latency = Mean::recalled(s, weight));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,20 +49,30 @@
         Sampled { value: self.value, count: self.count }
     }
 
-    /// A kept mean whose samples count `weight` each.
+    /// A kept mean whose samples count `weight` each; none where the numbers make no sense, as they come from outside.
     pub fn recalled(kept: Sampled, weight: f64) -> Mean {
-        Mean { value: kept.value, count: kept.count * weight }
+        let count = kept.count * weight;
+        let sound = kept.value > 0.0 && kept.value.is_finite() && count > 0.0 && count.is_finite();
+        if sound {
+            Mean { value: kept.value, count }
+        } else {
+            Mean::default()
+        }
     }
 }
 
 impl Kind {
     pub fn memory(&self) -> KindMemory {
-        KindMemory { latency: self.latency.sampled(), quick: self.quick.sampled() }
+        let (latency, quick) = (self.latency.sampled(), self.quick.sampled());
+        KindMemory { latency, quick, alone: self.alone, hold: self.hold }
     }
 
-    /// Takes a memory whose samples count `weight` each.
-    pub fn recall(&mut self, m: &KindMemory, weight: f64) {
+    /// Takes a memory whose samples count `weight` each, with the hold or without it.
+    pub fn recall(&mut self, m: &KindMemory, weight: f64, hold: bool) {
         (self.latency, self.quick) = (Mean::recalled(m.latency, weight), Mean::recalled(m.quick, weight));
+        if hold && m.alone > 0.0 && m.alone.is_finite() && m.hold > 0.0 && m.hold.is_finite() {
+            (self.alone, self.hold) = (m.alone, m.hold);
+        }
     }
 }
 
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -91,7 +91,8 @@
     }
 }
 
-/// Killed outright again and again while it writes under load, each new process finds a whole snapshot.
+/// Killed outright again and again while it writes under load, each new process finds a whole snapshot, and no request
+/// that may run only once reaches the backend twice.
 #[test]
 fn kill_9_in_a_loop_under_load_never_leaves_a_torn_snapshot() {
     let backend = BackendServer::start(|_| ok("x"));
@@ -107,7 +108,7 @@
                 while busy.load(Ordering::SeqCst) {
                     let Ok(mut tcp) = TcpStream::connect(at) else { return };
                     let _ = tcp.set_read_timeout(Some(Duration::from_secs(1)));
-                    let _ = tcp.write_all(read(3.0).as_bytes());
+                    let _ = tcp.write_all(pay(3.0).as_bytes());
                     let _ = Message::read(&mut BufReader::new(tcp));
                 }
             })
@@ -125,4 +126,13 @@
     for _ in 0..20 {
         assert_eq!(status(&proxy), 200, "a warm start serves at once: {}", proxy.said);
     }
+    let ids = backend.seen.try_iter().filter_map(|seen| match seen {
+        Seen::Request(message) => message.header("x-correlation-id").map(String::from),
+        _ => None,
+    });
+    let mut ids: Vec<String> = ids.collect();
+    let all = ids.len();
+    ids.sort();
+    ids.dedup();
+    assert!(all > 100 && ids.len() == all, "{} of {all} requests came again", all - ids.len());
 }
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -340,8 +340,13 @@
     }
 
     /// Lines logged since it listened that hold these words.
+    pub fn lines(&self, words: &str) -> Vec<String> {
+        self.log.lock().unwrap().lines().filter(|line| line.contains(words)).map(String::from).collect()
+    }
+
+    /// How many.
     pub fn logged(&self, words: &str) -> usize {
-        self.log.lock().unwrap().lines().filter(|line| line.contains(words)).count()
+        self.lines(words).len()
     }
 
     pub fn client(&self) -> Client {
