--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,12 @@
 //! The proxy: configuration, logging, signals and start-up.
 #![forbid(unsafe_code)]
 
+mod cli;
 mod net;
 
-use net::config::{Node, NodeError, Snapshots};
+use clap::Parser;
+use cli::{Cli, Command, LogFormat, Run};
+use net::config::{self, Node, NodeError, Snapshots, Source};
 use net::control::Control;
 use net::handover::{self, Held, Presence};
 use net::host::Host;
@@ -45,24 +48,60 @@
 const HOLDS_EVERY: Duration = Duration::from_millis(250);
 
 fn main() -> ExitCode {
+    let cli = Cli::parse();
+    log_to_stderr(cli.log_format);
+    let fail = |text: &str| {
+        match cli.log_format {
+            LogFormat::Text => eprintln!("shaletide: {text}"),
+            LogFormat::Json => tracing::error!(event = "start_failed", "{text}"),
+        }
+        ExitCode::FAILURE
+    };
+    match cli.command {
+        Some(Command::Check(file)) => check(&file.source()),
+        Some(Command::ShowConfig(file)) => match config::show(&file.source()) {
+            Ok(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(e) => fail(&e.to_string()),
+        },
+        Some(Command::Run(run)) => serve(run.source()).map_or_else(|e| fail(&e), |()| ExitCode::SUCCESS),
+        None => serve(Run::from_environment().source()).map_or_else(|e| fail(&e), |()| ExitCode::SUCCESS),
+    }
+}
+
+fn log_to_stderr(format: LogFormat) {
     let level = std::env::var("NODE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level).init();
-    let outcome = Node::read().map_err(|e| e.to_string()).and_then(|node| {
-        let passed = handover::inherited()?;
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime.map_err(|e| format!("no event loop: {e}"))?, run(node, passed))
-    });
-    match outcome {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(text) => {
-            eprintln!("shaletide: {text}");
-            ExitCode::FAILURE
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level);
+    match format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().flatten_event(true).init(),
+    }
+}
+
+/// Prints every error of a configuration; 2 if there is one.
+fn check(source: &Source) -> ExitCode {
+    let errors = config::check(source);
+    errors.iter().for_each(|e| eprintln!("{e}"));
+    match errors.is_empty() {
+        true => {
+            println!("ok");
+            ExitCode::SUCCESS
         }
+        false => ExitCode::from(2),
     }
 }
 
-async fn run(node: Node, passed: Option<std::net::TcpListener>) -> Result<(), String> {
+fn serve(source: Source) -> Result<(), String> {
+    let node = Node::read(&source).map_err(|e| e.to_string())?;
+    let passed = handover::inherited()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.map_err(|e| format!("no event loop: {e}"))?, run(node, source, passed))
+}
+
+async fn run(node: Node, source: Source, passed: Option<std::net::TcpListener>) -> Result<(), String> {
     let clock = Clock::new();
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
@@ -100,8 +139,11 @@
     let bound = listener.local_addr().unwrap_or(node.listen);
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.sweep());
-    let (moved, at) = watch::channel(node.discovery);
-    tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, mode));
+    let unwatched = SocketAddr::from(([0, 0, 0, 0], 0));
+    let (moved, at) = watch::channel(node.discovery.unwrap_or(unwatched));
+    if node.discovery.is_some() {
+        tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, mode));
+    }
     let server = Server::new(host.clone(), rules, room - room / 2);
     let peers = match node.peers {
         Some(rules) => {
@@ -137,7 +179,8 @@
     let reload = Reload {
         host: host.clone(),
         server: server.clone(),
-        discovery: moved,
+        discovery: node.discovery.map(|_| moved),
+        source,
         door,
         sockets: sockets.clone(),
         config: node.config,
@@ -153,7 +196,7 @@
         }
         info!("stopping");
     };
-    if presence.as_ref().is_some_and(|p| p.others().older) {
+    if node.discovery.is_some() && presence.as_ref().is_some_and(|p| p.others().older) {
         // The other one serves on meanwhile, and the list at hand may be old.
         info!("beside another process: waiting for discovery's list");
         let _ = tokio::time::timeout(FIRST_LIST, host.listed()).await;
@@ -325,7 +368,9 @@
 struct Reload {
     host: Rc<Host>,
     server: Rc<Server>,
-    discovery: watch::Sender<SocketAddr>,
+    /// Where it may move to; `None` where none is watched.
+    discovery: Option<watch::Sender<SocketAddr>>,
+    source: Source,
     door: Door,
     sockets: Rc<Cell<usize>>,
     config: Config,
@@ -346,11 +391,17 @@
     }
 
     fn take(&mut self) -> Result<String, String> {
-        let node = Node::read_again(&self.keys).map_err(|e| e.to_string())?;
+        let node = Node::read_again(&self.source, &self.keys).map_err(|e| e.to_string())?;
+        if node.discovery.is_some() != self.discovery.is_some() {
+            return Err("discovery: expected as before, it comes and goes only with a restart".into());
+        }
         let change = settings::change(&node.settings, &self.host.names(), &self.config, &self.network)?;
         // The last that can fail; from here on nothing does.
         self.door.move_to(node.control)?;
-        let mut told = format!("{}, discovery at {}", change.told, node.discovery);
+        let mut told = change.told.clone();
+        if let Some(at) = node.discovery {
+            told += &format!(", discovery at {at}");
+        }
         if node.listen != self.listen {
             told += &format!(", clients still at {}", self.listen);
         }
@@ -364,7 +415,9 @@
         self.host.retune(change);
         let hash = snapshot::settings_hash(&node.settings);
         self.door.peers.iter().for_each(|p| p.retune(hash));
-        self.discovery.send_if_modified(|at| std::mem::replace(at, node.discovery) != node.discovery);
+        if let Some((moved, to)) = self.discovery.as_ref().zip(node.discovery) {
+            moved.send_if_modified(|at| std::mem::replace(at, to) != to);
+        }
         Ok(told)
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,19 +1,72 @@
-//! `NODE_CONFIG`: what this proxy is told at its start.
+//! The configuration: what this proxy is told at its start, as JSON by the platform or as TOML by operators.
 
 use super::discovery::List;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use shaletide::settings::{self, Names, Network};
 use shaletide::Config;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+
+/// Where the configuration comes from.
+#[derive(Clone, Debug, Default)]
+pub struct Source {
+    /// Its file.
+    pub file: Option<PathBuf>,
+    /// What is put into it after reading.
+    pub sets: Vec<Set>,
+}
+
+/// One value at a path, such as `settings.profiles[0].aim_us=400000`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Set {
+    path: String,
+    value: Value,
+}
+
+impl FromStr for Set {
+    type Err = String;
+
+    /// The value is JSON where it reads as such, else text.
+    fn from_str(text: &str) -> Result<Set, String> {
+        let (path, value) = text.split_once('=').ok_or("expected KEY=VALUE")?;
+        if path.is_empty() || path.split(['.', '[']).any(str::is_empty) {
+            return Err("expected a dotted path before the =".into());
+        }
+        let value = serde_json::from_str(value).unwrap_or_else(|_| Value::String(value.into()));
+        Ok(Set { path: path.into(), value })
+    }
+}
+
+impl Set {
+    /// Puts the value in its place; tables on the way are made, items of lists are not.
+    fn put(&self, whole: &mut Value) -> Result<(), String> {
+        let mut at = whole;
+        for part in self.path.split(['.', '[']) {
+            let index = part.strip_suffix(']').and_then(|n| n.parse::<usize>().ok());
+            at = match (index, at) {
+                (Some(n), Value::Array(items)) => items.get_mut(n),
+                (None, Value::Object(keys)) => {
+                    Some(keys.entry(part).or_insert_with(|| Value::Object(Default::default())))
+                }
+                _ => None,
+            }
+            .ok_or_else(|| format!("--set {}: there is no {part}", self.path))?;
+        }
+        *at = self.value.clone();
+        Ok(())
+    }
+}
 
 /// Everything that the program starts with.
 pub struct Node {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where discovery is; without it the list at hand stands.
+    pub discovery: Option<SocketAddr>,
     /// Where the operators' door is, if there is one.
     pub control: Option<SocketAddr>,
     pub seed: u64,
@@ -35,7 +88,7 @@
 }
 
 /// `snapshot` in the configuration.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Snapshots {
     /// The folder of the file; made where it is missing.
@@ -49,12 +102,13 @@
 }
 
 /// `peers` in the configuration: state shared with the fleet's other proxies.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Sharing {
     /// Where this proxy takes datagrams (UDP).
     pub listen: SocketAddr,
     /// Where the others reach it; without it the address that it listens at.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub advertise: Option<SocketAddr>,
     /// The fleet's name: datagrams of others are refused.
     pub cluster: String,
@@ -94,19 +148,28 @@
 #[derive(Debug)]
 pub enum NodeError {
     Unset,
-    Unreadable(String, std::io::Error),
-    Malformed(String, serde_json::Error),
+    Unreadable(PathBuf, std::io::Error),
+    Malformed(PathBuf, String),
     Control(String),
+    Set(String),
+    Unknown(Vec<String>),
     Settings(String),
 }
 
 impl fmt::Display for NodeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            NodeError::Unset => write!(f, "NODE_CONFIG is not set: expected the path of the configuration"),
-            NodeError::Unreadable(path, e) => write!(f, "cannot read NODE_CONFIG {path}: {e}"),
-            NodeError::Malformed(path, e) => write!(f, "NODE_CONFIG {path}: {e}"),
+            NodeError::Unset => {
+                write!(
+                    f,
+                    "NODE_CONFIG is not set: expected the path of the configuration there, or --config FILE"
+                )
+            }
+            NodeError::Unreadable(path, e) => write!(f, "cannot read {}: {e}", path.display()),
+            NodeError::Malformed(path, e) => write!(f, "{}: {e}", path.display()),
             NodeError::Control(text) => write!(f, "NODE_CONTROL={text}: expected an address and a port"),
+            NodeError::Set(text) => write!(f, "{text}"),
+            NodeError::Unknown(keys) => write!(f, "unknown: {}", keys.join(", ")),
             NodeError::Settings(text) => write!(f, "settings: {text}"),
         }
     }
@@ -114,11 +177,14 @@
 
 impl std::error::Error for NodeError {}
 
-#[derive(Deserialize)]
+/// The file's schema.
+#[derive(Deserialize, Serialize)]
 struct File {
     name: String,
     listen: SocketAddr,
-    discovery: SocketAddr,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    discovery: Option<SocketAddr>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     control: Option<SocketAddr>,
     seed: Value,
     #[serde(default)]
@@ -126,19 +192,26 @@
     #[serde(default)]
     known: List,
     settings: Value,
+    #[serde(skip_serializing_if = "Option::is_none")]
     snapshot: Option<Snapshots>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     peers: Option<Sharing>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    /// For the platform that runs the proxy; nothing here depends on them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    cores: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    memory_mb: Option<f64>,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, cores: None, memory_mb: None }
     }
 }
 
@@ -153,24 +226,93 @@
     }
 }
 
+/// A file that has the schema's shape, and its keys that the schema does not know.
+struct Parsed {
+    file: File,
+    keys: BTreeSet<String>,
+    unknown: Vec<String>,
+}
+
+fn is_toml(path: &Path) -> bool {
+    path.extension().is_some_and(|e| e == "toml")
+}
+
+fn parse(source: &Source) -> Result<Parsed, NodeError> {
+    let path = source.file.as_ref().ok_or(NodeError::Unset)?;
+    let text = std::fs::read_to_string(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
+    let malformed = |e: String| NodeError::Malformed(path.clone(), e);
+    let mut whole: Value = match is_toml(path) {
+        true => toml::from_str(&text).map_err(|e| malformed(e.to_string()))?,
+        false => serde_json::from_str(&text).map_err(|e| malformed(e.to_string()))?,
+    };
+    source.sets.iter().try_for_each(|set| set.put(&mut whole)).map_err(NodeError::Set)?;
+    let mut keys = BTreeSet::new();
+    collect(&whole, "", &mut keys);
+    let mut unknown = Vec::new();
+    let file: File = {
+        let mut ignored = |key: serde_ignored::Path<'_>| unknown.push(key.to_string());
+        let reader = serde_ignored::Deserializer::new(whole, &mut ignored);
+        serde_path_to_error::deserialize(reader).map_err(|e| match e.path().to_string().as_str() {
+            "." => malformed(e.inner().to_string()),
+            at => malformed(format!("{at}: {}", e.inner())),
+        })?
+    };
+    unknown.extend(settings::unknown(&file.settings).into_iter().map(|key| format!("settings.{key}")));
+    // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
+    if !is_toml(path) {
+        unknown.retain(|key| source.sets.iter().any(|set| set.path == *key));
+    }
+    Ok(Parsed { file, keys, unknown })
+}
+
+/// Every error of a configuration, one a line; empty where it can be run.
+pub fn check(source: &Source) -> Vec<String> {
+    let parsed = match parse(source) {
+        Ok(parsed) => parsed,
+        Err(e) => return vec![e.to_string()],
+    };
+    let mut errors: Vec<String> = parsed.unknown.iter().map(|key| format!("{key}: unknown key")).collect();
+    let settings = &parsed.file.settings;
+    let read = settings::read(settings).and_then(|(c, _)| c.validate().map_err(|e| e.to_string()));
+    let found = [read.err(), settings::network(settings).err(), seed(&parsed.file.seed).err()];
+    for error in found.into_iter().flatten().map(|e| NodeError::Settings(e).to_string()) {
+        if !errors.contains(&error) {
+            errors.push(error);
+        }
+    }
+    errors
+}
+
+/// The configuration in force as TOML, with its defaults.
+pub fn show(source: &Source) -> Result<String, NodeError> {
+    let parsed = parse(source)?;
+    let path = source.file.clone().unwrap_or_default();
+    let failed = |e: String| NodeError::Malformed(path.clone(), e);
+    // Through a table, which puts plain values before the tables inside it.
+    let table = toml::Table::try_from(&parsed.file).map_err(|e| failed(e.to_string()))?;
+    toml::to_string_pretty(&table).map_err(|e| failed(e.to_string()))
+}
+
+fn seed(value: &Value) -> Result<u64, String> {
+    let hex = value.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
+    hex.or(value.as_u64()).ok_or_else(|| "seed: expected a number or up to 16 hex digits".into())
+}
+
 impl Node {
     /// Reads the file again. One that lacks what stood in it before is not whole.
-    pub fn read_again(keys: &BTreeSet<String>) -> Result<Node, NodeError> {
-        let node = Node::read()?;
+    pub fn read_again(source: &Source, keys: &BTreeSet<String>) -> Result<Node, NodeError> {
+        let node = Node::read(source)?;
         match keys.difference(&node.keys).next() {
             Some(key) => Err(NodeError::Settings(format!("{key}: missing"))),
             None => Ok(node),
         }
     }
 
-    pub fn read() -> Result<Node, NodeError> {
-        let path = std::env::var("NODE_CONFIG").map_err(|_| NodeError::Unset)?;
-        let text = std::fs::read_to_string(&path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-        let malformed = |e| NodeError::Malformed(path.clone(), e);
-        let whole: Value = serde_json::from_str(&text).map_err(malformed)?;
-        let mut keys = BTreeSet::new();
-        collect(&whole, "", &mut keys);
-        let file = File::deserialize(whole).map_err(malformed)?;
+    pub fn read(source: &Source) -> Result<Node, NodeError> {
+        let Parsed { file, keys, unknown } = parse(source)?;
+        if !unknown.is_empty() {
+            return Err(NodeError::Unknown(unknown));
+        }
         // Two processes may read one file: what only this one is told comes first.
         let control = match std::env::var("NODE_CONTROL") {
             Ok(text) if !text.is_empty() => Some(text.parse().map_err(|_| NodeError::Control(text))?),
@@ -184,15 +326,12 @@
         };
         let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
         let network = settings::network(&file.settings).map_err(NodeError::Settings)?;
-        let hex = file.seed.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
-        let seed = hex.or(file.seed.as_u64());
-        let bad_seed = || NodeError::Settings("seed: expected a number or up to 16 hex digits".into());
         Ok(Node {
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
             control,
-            seed: seed.ok_or_else(bad_seed)?,
+            seed: seed(&file.seed).map_err(NodeError::Settings)?,
             sockets: file.limits.sockets.max(64),
             known: file.known,
             config,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,9 @@
 
 use crate::interface::*;
 use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 
 /// Names in the order of their numbers. Places and kinds met first in a list are numbered then.
 #[derive(Clone, Debug, Default)]
@@ -95,12 +98,18 @@
 struct Key<'a> {
     path: String,
     value: Option<&'a Value>,
+    /// Paths that were asked for.
+    seen: Rc<RefCell<BTreeSet<String>>>,
 }
 
 impl<'a> Key<'a> {
+    fn root(settings: &'a Value) -> Key<'a> {
+        Key { path: String::new(), value: Some(settings), seen: Rc::default() }
+    }
     fn get(&self, name: &str) -> Key<'a> {
         let path = if self.path.is_empty() { name.into() } else { format!("{}.{name}", self.path) };
-        Key { path, value: self.value.and_then(|v| v.get(name)) }
+        self.seen.borrow_mut().insert(path.clone());
+        Key { path, value: self.value.and_then(|v| v.get(name)), seen: self.seen.clone() }
     }
     fn want<T>(&self, got: Option<T>, what: &str) -> Result<T, String> {
         got.ok_or_else(|| match self.value {
@@ -126,19 +135,44 @@
     }
     fn list(&self) -> Result<Vec<Key<'a>>, String> {
         let items = self.want(self.value.and_then(Value::as_array), "an array")?;
-        let item = |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v) };
+        let item =
+            |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v), seen: self.seen.clone() };
         Ok(items.iter().enumerate().map(item).collect())
     }
 }
 
-/// Reads the settings; unknown keys are skipped.
+/// Reads the settings; unknown keys are skipped (see [`unknown`]).
 pub fn read(settings: &Value) -> Result<(Config, Names), String> {
-    read_with(settings, Names::default())
+    read_with(&Key::root(settings), Names::default())
+}
+
+/// Paths of values that nothing reads; none for settings that have an error.
+pub fn unknown(settings: &Value) -> Vec<String> {
+    fn leaves(path: &str, value: &Value, all: &mut Vec<String>) {
+        match value {
+            Value::Object(keys) if !keys.is_empty() => keys.iter().for_each(|(name, inner)| {
+                let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+                leaves(&path, inner, all);
+            }),
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                items.iter().enumerate().for_each(|(i, v)| leaves(&format!("{path}[{i}]"), v, all));
+            }
+            _ => all.push(path.into()),
+        }
+    }
+    let root = Key::root(settings);
+    if read_with(&root, Names::default()).and_then(|_| network_of(&root)).is_err() {
+        return Vec::new(); // the error comes first: what follows it was never asked for
+    }
+    let mut all = Vec::new();
+    leaves("", settings, &mut all);
+    let seen = root.seen.borrow();
+    all.retain(|path| !seen.contains(path));
+    all
 }
 
 /// `names`: the places and kinds that have numbers already.
-fn read_with(settings: &Value, mut names: Names) -> Result<(Config, Names), String> {
-    let root = Key { path: String::new(), value: Some(settings) };
+fn read_with(root: &Key, mut names: Names) -> Result<(Config, Names), String> {
     for zone in root.get("zones").list()? {
         number(&mut names.zones, zone.text()?);
     }
@@ -155,7 +189,7 @@
             return Err(format!("{}: the name stands twice", name.path));
         }
         names.classes.push(Named::new(name.text()?));
-        let scope = class.get("key_scope");
+        let (scope, window) = (class.get("key_scope"), class.get("window_us"));
         let effect = match class.get("effect").text()? {
             "free" => Effect::Free,
             "guarded" => {
@@ -165,7 +199,7 @@
                     "cell" => KeyScope::Cell,
                     _ => return scope.want(None, "all, zone or cell"),
                 };
-                Effect::Keyed(scope, class.get("window_us").micros()?)
+                Effect::Keyed(scope, window.micros()?)
             }
             "single_shot" => Effect::Unsafe,
             _ => return class.get("effect").want(None, "free, guarded or single_shot"),
@@ -192,9 +226,10 @@
         tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real()? });
     }
     let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
+    let must_ask = rules.get("must_ask_in_us");
     let discovery = match root.get("discovery").text()? {
         "automatic" => Discovery::Push,
-        "subscribe" => Discovery::Subscribe(rules.get("must_ask_in_us").micros()?),
+        "subscribe" => Discovery::Subscribe(must_ask.micros()?),
         _ => return root.get("discovery").want(None, "automatic or subscribe"),
     };
     let config = Config {
@@ -244,7 +279,10 @@
 
 /// Reads the part of the settings that concerns sockets.
 pub fn network(settings: &Value) -> Result<Network, String> {
-    let root = Key { path: String::new(), value: Some(settings) };
+    network_of(&Key::root(settings))
+}
+
+fn network_of(root: &Key) -> Result<Network, String> {
     let limits = root.get("limits");
     let deadline = |class: &Key| class.get("deadline_us").micros();
     Ok(Network {
@@ -275,7 +313,7 @@
 /// Reads settings that follow others. A class or tenant keeps its number; a class whose rules differ gets a new one.
 pub fn change(settings: &Value, names: &Names, config: &Config, before: &Network) -> Result<Change, String> {
     let places = Names { classes: Vec::new(), tenants: Vec::new(), ..names.clone() };
-    let (fresh, fresh_names) = read_with(settings, places)?;
+    let (fresh, fresh_names) = read_with(&Key::root(settings), places)?;
     let fresh_network = network(settings)?;
     fresh.validate().map_err(|e| e.to_string())?;
     if fresh.discovery != config.discovery {
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,152 @@
+//! The command line and the TOML form of the configuration, with the real program.
+
+mod rig;
+
+use rig::*;
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/local.toml");
+
+fn program(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shaletide"));
+    for name in ["NODE_CONFIG", "NODE_CONTROL", "NODE_SOCKET_FD", "NODE_SNAPSHOT", "NODE_LOG_FORMAT"] {
+        command.env_remove(name);
+    }
+    command.args(arguments);
+    command
+}
+
+fn output(arguments: &[&str]) -> (Option<i32>, String) {
+    let Output { status, stdout, stderr } = program(arguments).output().unwrap();
+    (status.code(), String::from_utf8([stdout, stderr].concat()).unwrap())
+}
+
+fn written(text: &str) -> String {
+    let path = folder().join("proxy.toml");
+    std::fs::write(&path, text).unwrap();
+    path.to_str().unwrap().into()
+}
+
+/// Each mistake is named with its path and ends in 2; several in one file are all named.
+#[test]
+fn check_names_every_error_with_its_path() {
+    let sound = std::fs::read_to_string(EXAMPLE).unwrap();
+    assert_eq!(output(&["check", EXAMPLE]), (Some(0), "ok\n".into()));
+    let cases: [(&str, &str, &[&str]); 6] = [
+        (
+            "aim_us = 400000",
+            "aim_us = \"soon\"",
+            &["settings.profiles[0].aim_us: expected whole microseconds", "soon"],
+        ),
+        ("sockets = 1024", "sockets = \"many\"", &["limits.sockets: ", "many"]),
+        ("my_zone = \"here\"", "", &["settings: my_zone: missing"]),
+        ("listen = \"127.0.0.1:8080\"", "", &["listen"]),
+        ("whole = 1.0", "whole = 1.0\nwhol = 1.0", &["settings.blend.whol: unknown key"]),
+        (
+            "sockets = 1024",
+            "sockets = 1024\nsocket = 1\n[limit]\nx = 1",
+            &["limits.socket: unknown", "limit: unknown"],
+        ),
+    ];
+    for (from, to, expected) in cases {
+        let (code, text) = output(&["check", &written(&sound.replacen(from, to, 1))]);
+        assert_eq!(code, Some(2), "{to}: {text}");
+        let text = text.replace("settings: profiles", "settings.profiles");
+        expected.iter().for_each(|words| assert!(text.contains(words), "{to}: {words:?} not in {text}"));
+    }
+    for (set, words) in [
+        ("settings.blend.whol=1", "unknown"),
+        ("known.endpoints[7].name=x", "there is no"),
+        ("x", "KEY=VALUE"),
+    ] {
+        let (code, text) = output(&["check", EXAMPLE, "--set", set]);
+        assert!(code == Some(2) && text.contains(words), "{set}: {code:?} {text}");
+    }
+}
+
+/// What `show-config` prints is itself a configuration, with the defaults in it and what was set.
+#[test]
+fn what_show_config_prints_is_the_configuration_in_force() {
+    let set =
+        ["--set", "settings.locality={\"leave_share\":0.5,\"ramp_us\":1000}", "--set", "snapshot.dir=/kept"];
+    let (code, shown) = output(&[&["show-config", EXAMPLE][..], &set].concat());
+    assert_eq!(code, Some(0), "{shown}");
+    for line in
+        ["every_ms = 2000", "max_age_s = 300.0", "leave_share = 0.5", "dir = \"/kept\"", "sockets = 1024"]
+    {
+        assert!(shown.contains(line), "{line} not in {shown}");
+    }
+    let again = written(&shown);
+    assert_eq!(output(&["check", &again]), (Some(0), "ok\n".into()));
+    assert_eq!(output(&["show-config", &again]), (Some(0), shown));
+}
+
+/// The shipped example runs as the README says; its log lines are JSON objects with their fields, and a broken file
+/// at SIGHUP changes nothing and is named.
+#[test]
+fn the_example_serves_and_outlives_a_broken_reload() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let at = backend.address.to_string();
+    let sound = std::fs::read_to_string(EXAMPLE)
+        .unwrap()
+        .replace("127.0.0.1:9001", &at)
+        .replace("127.0.0.1:9002", &at);
+    let path = written(&sound);
+    let set = ["--set", "listen=127.0.0.1:0", "--set", "control=127.0.0.1:0", "--log-format", "json"];
+    let mut command = program(&[&["run", "--config", &path][..], &set].concat());
+    let mut child = command.env("TMPDIR", folder()).stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut until = |words: &str| loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it ended before {words}");
+        let fields: serde_json::Value = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e}: {line}"));
+        if line.contains(words) {
+            return fields;
+        }
+    };
+    let said = until("listens on")["message"].as_str().unwrap().to_string();
+    let address = said.split("listens on ").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    let begun = Instant::now();
+    while Client::connect(address).ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status() != 200 {
+        assert!(begun.elapsed() < PATIENCE);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(Client::connect(address).ask(&read(1.0)).status(), 200);
+    std::fs::write(&path, sound.replace("[settings.blend]", "[settings.blend")).unwrap();
+    let hangup = Command::new("kill").args(["-HUP", &child.id().to_string()]).status().unwrap();
+    assert!(hangup.success());
+    let line = until("configuration not taken");
+    assert_eq!(line["level"], "WARN");
+    assert!(line["message"].as_str().unwrap().contains("settings.blend"), "{line}");
+    assert_eq!(Client::connect(address).ask(&read(1.0)).status(), 200);
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
+/// Every key of the example, those in its commented parts too, has its place in the page on the configuration.
+#[test]
+fn every_key_of_the_example_is_documented() {
+    let page = include_str!("../docs/configuration.md");
+    let mut table = String::new();
+    let mut keys = 0;
+    for line in std::fs::read_to_string(EXAMPLE).unwrap().lines() {
+        let line = line.trim_start_matches("# ").split('#').next().unwrap().trim();
+        let words = |text: &str| !text.contains(' ');
+        if let Some(name) = line.strip_prefix('[').and_then(|l| l.strip_suffix(']')).filter(|l| words(l)) {
+            table = name.trim_matches(['[', ']']).to_string();
+        } else if let Some((key, _)) = line.split_once(" = ").filter(|(key, _)| words(key)) {
+            let item = ["known.endpoints", "settings.profiles"].contains(&table.as_str());
+            let path = if item || table.is_empty() { key.into() } else { format!("{table}.{key}") };
+            let row =
+                if item { page.lines().find(|l| l.contains(&format!("`{table}`"))) } else { Some(page) };
+            assert!(
+                row.is_some_and(|row| row.contains(&format!("`{path}`"))),
+                "{table} {key}: not in the page"
+            );
+            keys += 1;
+        }
+    }
+    assert!(keys > 50, "{keys} keys found");
+}
