Read the rest of a refused long body without keeping it: a proxy on join went over its memory

Cause: server.rs collected the rest of a client's body to its end after an early answer; a client with 60 MB filled the memory. Change: the rest is read frame by frame and dropped.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -389,7 +389,7 @@
         if let (Payload::Coming(coming), false) = (&call.body, matches!(answer, Ok(Answer::Served(_)))) {
             // A client that is still sending hears the answer only if it is read to its end.
             if let Some(rest) = coming.take() {
-                tokio::task::spawn_local(rest.collect());
+                tokio::task::spawn_local(drained(rest));
             }
         }
         Ok(match answer {
@@ -454,6 +454,11 @@
     Ok(Payload::Coming(Coming::new(upload, left)))
 }
 
+/// Reads a body to its end or its client's, and keeps nothing of it: it may be far larger than the memory.
+async fn drained(mut rest: Upload) {
+    while let Some(Ok(_)) = rest.frame().await {}
+}
+
 /// Until a body that goes out as it comes has gone out.
 async fn sent(body: &Payload) {
     match body {
--- a/tests/streaming.rs
+++ b/tests/streaming.rs
@@ -222,3 +222,25 @@
     drop((client, proxy));
     assert!(!sending.join().unwrap(), "nobody took all of it");
 }
+
+/// A body far longer than the memory whose request is refused while it still comes: its client hears so, and nothing of
+/// the rest is kept.
+#[test]
+fn the_rest_of_a_refused_body_is_read_and_not_kept() {
+    const HUGE: usize = 48_000_000;
+    let nobody = Refusing::new();
+    let proxy = one(nobody.address());
+    let resident = || {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
+        let most = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap().trim().to_string();
+        most.split(' ').next().unwrap().parse::<usize>().unwrap() * 1024
+    };
+    let before = resident();
+    let mut client = proxy.client();
+    client.send(&pay(3.0).replace("Length: 4", &format!("Length: {HUGE}")).replace("cash", ""));
+    let piece = text(100_000);
+    (0..HUGE / piece.len()).for_each(|_| client.send(&piece));
+    assert_eq!(client.answer().expect("an answer").status(), 503);
+    let grown = resident() - before;
+    assert!(grown < HUGE / 4, "{grown} bytes more for a body of {HUGE} that was refused");
+}
