Leave zones by unanswered attempts too, keep traffic near, spill inside the region first

Change: a zone's evidence has to last half an ejection's term; the part of its last thirty attempts without an answer counts beside its backends out; it stays out for a doubling term before its ramp. `spill` shares a zone's surplus out by measured room, its region's first (settings.locality.regions); with locality set traffic stays near at no cost of crossing too.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,7 @@
 //! The whole interface of the decision module: configuration, events, actions. No decisions here.
 
+use std::collections::BTreeMap;
+
 /// A point in time, in microseconds of the host's clock; it begins at no particular value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Time(pub u64);
@@ -62,6 +64,8 @@
     BackendId(u32);
     /// A place in the network.
     ZoneId(u32);
+    /// Zones close to each other.
+    RegionId(u32);
     /// A handful of backends that share which keys they have seen.
     CellId(u64);
     /// Another proxy, numbered by the host.
@@ -119,6 +123,8 @@
     pub fall_window: Micros,
     /// Zones that are left on evidence and come back on a ramp; `None`: zones are never left as a whole.
     pub locality: Option<Locality>,
+    /// The region of each zone; zones without one are one region together.
+    pub regions: BTreeMap<ZoneId, RegionId>,
 }
 
 /// How whole zones are left and taken back (settings `locality`).
@@ -160,6 +166,7 @@
             fall_multiple: 3.0,
             fall_window: Micros(2_000_000),
             locality: None,
+            regions: BTreeMap::new(),
         }
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,6 +66,8 @@
 const WELL_INSIDE: f64 = 2.0;
 /// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
 const LOW: f64 = 0.5;
+/// A zone is left once its share has been out for so long, s: a silence that ends sooner was a hiccup.
+const LEAVE_AFTER: f64 = EJECT_TERM / 2.0;
 /// Proxies whose word takes a backend out here: one may be on a broken link of its own, two rarely are.
 const WORDS: u32 = 2;
 /// Seconds in which a recalled memory loses half its weight: a minute is some hundred answers per kind.
@@ -95,6 +97,38 @@
     }
 }
 
+/// The part of a proxy's traffic for each zone, of what each zone is due of all (sum 1). Every zone brings as
+/// much and keeps what it is due; its surplus goes to those due more, by their room, first inside its region,
+/// then to the room that other regions have left over. So all rooms are used exactly, and none beyond.
+fn spill(
+    due: &BTreeMap<ZoneId, f64>, own: ZoneId, regions: &BTreeMap<ZoneId, RegionId>,
+) -> BTreeMap<ZoneId, f64> {
+    let zones = due.len() as f64;
+    let region = |zone: &ZoneId| regions.get(zone).copied().unwrap_or_default();
+    let over = |d: f64| (d * zones - 1.0).max(0.0);
+    // By region: what its zones have too much of, and how much room; the lesser of both stays inside.
+    let mut sums: BTreeMap<RegionId, (f64, f64)> = BTreeMap::new();
+    for (zone, d) in due {
+        let sum = sums.entry(region(zone)).or_default();
+        *sum = (sum.0 + (1.0 - d * zones).max(0.0), sum.1 + over(*d));
+    }
+    let part = |of: f64, all: f64| if all > 0.0 { (of / all).min(1.0) } else { 0.0 };
+    let home = region(&own);
+    let kept = sums.get(&home).map_or(0.0, |(surplus, room)| part(*room, *surplus));
+    let outside: f64 = sums.iter().filter(|s| *s.0 != home).map(|(_, (s, r))| (r - s).max(0.0)).sum();
+    let surplus = (1.0 - due.get(&own).copied().unwrap_or(0.0) * zones).max(0.0);
+    let pull = |(zone, d): (&ZoneId, &f64)| {
+        let (to, (short, room)) = (region(zone), sums.get(&region(zone)).copied().unwrap_or_default());
+        let share = match (*zone == own, to == home) {
+            (true, _) => (d * zones).min(1.0),
+            (_, true) => surplus * kept * part(over(*d), room),
+            _ => surplus * (1.0 - kept) * part((room - short).max(0.0), outside) * part(over(*d), room),
+        };
+        (*zone, share)
+    };
+    due.iter().map(pull).collect()
+}
+
 /// The part of its capacity that a backend has at least.
 fn warmth(cfg: &Config, now: Time, p: &Peer) -> f64 {
     let age =
@@ -425,7 +459,18 @@
             self.errors.add(f64::from(end.outcome != Outcome::Ok), KIND_SAMPLES);
         }
         let (limit, alive) = (ERROR_LIMIT + STAND_OUT * self.errors.value, self.usual(class).times(ALIVE));
+        let long = end.latency > self.usual(class).times(SILENT_AFTER);
         let Some(p) = self.peers.get_mut(&id) else { return };
+        // A zone that is cut off may answer some: what it leaves unanswered counts for the zone as a whole.
+        let unanswered = match end.outcome {
+            Outcome::Ok => Some(0.0),
+            Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed => Some(1.0),
+            Outcome::Cancelled if long => Some(1.0),
+            _ => None,
+        };
+        let zone = unanswered.filter(|_| self.cfg.locality.is_some());
+        zone.into_iter()
+            .for_each(|f| self.zones.entry(p.entry.zone).or_default().fails.add(f, QUICK_SAMPLES));
         p.out = p.out.saturating_sub(1);
         match end.outcome {
             Outcome::Ok => {
@@ -661,19 +706,24 @@
         let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
         let ready = self.peers.values().filter(|p| p.ready > 0.0);
         ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
+        if self.cfg.locality.is_some() {
+            // A zone that is out brings its traffic all the same.
+            for p in self.peers.values() {
+                due.entry(p.entry.zone).or_default();
+            }
+        }
         let zones = due.len() as f64;
         // With fewer proxies than zones some zone has none, and nobody is told which: whatever stays near
         // leaves that zone's backends idle and fills the others.
-        let local = self.cfg.cross_zone_cost > 0.0 && proxies >= zones;
-        let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
-        let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
+        let near = self.cfg.cross_zone_cost > 0.0 || self.cfg.locality.is_some();
+        let local = near && proxies >= zones;
+        let pulls = spill(&due, self.cfg.zone, &self.cfg.regions);
         self.kinds.values_mut().for_each(|k| (k.pull, k.walked) = (0.0, 0.0));
         let mut reached = 0.0;
         for p in self.peers.values_mut() {
             let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
-            let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
-            let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            let bias = if local && here > 0.0 { near / here } else { 1.0 };
+            let pull = pulls.get(&p.entry.zone).copied().unwrap_or(0.0);
+            let bias = if local && here > 0.0 { pull / here } else { 1.0 };
             // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
             // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
             let turn = p.entry.mark.wrapping_add(u64::from(self.cfg.position));
@@ -716,13 +766,20 @@
             let z = self.zones.entry(id).or_default();
             z.lefts.retain(|at| now - *at < Micros::from_secs(60.0));
             let ramp = rules.ramp.times(f64::from(1u32 << z.lefts.len().clamp(1, 6)) / 2.0);
+            let failing = z.fails.count >= QUICK_SAMPLES / 2.0 && z.fails.value >= rules.leave_share;
+            let bad = failing || out / all >= rules.leave_share;
+            z.bad = z.bad.filter(|_| bad).or(bad.then_some(now));
+            let lasted = z.bad.is_some_and(|since| (now - since).secs() >= LEAVE_AFTER);
+            let term = Micros::from_secs(EJECT_TERM * f64::from(1u32 << z.lefts.len().clamp(1, 6)) / 2.0);
+            let rested = z.lefts.last().is_none_or(|at| now - *at >= term);
             let said = match (z.left, out / all) {
-                (false, part) if part >= rules.leave_share => {
-                    (z.left, z.since) = (true, None);
+                (false, _) if lasted => {
+                    let lost = z.fails.value * 100.0;
+                    (z.left, z.since, z.fails) = (true, None, Mean::default());
                     z.lefts.push(now);
-                    Some(format!("zone {} left: {out} of {all} out", id.0))
+                    Some(format!("zone {} left: {out} of {all} out, {lost:.0}% unanswered", id.0))
                 }
-                (true, part) if part < rules.leave_share / 2.0 => {
+                (true, part) if part < rules.leave_share / 2.0 && rested => {
                     (z.left, z.since) = (false, Some(now));
                     Some(format!("zone {} returning over {:.1} s", id.0, ramp.secs()))
                 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,7 +4,7 @@
 use crate::interface::*;
 use serde_json::Value;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Names in the order of their numbers. Places and kinds met first in a list are numbered then.
@@ -252,6 +252,7 @@
         fall_multiple: rules.get("fall_multiple").real()?,
         fall_window: rules.get("tip_after_us").micros()?,
         locality: locality(&root.get("locality"))?,
+        regions: regions(&root.get("locality").get("regions"), &mut names)?,
     };
     Ok((config, names))
 }
@@ -264,6 +265,18 @@
     Ok(Some(Locality { leave_share: key.get("leave_share").real()?, ramp: key.get("ramp_us").micros()? }))
 }
 
+/// `locality.regions`: zone names to region names. A zone that no list has named yet gets its number here.
+fn regions(key: &Key, names: &mut Names) -> Result<BTreeMap<ZoneId, RegionId>, String> {
+    let Some(value) = key.value else { return Ok(BTreeMap::new()) };
+    let table = key.want(value.as_object(), "a table of zones and their regions")?;
+    let mut known = Vec::new();
+    let entry = |zone: &String| {
+        let region = RegionId(1 + number(&mut known, key.get(zone).text()?));
+        Ok((ZoneId(number(&mut names.zones, zone)), region))
+    };
+    table.keys().map(entry).collect()
+}
+
 /// What only a proxy on real sockets needs of the settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Network {
--- a/src/state.rs
+++ b/src/state.rs
@@ -291,6 +291,10 @@
 pub(crate) struct Zone {
     /// Out of use as a whole.
     pub left: bool,
+    /// The part of the last attempts there that got no answer.
+    pub fails: Mean,
+    /// Since when as much of it was out as leaves it.
+    pub bad: Option<Time>,
     /// When it began to return; `None` while it has never been left, or after its ramp.
     pub since: Option<Time>,
     /// When it was left, within the last minute.
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -49,6 +49,20 @@
     assert!(zones[1] * 20 < zones[0], "a left zone kept its traffic: {zones:?}");
 }
 
+/// Half of a zone silent for a moment, as when the proxy itself is held up, is no reason to leave it.
+#[test]
+fn a_hiccup_does_not_move_a_zone() {
+    let mut host = fleet();
+    play(&mut host, &[], 1_000);
+    for _ in 0..20 {
+        host.burst(12, 0, 2_000_000);
+        host.advance(150_000); // fifteen times the usual answer's time
+        host.out().into_iter().for_each(|(id, no)| host.end(id, no, Outcome::Ok));
+        play(&mut host, &[], 300);
+    }
+    assert_eq!(said(&host, "left"), 0, "{:?}", host.logs);
+}
+
 #[test]
 fn a_zone_that_flaps_returns_slower_each_time() {
     let mut host = fleet();
@@ -74,3 +88,39 @@
     let zones = play(&mut host, &[], 1_000);
     assert!(zones[1] * 3 > zones[0] * 2, "back in full after its ramp: {zones:?}");
 }
+
+/// Where a proxy's attempts go, of zones with so many backends each, all well: parts of a thousand and more.
+fn parts(sizes: [u32; 4], regions: &[(u32, u32)], locality: Option<Locality>) -> [f64; 4] {
+    let regions = regions.iter().map(|(zone, region)| (ZoneId(*zone), RegionId(*region))).collect();
+    let mut host = Host::new(Config { proxies: 4, locality, regions, ..Config::example() }, 3);
+    let zones: Vec<u32> = (0..4).flat_map(|z| std::iter::repeat_n(z, sizes[z as usize] as usize)).collect();
+    host.members(ListUpdate::Full, zones.iter().enumerate().map(|(n, z)| backend(n as u32, *z, 0)).collect());
+    let mut got = [0.0; 4];
+    for _ in 0..300 {
+        host.burst(2, 0, 2_000_000);
+        host.advance(10_000);
+        for (id, no) in host.out() {
+            got[host.requests[&id].tries[no].zone.0 as usize] += 1.0;
+            host.end(id, no, Outcome::Ok);
+        }
+    }
+    let all: f64 = got.iter().sum();
+    got.map(|n| n / all)
+}
+
+/// A proxy in zone 0, which is due half of what it brings; zone 3 is as short, zones 1 and 2 have the room.
+#[test]
+fn surplus_stays_in_the_region_that_has_room_and_calm_traffic_stays_in_its_zone() {
+    let locality = Some(Locality { leave_share: 0.5, ramp: Micros(4_000_000) });
+    let flat = parts([2, 6, 6, 2], &[], locality);
+    assert!((flat[1] - 0.25).abs() < 0.06 && (flat[2] - 0.25).abs() < 0.06, "one region: by room {flat:?}");
+    let near = parts([2, 6, 6, 2], &[(0, 1), (1, 1), (2, 2), (3, 2)], locality);
+    assert!((near[1] - 0.5).abs() < 0.06 && near[2] < 0.03, "its region has the room: {near:?}");
+    // Region 1 lacks in both its zones: what it cannot take goes out, to the room there only.
+    let out = parts([2, 4, 6, 4], &[(0, 1), (1, 1), (2, 2), (3, 2)], locality);
+    assert!((out[2] - 0.5).abs() < 0.06 && out[1] + out[3] < 0.06, "out where there is room: {out:?}");
+    let calm = parts([4, 4, 4, 4], &[(0, 1), (1, 1), (2, 2), (3, 2)], locality);
+    assert!(calm[0] > 0.97, "calm, yet {calm:?}");
+    let before = parts([4, 4, 4, 4], &[], None);
+    assert!(before[0] < 0.4, "the setting is what keeps it near: {before:?}");
+}
