--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -125,6 +125,16 @@
     let _ = child.wait();
 }
 
+/// The README's command to run it is one that cargo understands, on the file that the other tests here start from.
+#[test]
+fn the_readme_runs_the_example() {
+    let command = "cargo run --release -- run --config examples/local.toml";
+    assert!(include_str!("../README.md").lines().any(|line| line == command), "{command}");
+    let manifest: toml::Table = include_str!("../Cargo.toml").parse().unwrap();
+    let program = manifest["package"].get("default-run").and_then(|name| name.as_str());
+    assert_eq!(program, Some("shaletide"), "of two programs cargo has to know which");
+}
+
 /// Every key of the example, those in its commented parts too, has its place in the page on the configuration.
 #[test]
 fn every_key_of_the_example_is_documented() {
