--- a/src/main.rs
+++ b/src/main.rs
@@ -181,6 +181,7 @@
         server: server.clone(),
         discovery: node.discovery.map(|_| moved),
         source,
+        keeper: keeper.clone(),
         door,
         sockets: sockets.clone(),
         config: node.config,
@@ -219,20 +220,21 @@
 #[derive(Clone)]
 struct Keeper {
     kept: Snapshots,
-    settings: [u8; 32],
+    /// Hash of the settings in force, which a reload changes.
+    settings: Rc<Cell<[u8; 32]>>,
     host: Rc<Host>,
 }
 
 impl Keeper {
     fn new(kept: Snapshots, settings: &serde_json::Value, host: Rc<Host>) -> Keeper {
-        Keeper { kept, settings: snapshot::settings_hash(settings), host }
+        Keeper { kept, settings: Rc::new(Cell::new(snapshot::settings_hash(settings))), host }
     }
 
     /// Takes the snapshot in the folder if it holds; one line says what was taken or why not. Whether it did.
     fn recall(&self) -> bool {
         let most = shaletide::Micros::from_secs(self.kept.max_age_s);
         let taken = snapshot::read(&self.kept.dir).and_then(|s| {
-            snapshot::check(&s.header, &self.settings, snapshot::wall_us(), most).map(|age| (s, age))
+            snapshot::check(&s.header, &self.settings.get(), snapshot::wall_us(), most).map(|age| (s, age))
         });
         let file = snapshot::path(&self.kept.dir);
         snapshot::sweep(&self.kept.dir);
@@ -255,7 +257,7 @@
 
     /// Writes one now; a failure is logged and the next write tries again.
     fn write(&self) {
-        let header = snapshot::Header::now(self.settings);
+        let header = snapshot::Header::now(self.settings.get());
         let whole = snapshot::Snapshot { header, saved: self.host.recollect() };
         let written = snapshot::encode(&whole)
             .map_err(|e| e.to_string())
@@ -371,6 +373,7 @@
     /// Where it may move to; `None` where none is watched.
     discovery: Option<watch::Sender<SocketAddr>>,
     source: Source,
+    keeper: Option<Keeper>,
     door: Door,
     sockets: Rc<Cell<usize>>,
     config: Config,
@@ -414,6 +417,7 @@
         self.server.retune(Rules::new(&self.config, &self.network));
         self.host.retune(change);
         let hash = snapshot::settings_hash(&node.settings);
+        self.keeper.iter().for_each(|k| k.settings.set(hash));
         self.door.peers.iter().for_each(|p| p.retune(hash));
         if let Some((moved, to)) = self.discovery.as_ref().zip(node.discovery) {
             moved.send_if_modified(|at| std::mem::replace(at, to) != to);
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -136,3 +136,25 @@
     ids.dedup();
     assert!(all > 100 && ids.len() == all, "{} of {all} requests came again", all - ids.len());
 }
+
+/// Settings that changed while it ran are those that its snapshot stands under from then on.
+#[test]
+fn a_snapshot_after_a_reload_fits_the_settings_that_were_taken() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let known = [entry("b0", backend.address, "SERVING")];
+    let dir = snapshots();
+    let first = start(&known, SETTINGS, &dir, "");
+    let other = SETTINGS.replace("\"quota_rps\":500.0", "\"quota_rps\":400.0");
+    let text = std::fs::read_to_string(&first.config).unwrap().replace(SETTINGS, &other);
+    std::fs::write(&first.config, text).unwrap();
+    first.signal("-HUP");
+    let begun = std::time::Instant::now();
+    while first.logged("configuration taken") == 0 {
+        assert!(begun.elapsed() < PATIENCE, "never taken");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    std::thread::sleep(Duration::from_millis(500)); // several writes
+    drop(first); // SIGKILL
+    let second = start(&known, &other, &dir, "");
+    assert!(second.said.contains("snapshot taken"), "{}", second.said);
+}
