--- a/src/main.rs
+++ b/src/main.rs
@@ -57,17 +57,16 @@
         }
         ExitCode::FAILURE
     };
-    match cli.command {
-        Some(Command::Check(file)) => check(&file.source()),
-        Some(Command::ShowConfig(file)) => match config::show(&file.source()) {
+    match cli.command.unwrap_or_else(|| Command::Run(Run::from_environment())) {
+        Command::Check(file) => check(&file.source()),
+        Command::ShowConfig(file) => match config::show(&file.source()) {
             Ok(text) => {
                 print!("{text}");
                 ExitCode::SUCCESS
             }
             Err(e) => fail(&e.to_string()),
         },
-        Some(Command::Run(run)) => serve(run.source()).map_or_else(|e| fail(&e), |()| ExitCode::SUCCESS),
-        None => serve(Run::from_environment().source()).map_or_else(|e| fail(&e), |()| ExitCode::SUCCESS),
+        Command::Run(run) => serve(run.source()).map_or_else(|e| fail(&e), |()| ExitCode::SUCCESS),
     }
 }
 
@@ -124,7 +123,8 @@
     if presence.as_ref().is_some_and(|p| p.others().older) {
         host.beside(2); // before what was learned is taken: some of it the other process still uses
     }
-    let keeper = node.snapshot.clone().map(|kept| Keeper::new(kept, &node.settings, host.clone()));
+    let in_force = Rc::new(Cell::new(snapshot::settings_hash(&node.settings)));
+    let keeper = node.snapshot.map(|kept| Keeper { kept, settings: in_force.clone(), host: host.clone() });
     let mut cold = true;
     if let Some(keeper) = keeper.clone() {
         cold = !keeper.recall();
@@ -139,17 +139,16 @@
     let bound = listener.local_addr().unwrap_or(node.listen);
     tokio::task::spawn_local(host.clone().timers());
     tokio::task::spawn_local(pool.sweep());
-    let unwatched = SocketAddr::from(([0, 0, 0, 0], 0));
-    let (moved, at) = watch::channel(node.discovery.unwrap_or(unwatched));
-    if node.discovery.is_some() {
+    let watched = node.discovery.map(|to| {
+        let (moved, at) = watch::channel(to);
         tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, mode));
-    }
+        moved
+    });
     let server = Server::new(host.clone(), rules, room - room / 2);
     let peers = match node.peers {
         Some(rules) => {
-            let (settings, fleet) = (snapshot::settings_hash(&node.settings), node.config.proxies);
-            let at = rules.listen;
-            let peers = Peers::start(host.clone(), rules, settings, fleet, node.seed, cold).await;
+            let (at, fleet) = (rules.listen, node.config.proxies);
+            let peers = Peers::start(host.clone(), rules, in_force.clone(), fleet, node.seed, cold).await;
             Some(peers.map_err(|e| format!("peers: cannot listen on {at}: {e}"))?)
         }
         None => None,
@@ -179,9 +178,9 @@
     let reload = Reload {
         host: host.clone(),
         server: server.clone(),
-        discovery: node.discovery.map(|_| moved),
+        discovery: watched,
         source,
-        keeper: keeper.clone(),
+        in_force,
         door,
         sockets: sockets.clone(),
         config: node.config,
@@ -226,16 +225,10 @@
 }
 
 impl Keeper {
-    fn new(kept: Snapshots, settings: &serde_json::Value, host: Rc<Host>) -> Keeper {
-        Keeper { kept, settings: Rc::new(Cell::new(snapshot::settings_hash(settings))), host }
-    }
-
     /// Takes the snapshot in the folder if it holds; one line says what was taken or why not. Whether it did.
     fn recall(&self) -> bool {
         let most = shaletide::Micros::from_secs(self.kept.max_age_s);
-        let taken = snapshot::read(&self.kept.dir).and_then(|s| {
-            snapshot::check(&s.header, &self.settings.get(), snapshot::wall_us(), most).map(|age| (s, age))
-        });
+        let taken = snapshot::read(&self.kept.dir).and_then(|s| s.checked(&self.settings.get(), most));
         let file = snapshot::path(&self.kept.dir);
         snapshot::sweep(&self.kept.dir);
         match taken {
@@ -373,7 +366,8 @@
     /// Where it may move to; `None` where none is watched.
     discovery: Option<watch::Sender<SocketAddr>>,
     source: Source,
-    keeper: Option<Keeper>,
+    /// Hash of the settings, for what was learned under them.
+    in_force: Rc<Cell<[u8; 32]>>,
     door: Door,
     sockets: Rc<Cell<usize>>,
     config: Config,
@@ -416,9 +410,7 @@
         self.host.pool.retune(&self.network);
         self.server.retune(Rules::new(&self.config, &self.network));
         self.host.retune(change);
-        let hash = snapshot::settings_hash(&node.settings);
-        self.keeper.iter().for_each(|k| k.settings.set(hash));
-        self.door.peers.iter().for_each(|p| p.retune(hash));
+        self.in_force.set(snapshot::settings_hash(&node.settings));
         if let Some((moved, to)) = self.discovery.as_ref().zip(node.discovery) {
             moved.send_if_modified(|at| std::mem::replace(at, to) != to);
         }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -257,7 +257,9 @@
             at => malformed(format!("{at}: {}", e.inner())),
         })?
     };
-    unknown.extend(settings::unknown(&file.settings).into_iter().map(|key| format!("settings.{key}")));
+    if is_toml(path) || !source.sets.is_empty() {
+        unknown.extend(settings::unknown(&file.settings).into_iter().map(|key| format!("settings.{key}")));
+    }
     // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
     if !is_toml(path) {
         unknown.retain(|key| source.sets.iter().any(|set| set.path == *key));
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -50,6 +50,8 @@
 }
 
 struct Known {
+    /// As discovery calls it.
+    name: String,
     address: SocketAddr,
     state: BackendState,
     /// Taken out by hand.
@@ -230,7 +232,8 @@
                     None => {
                         // The module's lines speak of numbers.
                         info!("backend {} is {} at {}", id.0, e.name, e.address);
-                        s.backends.push(Known { address: e.address, state: e.state, withdrawn: false });
+                        let (name, address, state) = (e.name, e.address, e.state);
+                        s.backends.push(Known { name, address, state, withdrawn: false });
                     }
                 }
                 if update != ListUpdate::Cached {
@@ -282,7 +285,12 @@
             if id == next {
                 info!("backend {} is {name}, not listed yet", id.0);
                 let address = SocketAddr::from(([0, 0, 0, 0], 0));
-                s.backends.push(Known { address, state: BackendState::Gone, withdrawn: true });
+                s.backends.push(Known {
+                    name: name.into(),
+                    address,
+                    state: BackendState::Gone,
+                    withdrawn: true,
+                });
             }
             s.backends.get_mut(id.0 as usize).into_iter().for_each(|b| b.withdrawn = true);
             self.shut(s);
@@ -313,9 +321,7 @@
     pub fn recollect(&self) -> Saved {
         let s = self.state.borrow();
         let memory = s.balancer.recollect(self.clock.now());
-        let mut names = vec![None; s.backends.len()];
-        s.numbers.iter().for_each(|(name, id)| names[id.0 as usize] = Some(name.clone()));
-        let backend = |id: BackendId| names.get(id.0 as usize).cloned().flatten();
+        let backend = |id: BackendId| s.backends.get(id.0 as usize).map(|b| b.name.clone());
         Saved {
             kinds: memory
                 .kinds
@@ -329,13 +335,7 @@
                 .collect(),
             overall: memory.overall,
             backends: memory.backends.iter().filter_map(|(b, m)| Some((backend(*b)?, *m))).collect(),
-            withdrawn: s
-                .backends
-                .iter()
-                .enumerate()
-                .filter(|(_, b)| b.withdrawn)
-                .filter_map(|(n, _)| names[n].clone())
-                .collect(),
+            withdrawn: s.backends.iter().filter(|b| b.withdrawn).map(|b| b.name.clone()).collect(),
         }
     }
 
@@ -367,7 +367,9 @@
     /// A shared verdict; one on a backend that no list named here is nothing to this proxy.
     pub fn heard(self: &Rc<Self>, name: &str, word: Heard) {
         let backend = self.state.borrow().numbers.get(name).copied();
-        backend.into_iter().for_each(|backend| self.tell(Event::Heard(Heard { backend, ..word.clone() })));
+        if let Some(backend) = backend {
+            self.tell(Event::Heard(Heard { backend, ..word }));
+        }
     }
 
     /// The names in force, with all numbers given so far.
@@ -470,10 +472,10 @@
             }
             Action::Follow => self.follow.notify_one(),
             Action::Tell { backend, verdict } => {
-                if let Some(tell) = &*self.tell.borrow() {
-                    let name = s.numbers.iter().find(|(_, id)| **id == backend).map(|(name, _)| name.clone());
+                let known = s.backends.get(backend.0 as usize);
+                if let Some((tell, b)) = self.tell.borrow().as_ref().zip(known) {
                     // A full queue drops the newest: a verdict late by so many is of no use.
-                    name.into_iter().for_each(|name| drop(tell.try_send((name, verdict))));
+                    let _ = tell.try_send((b.name.clone(), verdict));
                 }
             }
             Action::Log(text) => info!("{text}"),
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -14,8 +14,7 @@
 use serde::{Deserialize, Serialize};
 use shaletide::{BackendId, Heard, Micros, OriginId, Verdict};
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::num::{NonZeroU32, NonZeroUsize};
@@ -90,8 +89,8 @@
 struct State {
     swim: Swim,
     outbox: AccumulatingRuntime<Member>,
-    timers: BinaryHeap<Reverse<(Instant, u64)>>,
-    due: HashMap<u64, Timer<Member>>,
+    /// foca's, by when they fall due; the number keeps those of one moment apart.
+    timers: BTreeMap<(Instant, u64), Timer<Member>>,
     timer: u64,
     gate: Gate,
     last_sent: u64,
@@ -106,7 +105,8 @@
     host: Rc<Host>,
     rules: Sharing,
     cluster: Cluster,
-    settings: Cell<[u8; 32]>,
+    /// Hash of the settings in force, which a reload changes.
+    settings: Rc<Cell<[u8; 32]>>,
     own: SocketAddr,
     socket: UdpSocket,
     board: Rc<RefCell<Board>>,
@@ -117,7 +117,7 @@
     /// Takes its socket and joins through the seeds for as long as the program runs. `fleet`: proxies expected;
     /// `cold`: no memory was taken, so that one is asked for.
     pub async fn start(
-        host: Rc<Host>, rules: Sharing, settings: [u8; 32], fleet: u32, seed: u64, cold: bool,
+        host: Rc<Host>, rules: Sharing, settings: Rc<Cell<[u8; 32]>>, fleet: u32, seed: u64, cold: bool,
     ) -> io::Result<Rc<Peers>> {
         let socket = UdpSocket::bind(rules.listen).await?;
         let own = rules.advertise.unwrap_or(socket.local_addr()?);
@@ -131,8 +131,7 @@
         let state = State {
             swim,
             outbox: AccumulatingRuntime::new(),
-            timers: BinaryHeap::new(),
-            due: HashMap::new(),
+            timers: BTreeMap::new(),
             timer: 0,
             gate: Gate::new(cluster, bound),
             last_sent: 0,
@@ -145,7 +144,7 @@
         host.share(tell);
         info!(event = "peers_start", listen = %socket.local_addr()?, advertise = %own,
             cluster = rules.cluster, seeds = rules.seeds.len(), "shares state with its peers");
-        let (settings, state) = (Cell::new(settings), RefCell::new(state));
+        let state = RefCell::new(state);
         let peers = Rc::new(Peers { host, rules, cluster, settings, own, socket, board, state });
         tokio::task::spawn_local(peers.clone().run(told));
         Ok(peers)
@@ -156,7 +155,7 @@
         let mut knock = tokio::time::interval(KNOCK);
         let mut ask = tokio::time::interval(ASK_FOR);
         loop {
-            let first = self.state.borrow().timers.peek().map(|t| t.0 .0);
+            let first = self.state.borrow().timers.first_key_value().map(|t| t.0 .0);
             let timer = async {
                 match first {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -220,10 +219,8 @@
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
             let now = Instant::now();
-            while s.timers.peek().is_some_and(|t| t.0 .0 <= now) {
-                let Some(Reverse((_, number))) = s.timers.pop() else { break };
-                let Some(timer) = s.due.remove(&number) else { continue };
-                if let Err(e) = s.swim.handle_timer(timer, &mut s.outbox) {
+            while let Some(first) = s.timers.first_entry().filter(|t| t.key().0 <= now) {
+                if let Err(e) = s.swim.handle_timer(first.remove(), &mut s.outbox) {
                     warn!(event = "membership_timer", "membership: {e}");
                 }
             }
@@ -254,8 +251,7 @@
             }
             while let Some((after, timer)) = s.outbox.to_schedule() {
                 s.timer += 1;
-                s.timers.push(Reverse((Instant::now() + after, s.timer)));
-                s.due.insert(s.timer, timer);
+                s.timers.insert((Instant::now() + after, s.timer), timer);
             }
             while let Some(news) = s.outbox.to_notify() {
                 notify(&news, s.swim.num_members());
@@ -389,10 +385,7 @@
             parts.concat()
         };
         let most = Micros::from_secs(self.rules.max_age_s);
-        let checked = snapshot::decode(&whole).and_then(|s| {
-            snapshot::check(&s.header, &self.settings.get(), wall_us(), most).map(|age| (s, age))
-        });
-        match checked {
+        match snapshot::decode(&whole).and_then(|s| s.checked(&self.settings.get(), most)) {
             Ok((s, age)) => {
                 info!(
                     event = "peer_snapshot_taken",
@@ -410,11 +403,6 @@
         Ok(())
     }
 
-    /// Settings that changed: what is given and taken from now on is checked against these.
-    pub fn retune(&self, settings: [u8; 32]) {
-        self.settings.set(settings);
-    }
-
     /// Tells the others that this proxy goes, so that none has to find out.
     pub fn leave(&self) {
         {
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -176,8 +176,16 @@
     postcard::from_bytes(body).map_err(Refused::Body)
 }
 
+impl Snapshot {
+    /// It and its age, if it fits the settings in force and is at most `most` old.
+    pub fn checked(self, settings: &[u8; 32], most: Micros) -> Result<(Snapshot, Micros), Refused> {
+        let age = check(&self.header, settings, wall_us(), most)?;
+        Ok((self, age))
+    }
+}
+
 /// Its age at wall time `now_us`, if it was written under these settings and is at most `most` old.
-pub fn check(header: &Header, settings: &[u8; 32], now_us: u64, most: Micros) -> Result<Micros, Refused> {
+fn check(header: &Header, settings: &[u8; 32], now_us: u64, most: Micros) -> Result<Micros, Refused> {
     if header.settings != *settings {
         return Err(Refused::Settings);
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -765,12 +765,13 @@
         for (id, (all, out)) in counts {
             let z = self.zones.entry(id).or_default();
             z.lefts.retain(|at| now - *at < Micros::from_secs(60.0));
-            let ramp = rules.ramp.times(f64::from(1u32 << z.lefts.len().clamp(1, 6)) / 2.0);
+            let again = f64::from(1u32 << z.lefts.len().clamp(1, 6)) / 2.0; // doubles with each time
+            let ramp = rules.ramp.times(again);
             let failing = z.fails.count >= QUICK_SAMPLES / 2.0 && z.fails.value >= rules.leave_share;
             let bad = failing || out / all >= rules.leave_share;
             z.bad = z.bad.filter(|_| bad).or(bad.then_some(now));
             let lasted = z.bad.is_some_and(|since| (now - since).secs() >= LEAVE_AFTER);
-            let term = Micros::from_secs(EJECT_TERM * f64::from(1u32 << z.lefts.len().clamp(1, 6)) / 2.0);
+            let term = Micros::from_secs(EJECT_TERM * again);
             let rested = z.lefts.last().is_none_or(|at| now - *at >= term);
             let said = match (z.left, out / all) {
                 (false, _) if lasted => {
