Ask a silent discovery again before what it missed counts as told, on every path

Reason: a silent watch was found after 12 s (10 s of waiting, 2 s of grace); what it missed counts as told 2 s after the wait, or 6 s after the silence. Lines at fault: WAIT and PROMPT in net/discovery.rs. Change: each call waits what the fleet can afford (proxies / 100 s, between 1.5 and 3 s, drawn from three quarters of it up), is taken for silent 1 s later, and the next one is answered at once. Where lists are pushed a dial ends after 250 ms and pauses are 100 ms at most, so that an agent that is back is heard within the grace. Measured: tests/discovery.rs on both kinds of discovery; without the change the watch test asks again after 12.06 s and the outage test gets a call that waits for news, so both fail.

--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use cli::{Cli, Command, LogFormat, Run};
 use net::config::{self, Node, NodeError, Snapshots, Source};
 use net::control::Control;
+use net::discovery::Pace;
 use net::handover::{self, Held, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
@@ -109,7 +110,6 @@
     let sockets = Rc::new(Cell::new(node.sockets));
     let room = room(node.sockets);
     let pool = Rc::new(Pool::new(&node.network, room / 2));
-    let mode = node.config.discovery;
     let rules = Rules::new(&node.config, &node.network);
     let balancer = Balancer::new(node.config.clone(), node.seed)
         .map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
@@ -141,7 +141,8 @@
     tokio::task::spawn_local(pool.sweep());
     let watched = node.discovery.map(|to| {
         let (moved, at) = watch::channel(to);
-        tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, mode));
+        let pace = Pace::new(node.config.discovery, node.config.proxies, node.seed);
+        tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, pace));
         moved
     });
     let server = Server::new(host.clone(), rules, room - room / 2);
--- /dev/null
+++ b/tests/discovery.rs
@@ -0,0 +1,89 @@
+//! One clock for the list of servers: a discovery that falls silent is asked again before what it missed counts as told.
+
+mod rig;
+
+use rig::*;
+use std::time::{Duration, Instant};
+
+/// Whether or not it arrived, what a silent call missed counts as told so long after the silence began.
+const TOLD: Duration = Duration::from_secs(6);
+
+fn modes() -> [String; 2] {
+    ["automatic", "subscribe"].map(|mode| SETTINGS.replace("\"automatic\"", &format!("{mode:?}")))
+}
+
+/// From the moment the silence began: asked again in time for one more failure before the bound, and what the answer
+/// tells holds at once: the drained backend gets nothing new, the new one is used.
+fn mended(proxy: &Proxy, at: &DiscoveryServer, silent: Instant, old: &BackendServer, new: &BackendServer) {
+    let (target, answer) = at.call();
+    let took = silent.elapsed();
+    assert!(took < TOLD, "asked again after {took:?}");
+    let change = [entry("b0", old.address, "DRAINING"), entry("b1", new.address, "SERVING")];
+    let whole = target == "GET /api/targets HTTP/1.1";
+    assert!(whole || target.contains("&wait_ms=0 "), "it is to be answered at once: {target}");
+    answer.send((200, list(9, whole, &change))).unwrap();
+    let (target, _hold) = at.call(); // by now the change is taken in
+    assert!(target.contains("after=9&") && !target.contains("wait_ms=0 "), "{target}");
+    let before = old.count();
+    (0..8).for_each(|_| assert_eq!(proxy.ask(&pay(3.0)).body, b"new", "nothing new for one that drains"));
+    assert_eq!(old.count(), before);
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts_as_told() {
+    for settings in modes() {
+        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+        let (_, answer) = proxy.discovery.call();
+        answer.send((200, list(5, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
+        let (_, _silent) = proxy.discovery.call();
+        mended(&proxy, &proxy.discovery, Instant::now(), &old, &new);
+    }
+}
+
+#[test]
+fn a_first_call_that_is_never_answered_is_made_again() {
+    for settings in modes() {
+        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+        let (_, _silent) = proxy.discovery.call();
+        mended(&proxy, &proxy.discovery, Instant::now(), &old, &new);
+    }
+}
+
+/// After SIGHUP all that the new address has to tell counts, whether or not its first answer came.
+#[test]
+fn a_discovery_that_is_silent_right_after_a_reload_is_asked_again() {
+    for settings in modes() {
+        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+        let (_, answer) = proxy.discovery.call();
+        answer.send((200, list(5, true, &[]))).unwrap();
+        let (_, _watch) = proxy.discovery.call();
+        let moved = DiscoveryServer::start();
+        let text = std::fs::read_to_string(&proxy.config).unwrap();
+        let text = text.replace(&proxy.discovery.address.to_string(), &moved.address.to_string());
+        std::fs::write(&proxy.config, text).unwrap();
+        proxy.signal("-HUP");
+        let (_, _silent) = moved.call();
+        mended(&proxy, &moved, Instant::now(), &old, &new);
+    }
+}
+
+/// An outage of several failed calls: the first that gets through is answered at once, not held for news; where lists
+/// are pushed the agent is tried without end at short pauses, as what it has counts from its return.
+#[test]
+fn the_first_call_after_an_outage_is_answered_at_once() {
+    for settings in modes() {
+        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+        let (_, answer) = proxy.discovery.call();
+        answer.send((200, list(5, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
+        let (_, answer) = proxy.discovery.call();
+        drop(answer); // watches end when discovery goes down
+        for _ in 0..4 {
+            proxy.discovery.call().1.send((503, String::new())).unwrap();
+        }
+        mended(&proxy, &proxy.discovery, Instant::now(), &old, &new);
+    }
+}
