Ask other members for their lists until no more news comes, so that a large fleet is whole in seconds

A hundred proxies that start together knew each other after 35 s: a list of members holds some 60, and foca asks for another one every 30 s only. Now each news of a member lets a proxy ask a member drawn at random for its list after 100 ms, with pauses that grow by half up to 2 s without news, and nothing at all once it knows as many as the fleet has.

--- a/benches/peers.rs
+++ b/benches/peers.rs
@@ -46,7 +46,7 @@
         "| proxies | load | datagrams | bytes | facts told | facts heard | members | kB each | joined in s |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
-    for size in [3, 10, 30, 100] {
+    for size in [3, 10, 30, 100, 300] {
         let mut seed = String::new();
         let begun = Instant::now();
         let start = |n: usize, seed: &str| {
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -35,6 +35,10 @@
 const REJOIN: Duration = Duration::from_secs(2);
 /// How often the seeds are told of a proxy that knows no live member.
 const KNOCK: Duration = Duration::from_secs(1);
+/// News of a member come in after so long another one is asked for its list; each list without news half as much longer than
+/// the one before, until nothing is asked any more: a list holds some 60 members, drawn at random.
+const LEARN: Duration = Duration::from_millis(100);
+const LEARNT: Duration = Duration::from_secs(2);
 /// How long one member has for its snapshot, and how many are asked.
 const ASK_FOR: Duration = Duration::from_millis(500);
 const ASKED: u32 = 3;
@@ -98,6 +102,8 @@
     complained: BTreeMap<&'static str, u64>,
     origins: HashMap<SocketAddr, OriginId>,
     asking: Option<Asking>,
+    /// When the next member is asked for its list, and the pause before that; `None` while the members are all known.
+    learn: Option<(Instant, Duration)>,
 }
 
 /// This proxy's part in the fleet.
@@ -108,6 +114,8 @@
     /// Hash of the settings in force, which a reload changes.
     settings: Rc<Cell<[u8; 32]>>,
     own: SocketAddr,
+    /// Proxies expected, this one among them.
+    fleet: usize,
     socket: UdpSocket,
     board: Rc<RefCell<Board>>,
     state: RefCell<State>,
@@ -139,13 +147,24 @@
             complained: BTreeMap::new(),
             origins: HashMap::new(),
             asking: cold.then(|| Asking { nonce: wall_us(), left: ASKED, parts: Vec::new() }),
+            learn: None,
         };
         let (tell, told) = mpsc::channel(QUEUE);
         host.share(tell);
         info!(event = "peers_start", listen = %socket.local_addr()?, advertise = %own,
             cluster = rules.cluster, seeds = rules.seeds.len(), "shares state with its peers");
         let state = RefCell::new(state);
-        let peers = Rc::new(Peers { host, rules, cluster, settings, own, socket, board, state });
+        let peers = Rc::new(Peers {
+            host,
+            rules,
+            cluster,
+            settings,
+            own,
+            fleet: fleet as usize,
+            socket,
+            board,
+            state,
+        });
         tokio::task::spawn_local(peers.clone().run(told));
         Ok(peers)
     }
@@ -155,7 +174,10 @@
         let mut knock = tokio::time::interval(KNOCK);
         let mut ask = tokio::time::interval(ASK_FOR);
         loop {
-            let first = self.state.borrow().timers.first_key_value().map(|t| t.0 .0);
+            let first = {
+                let s = self.state.borrow();
+                s.timers.first_key_value().map(|t| t.0 .0).into_iter().chain(s.learn.map(|l| l.0)).min()
+            };
             let timer = async {
                 match first {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -224,6 +246,7 @@
                     warn!(event = "membership_timer", "membership: {e}");
                 }
             }
+            learn(s, self.fleet, now);
         }
         self.carry_out();
     }
@@ -255,6 +278,10 @@
             }
             while let Some(news) = s.outbox.to_notify() {
                 notify(&news, s.swim.num_members());
+                if matches!(news, OwnedNotification::MemberUp(_)) {
+                    let at = Instant::now() + LEARN;
+                    s.learn = Some((s.learn.map_or(at, |l| l.0.min(at)), LEARN));
+                }
             }
             let news = std::mem::take(&mut self.board.borrow_mut().news);
             s.counts.heard += news.len() as u64;
@@ -430,6 +457,24 @@
     }
 }
 
+/// Asks a member drawn at random for its list, where that is due. Who knows as many as the fleet has asks nothing, and
+/// neither does who heard nothing new for some asks.
+fn learn(s: &mut State, fleet: usize, now: Instant) {
+    let Some((_, pause)) = s.learn.filter(|l| l.0 <= now) else { return };
+    let known = s.swim.num_members();
+    let pause = pause.mul_f64(1.5);
+    if known == 0 || known + 1 == fleet || pause > LEARNT {
+        s.learn = None;
+        return;
+    }
+    s.learn = Some((now + pause, pause));
+    let drawn = (s.timer ^ s.last_sent) as usize % known;
+    let Some(to) = s.swim.iter_members().nth(drawn).map(|m| m.id().clone()) else { return };
+    if let Err(e) = s.swim.announce(to, &mut s.outbox) {
+        warn!(event = "membership_announce", "membership: {e}");
+    }
+}
+
 /// foca's LAN settings for a fleet of so many, with quicker gossip towards members that are down.
 fn swim_rules(fleet: u32) -> foca::Config {
     let some = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
