--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,5 @@
+//! What the proxies of a fleet decide together: state machines without clock, sockets or threads. Time and messages
+//! go in, messages and changes come out. None of them picks a backend for a request.
+
+pub mod fence;
+pub mod lease;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod fleet;
 mod interface;
 mod rules;
 pub mod settings;
