--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! What the proxies of a fleet decide together: state machines without clock, sockets or threads. Time and messages
 //! go in, messages and changes come out. None of them picks a backend for a request.
 
+pub mod calendar;
 pub mod fence;
 pub mod lease;
