Step, merge and derive the calendar of maintenance windows

Windows are taken at any proxy, merged field by field as a maximum, and stepped by the holder within the budget; a proxy that is cut off does the same for itself by its own copy and clock.

--- a/src/fleet/calendar/entry.rs
+++ b/src/fleet/calendar/entry.rs
@@ -2,7 +2,7 @@
 
 use super::spec::{check_id, secs, Invalid, Span, Spec, When, MOST_LENGTH_S};
 use super::{Wall, MOST_ENTRY, TOMBSTONE};
-use crate::fleet::lease::Ballot;
+use crate::fleet::lease::Token;
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +10,9 @@
 const MOST_WHY: usize = 160;
 /// How far in the future a stamp from outside may lie; clocks of proxies differ by less.
 const AHEAD: Micros = Micros(60_000_000);
+/// A token's number is the wall clock in milliseconds or a little above the last one: one that lies a year
+/// ahead is none, and would lock the duty for as long.
+const AHEAD_TOKEN_MS: u64 = 365 * 24 * 3600 * 1000;
 /// How long an occurrence whose time is over still counts as the current one, so that the holder can say so.
 const MISSED: Micros = Micros(3600 * 1_000_000);
 
@@ -88,7 +91,7 @@
     /// The occurrence, by its planned begin.
     pub occurrence: Wall,
     /// The holder's.
-    pub token: Ballot,
+    pub token: Token,
     /// Where it stands.
     pub step: Step,
     /// Since when.
@@ -170,6 +173,9 @@
         if mark.occurrence.timestamp().is_none() {
             return Err(Invalid::new("mark", "no time that a calendar names"));
         }
+        if mark.token.number > now.0 / 1000 + AHEAD_TOKEN_MS {
+            return Err(Invalid::new("mark", "a token that no proxy draws"));
+        }
         match mark.why.len() > MOST_WHY {
             true => Err(Invalid::new("mark", "too long a reason")),
             false => Ok(()),
@@ -232,15 +238,19 @@
     pub(super) fn current(&self, now: Wall) -> Option<(Span, Step)> {
         let mark = self.mark.as_ref();
         if let Some(mark) = mark.filter(|m| !m.step.is_final()) {
-            // Where the content was replaced meanwhile, what is under way has come to its end.
-            let span = self.planned(mark.occurrence);
-            return Some((span.unwrap_or(Span { begin: mark.occurrence, end: mark.occurrence }), mark.step));
+            match self.planned(mark.occurrence) {
+                Some(planned) => return Some((planned, mark.step)),
+                None if mark.step == Step::Planned => {}
+                // The content was replaced meanwhile: what is under way has come to its end.
+                None => return Some((Span { begin: mark.occurrence, end: mark.occurrence }, mark.step)),
+            }
         }
         self.next(now - MISSED).map(|span| (span, Step::Planned))
     }
 
-    /// The first occurrence that no mark has finished and that is not over at `alive`, as planned.
-    pub(super) fn next(&self, alive: Wall) -> Option<Span> {
+    /// The first occurrence, as planned, that no mark has finished and that ends after that; a window that
+    /// comes once whenever it ends.
+    pub(super) fn next(&self, after: Wall) -> Option<Span> {
         let finished = self.mark.as_ref().filter(|m| m.step.is_final()).map(|m| m.occurrence);
         let under_way = self.mark.as_ref().filter(|m| !m.step.is_final()).map(|m| m.occurrence);
         let first = match (finished, under_way, &self.spec.value.when) {
@@ -253,10 +263,15 @@
             return (span.begin >= first).then_some(span);
         }
         // An extension or a begin now may have moved an end away from where the plan has it.
+        let alive = |planned: &Span| self.span(*planned).end > after;
         let moved = [&self.extended, &self.begun].into_iter().flatten().map(|c| c.value.occurrence);
-        let moved = moved.filter(|o| *o >= first).filter_map(|o| self.planned(o));
-        let planned = self.spec.value.occurrence(first.max(alive - self.spec.value.lasts()));
-        moved.chain(planned).filter(|s| self.span(*s).end > alive).min()
+        let moved = moved.filter(|o| *o >= first).filter_map(|o| self.planned(o)).filter(alive);
+        let spec = &self.spec.value;
+        let planned = std::iter::successors(spec.occurrence(first.max(after - spec.lasts())), |planned| {
+            spec.occurrence(planned.begin + Micros(1))
+        });
+        // One that ends right then and one that was begun early and is over may stand in front.
+        moved.chain(planned.take(4).find(alive)).min()
     }
 
     /// When the tombstone's life is over; none while the window lives.
@@ -270,11 +285,23 @@
         Some(over.max(marked) + TOMBSTONE)
     }
 
-    /// Writes the holder's word, the reason cut to its bound.
-    pub(super) fn set(&mut self, mark: Mark) {
-        let mut why = mark.why;
-        let cut = (0..=MOST_WHY.min(why.len())).rev().find(|at| why.is_char_boundary(*at));
-        why.truncate(cut.unwrap_or(0));
-        self.mark = Some(Mark { why, ..mark });
+    /// Writes the holder's word; says since when it counts. It is never below the word it follows, even where
+    /// the holder's clock was set back, as other proxies would keep the higher one.
+    pub(super) fn set(&mut self, mut mark: Mark) -> Wall {
+        let (occurrence, token, step) = (mark.occurrence, mark.token, mark.step);
+        let same =
+            self.mark.as_ref().filter(|m| (m.occurrence, m.token, m.step) == (occurrence, token, step));
+        mark.at = same.map_or(mark.at, |was| mark.at.max(was.at + Micros(1)));
+        let at = mark.at;
+        self.mark = Some(mark);
+        at
+    }
+}
+
+impl Mark {
+    /// A word, its reason cut to its bound.
+    pub(super) fn new(occurrence: Wall, token: Token, step: Step, at: Wall, why: &str) -> Mark {
+        let cut = (0..=MOST_WHY.min(why.len())).rev().find(|cut| why.is_char_boundary(*cut));
+        Mark { occurrence, token, step, at, why: why[..cut.unwrap_or(0)].into() }
     }
 }
--- a/src/fleet/calendar/mod.rs
+++ b/src/fleet/calendar/mod.rs
@@ -6,18 +6,20 @@
 
 mod alone;
 mod budget;
+mod calls;
 mod entry;
 mod phases;
 mod replicate;
 mod spec;
 
 pub use budget::{Backend, Budget, Fleet};
+pub use calls::{Put, Rejected, View};
 pub use entry::{Change, Entry, Garbled, Mark, Stamp, Stamped, Step};
-pub use phases::{Report, Reports, Transition};
-pub use replicate::{Digest, Lacking, MOST_ROWS};
+pub use phases::{Report, Reports, Transition, TOLD};
+pub use replicate::{Digest, Lacking, MOST_ROWS, MOST_SENT};
 pub use spec::*;
 
-use crate::fleet::lease::Ballot;
+use crate::fleet::lease::Token;
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -84,86 +86,6 @@
     pub max_age: Micros,
 }
 
-/// What a call of an operator changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Put {
-    /// It is taken.
-    New,
-    /// It was so already.
-    Same,
-}
-
-/// Why a call of an operator is refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Rejected {
-    /// A field makes no sense: status 422.
-    Invalid(Invalid),
-    /// It contradicts what is there: status 409.
-    Conflict(Invalid),
-    /// No window has that id: status 404.
-    Unknown,
-    /// There are [`MOST_WINDOWS`]: status 507.
-    Full,
-}
-
-impl Rejected {
-    /// The HTTP status that says so.
-    pub fn status(&self) -> u16 {
-        match self {
-            Rejected::Invalid(_) => 422,
-            Rejected::Conflict(_) => 409,
-            Rejected::Unknown => 404,
-            Rejected::Full => 507,
-        }
-    }
-
-    /// The field at fault and what is wrong with it.
-    pub fn why(&self) -> Invalid {
-        match self {
-            Rejected::Invalid(why) | Rejected::Conflict(why) => why.clone(),
-            Rejected::Unknown => Invalid::new("id", "no such window"),
-            Rejected::Full => Invalid::new(
-                "id",
-                format!("there are {MOST_WINDOWS} windows, those over for less than an hour included"),
-            ),
-        }
-    }
-}
-
-impl From<Invalid> for Rejected {
-    fn from(why: Invalid) -> Rejected {
-        Rejected::Invalid(why)
-    }
-}
-
-/// One window in the list.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct View {
-    /// The window's id.
-    pub id: String,
-    /// What it takes out.
-    #[serde(flatten)]
-    pub targets: Targets,
-    /// Who asked.
-    pub by: String,
-    /// Where it stands.
-    pub phase: Step,
-    /// The begin of the occurrence under way or next, RFC 3339.
-    pub begin: Option<String>,
-    /// Its end.
-    pub end: Option<String>,
-    /// What it waits for.
-    pub waiting: Option<String>,
-    /// Why it stands where it does.
-    pub reason: Option<String>,
-    /// Since when.
-    pub since: Option<String>,
-    /// The holder's that said so.
-    pub token: Option<Ballot>,
-    /// The days, where it recurs.
-    pub days: Option<Vec<&'static str>>,
-}
-
 /// The windows, as one proxy knows them.
 #[derive(Clone, Debug)]
 pub struct Calendar {
@@ -182,37 +104,22 @@
         let (entries, changed, alone) = Default::default();
         Calendar { rules, entries, changed, alone }
     }
-}
 
-impl Calendar {
-    /// Takes a window. The same id with the same content is a yes, with other content a conflict.
-    pub fn put(&mut self, id: &str, spec: Spec, stamp: Stamp, now: Wall) -> Result<Put, Rejected> {
-        let _ = (id, spec, stamp, now);
-        todo!()
+    /// The window with that id.
+    pub fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
     }
-    /// Calls a window off, with all its occurrences.
-    pub fn cancel(&mut self, id: &str, stamp: Stamp, now: Wall) -> Result<Put, Rejected> {
-        let _ = (id, stamp, now);
-        todo!()
-    }
-    /// Moves the end of the occurrence under way or next to a later time.
-    pub fn extend(&mut self, id: &str, until: Wall, stamp: Stamp, now: Wall) -> Result<Put, Rejected> {
-        let _ = (id, until, stamp, now);
-        todo!()
-    }
-    /// Begins the next occurrence now.
-    pub fn begin_now(&mut self, id: &str, stamp: Stamp, now: Wall) -> Result<Put, Rejected> {
-        let _ = (id, stamp, now);
-        todo!()
-    }
-    /// Every window, by id.
-    pub fn list(&self, now: Wall) -> Vec<View> {
-        let _ = now;
-        todo!()
+
+    /// The highest token in any window, for the candidate that has to go above it.
+    pub fn highest(&self) -> Token {
+        self.entries.values().filter_map(|e| e.mark.as_ref()).map(|m| m.token).max().unwrap_or_default()
     }
-    /// Forgets what is over for longer than [`TOMBSTONE`].
+
+    /// Forgets the windows whose tombstones' life is over.
     pub fn purge(&mut self, now: Wall) {
-        let _ = now;
-        todo!()
+        self.entries.retain(|_, entry| entry.expires().is_none_or(|at| at > now));
+        let entries = &self.entries;
+        self.changed.retain(|id| entries.contains_key(id));
+        self.alone.retain(|id, _| entries.contains_key(id));
     }
 }
--- a/src/fleet/calendar/spec.rs
+++ b/src/fleet/calendar/spec.rs
@@ -2,7 +2,7 @@
 
 use super::Wall;
 use crate::Micros;
-use jiff::civil::{Date, Time, Weekday};
+use jiff::civil::{Date, Time};
 use jiff::tz::TimeZone;
 use jiff::{Timestamp, ToSpan, ZonedDateTime};
 use serde::{Deserialize, Serialize};
@@ -22,7 +22,7 @@
 /// The longest id, name, zone or kind, in bytes.
 pub const MOST_NAME: usize = 64;
 /// The most bytes that the names in `ids` may take together, one more for each: so a window fits one datagram.
-pub const MOST_IDS: usize = 512;
+pub const MOST_IDS: usize = 640;
 
 /// Why a call is refused: the field, and what is wrong with it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -215,6 +215,18 @@
         }
     }
 
+    /// The first field in which two differ.
+    pub(super) fn differs(&self, other: &Spec) -> Option<&'static str> {
+        let fields = [
+            ("targets", self.targets == other.targets),
+            ("when", self.when == other.when),
+            ("lead_s", self.lead_s == other.lead_s),
+            ("overrun_s", self.overrun_s == other.overrun_s),
+            ("by", self.by == other.by),
+        ];
+        fields.iter().find(|(_, same)| !same).map(|(field, _)| *field)
+    }
+
     /// How long an occurrence lasts as planned.
     pub(super) fn lasts(&self) -> Micros {
         match &self.when {
@@ -367,9 +379,3 @@
     let (hour, minute): (u16, u16) = (digits(0)?.parse().ok()?, digits(3)?.parse().ok()?);
     (text.len() == 5 && text.as_bytes()[2] == b':' && hour < 24 && minute < 60).then_some(hour * 60 + minute)
 }
-
-/// The days' names, for the list.
-pub(super) fn day_names(days: u8) -> Vec<&'static str> {
-    let weekday = |i: usize| Weekday::from_monday_zero_offset(i as i8).is_ok() && days & 1 << i != 0;
-    DAYS.iter().enumerate().filter(|(i, _)| weekday(*i)).map(|(_, name)| *name).collect()
-}
