--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: what this proxy is told at its start, as JSON by the platform or as TOML by operators.
 
-use super::discovery::List;
+use super::list::List;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use shaletide::settings::{self, Names, Network};
--- /dev/null
+++ b/src/net/host/attempts.rs
@@ -0,0 +1,210 @@
+//! Attempts at backends, from their dispatch to their end.
+
+use super::super::upstream::{Ended, Payload, Progress, Served};
+use super::state::{Answer, Flight, Known, State, UNKNOWN};
+use super::Host;
+use shaletide::*;
+use std::rc::Rc;
+use tracing::debug;
+
+impl Host {
+    pub(super) fn dispatch(
+        self: &Rc<Self>, s: &mut State, now: Time, request: RequestId, backend: BackendId,
+    ) {
+        let Some(live) = s.requests.get_mut(&request) else { return };
+        let attempt = AttemptNo(live.attempts);
+        live.attempts += 1;
+        s.counts.attempts += 1;
+        let call = live.call.clone();
+        let deadline = match &call.body {
+            Payload::Whole(_) => live.deadline,
+            Payload::Coming(coming) => now + coming.left,
+        };
+        let deadline = self.clock.instant(deadline);
+        let Some(to) = s.backends.get(backend.0 as usize).map(|b| b.address) else { return };
+        // A keyed repeat that leaves after the window, its connection being slow to come up, would run again.
+        let earlier = (0..attempt.0).filter_map(|no| s.attempts.get(&(request, AttemptNo(no))));
+        let first = earlier.map(|f| f.sent).chain(live.ran).min();
+        let send_by = first.zip(live.window).map(|(at, window)| at + window);
+        let host = self.clone();
+        let task = tokio::task::spawn_local(async move {
+            let leg = Rc::new(Leg { host: host.clone(), request, attempt, backend, send_by });
+            let ended = host.pool.attempt(backend, to, &call, deadline, &leg).await;
+            host.attempt_ended(request, attempt, ended);
+        });
+        let flight = Flight { backend, sent: now, task: task.abort_handle() };
+        s.attempts.insert((request, attempt), flight);
+    }
+
+    /// At the moment of the first byte: the list still allows it, the request still waits for it, and a repeat
+    /// is still one that is dropped.
+    pub(super) fn may_send(&self, request: RequestId, backend: BackendId, send_by: Option<Time>) -> bool {
+        let s = self.state.borrow();
+        s.backends.get(backend.0 as usize).is_some_and(Known::open)
+            && s.requests.contains_key(&request)
+            && send_by.is_none_or(|at| self.clock.now() < at)
+    }
+
+    /// When the request's time is up.
+    pub fn due(&self, id: RequestId) -> Time {
+        self.state.borrow().requests.get(&id).map_or(UNKNOWN, |r| r.deadline)
+    }
+
+    pub(super) fn uploaded(self: &Rc<Self>, request: RequestId, attempt: AttemptNo) {
+        let now = self.clock.now();
+        let time_left = {
+            let mut s = self.state.borrow_mut();
+            s.attempts.get_mut(&(request, attempt)).into_iter().for_each(|flight| flight.sent = now);
+            let Some(live) = s.requests.get_mut(&request) else { return };
+            let Payload::Coming(coming) = &live.call.body else { return };
+            coming.is_sent();
+            live.deadline = now + Micros(coming.left.0.saturating_sub(self.margin().0));
+            live.deadline - now
+        };
+        self.tell(Event::Uploaded { request, attempt, time_left });
+    }
+
+    /// A long answer begins: it is the client's from here on, and no other attempt is of use.
+    pub(super) fn streams(self: &Rc<Self>, request: RequestId, attempt: AttemptNo, served: Served) {
+        let others: Vec<AttemptNo> =
+            self.attempts_of(request).into_iter().filter(|no| *no != attempt).collect();
+        {
+            let mut s = self.state.borrow_mut();
+            let Some(live) = s.requests.remove(&request) else { return };
+            s.counts.served += 1;
+            let _ = live.answer.send(Answer::Served(served));
+        }
+        self.tell(Event::StreamStarted { request, attempt });
+        others.into_iter().for_each(|no| self.attempt_ended(request, no, (Outcome::Cancelled, None)));
+    }
+
+    pub(super) fn attempt_ended(
+        self: &Rc<Self>, request: RequestId, attempt: AttemptNo, (outcome, served): Ended,
+    ) {
+        let end = {
+            let mut s = self.state.borrow_mut();
+            let Some(flight) = s.attempts.remove(&(request, attempt)) else { return };
+            flight.task.abort(); // closes its connection, if it is still on one
+            match outcome {
+                Outcome::Full => s.counts.full += 1,
+                Outcome::Error => s.counts.errors += 1,
+                Outcome::Reset => s.counts.resets += 1,
+                Outcome::ConnectFailed => s.counts.unconnected += 1,
+                Outcome::NeverSent => s.counts.unsent += 1,
+                Outcome::TimedOut => self.pool.unanswered(flight.backend, self.clock.instant(flight.sent)),
+                _ => {}
+            }
+            if let Some(live) = s.requests.get_mut(&request).filter(|_| !outcome.never_ran()) {
+                live.ran = Some(live.ran.map_or(flight.sent, |at| at.min(flight.sent)));
+            }
+            if let Some(served) = served {
+                if let Some(live) = s.requests.remove(&request) {
+                    s.counts.served += 1;
+                    let _ = live.answer.send(Answer::Served(served));
+                }
+            }
+            let settled = !s.requests.contains_key(&request);
+            if !matches!(outcome, Outcome::Ok | Outcome::Cancelled) {
+                debug!("request {} attempt {} at {}: {outcome:?}", request.0, attempt.0, flight.backend.0);
+            }
+            AttemptEnd { request, attempt, outcome, latency: self.clock.now() - flight.sent, settled }
+        };
+        self.tell(Event::AttemptEnded(end));
+    }
+
+    pub(super) fn attempts_of(&self, id: RequestId) -> Vec<AttemptNo> {
+        let s = self.state.borrow();
+        let count = s.requests.get(&id).map_or(0, |r| r.attempts);
+        (0..count).map(AttemptNo).filter(|no| s.attempts.contains_key(&(id, *no))).collect()
+    }
+
+    /// For a module that may not cancel: nothing goes on for a client that left.
+    pub(super) fn drop_attempts(self: &Rc<Self>, id: RequestId) {
+        let left: Vec<AttemptNo> = {
+            let s = self.state.borrow();
+            s.attempts.keys().filter(|k| k.0 == id).map(|k| k.1).collect()
+        };
+        left.into_iter().for_each(|no| self.attempt_ended(id, no, (Outcome::Cancelled, None)));
+    }
+}
+
+/// An attempt's ties to its request.
+struct Leg {
+    host: Rc<Host>,
+    request: RequestId,
+    attempt: AttemptNo,
+    backend: BackendId,
+    send_by: Option<Time>,
+}
+
+impl Progress for Leg {
+    fn may_send(&self) -> bool {
+        self.host.may_send(self.request, self.backend, self.send_by)
+    }
+    fn uploading(&self) {
+        self.host.tell(Event::UploadStarted { request: self.request, attempt: self.attempt });
+    }
+    fn uploaded(&self) {
+        self.host.uploaded(self.request, self.attempt);
+    }
+    fn streams(&self, served: Served) {
+        self.host.streams(self.request, self.attempt, served);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::super::list::List;
+    use super::super::super::upstream::{Call, Pool};
+    use super::super::super::Clock;
+    use super::*;
+    use shaletide::settings::{Names, Network};
+
+    /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
+    /// and the end of the time in which a keyed repeat is dropped.
+    #[tokio::test]
+    async fn the_first_byte_waits_for_list_request_and_window() {
+        let second = Micros(1_000_000);
+        let network = Network {
+            connect_timeout: second,
+            conn_idle: second,
+            max_retry_after: second,
+            deadlines: vec![second],
+        };
+        let balancer = Balancer::new(Config::example(), 1).unwrap();
+        let host = Host::new(balancer, Names::default(), Clock::new(), Rc::new(Pool::new(&network, 4)));
+        let news = |index: u64, status: &str| -> List {
+            let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
+            List { index, snapshot: false, endpoints: vec![entry] }
+        };
+        let scope = tokio::task::LocalSet::new();
+        scope
+            .run_until(async {
+                host.members(ListUpdate::Changes, &news(1, "SERVING"));
+                let arrival = Arrival {
+                    request: RequestId(0),
+                    class: ClassId(0),
+                    tenant: None,
+                    time_left: Micros(60_000_000),
+                    work_hint: None,
+                    repeat: false,
+                };
+                let call = Call {
+                    method: hyper::Method::GET,
+                    uri: hyper::Uri::from_static("/read/k"),
+                    headers: hyper::HeaderMap::new(),
+                    body: Payload::Whole(bytes::Bytes::new()),
+                };
+                let (id, _wait) = host.request(arrival, &Rc::new(call), Effect::Free);
+                let (now, b) = (host.clock.now(), BackendId(0));
+                assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
+                assert!(!host.may_send(id, b, Some(now)), "the window is over");
+                assert!(!host.may_send(RequestId(99), b, None), "the request is over");
+                host.members(ListUpdate::Changes, &news(2, "DRAINING"));
+                assert!(!host.may_send(id, b, None), "the backend drains");
+                host.client_gone(id);
+                assert!(host.state.borrow().attempts.is_empty(), "nothing is out for a client that left");
+            })
+            .await;
+    }
+}
--- /dev/null
+++ b/src/net/host/state.rs
@@ -0,0 +1,105 @@
+//! What the host keeps between events: requests, attempts, backends, timers and counts.
+
+use super::super::upstream::{Call, Served};
+use shaletide::settings::Names;
+use shaletide::*;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+/// The deadline of a request whose body still comes.
+pub const UNKNOWN: Time = Time(u64::MAX / 4);
+
+/// The final answer to a request.
+pub enum Answer {
+    Served(Served),
+    /// With the time after which the client had better come again.
+    Refused(Micros),
+    Failed,
+    TimedOut,
+}
+
+pub struct Live {
+    pub call: Rc<Call>,
+    /// How long after the first send that may have run backends still drop a repeat, for a keyed class.
+    pub window: Option<Micros>,
+    /// When the first attempt that may have run was sent, of those that have ended.
+    pub ran: Option<Time>,
+    pub answer: oneshot::Sender<Answer>,
+    pub deadline: Time,
+    pub attempts: u32,
+}
+
+pub struct Flight {
+    pub backend: BackendId,
+    /// For a body that goes out as it comes: its last byte.
+    pub sent: Time,
+    pub task: AbortHandle,
+}
+
+pub struct Known {
+    /// As discovery calls it.
+    pub name: String,
+    pub address: SocketAddr,
+    pub state: BackendState,
+    /// Taken out by hand.
+    pub withdrawn: bool,
+}
+
+impl Known {
+    pub fn open(&self) -> bool {
+        self.state == BackendState::Ready && !self.withdrawn
+    }
+}
+
+/// What happened since the last line about it.
+#[derive(Default)]
+pub struct Counts {
+    pub requests: u64,
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub timed_out: u64,
+    pub gone: u64,
+    pub attempts: u64,
+    pub full: u64,
+    pub errors: u64,
+    pub resets: u64,
+    pub unconnected: u64,
+    pub unsent: u64,
+}
+
+pub struct State {
+    pub balancer: Balancer,
+    pub names: Names,
+    pub numbers: HashMap<String, BackendId>,
+    pub backends: Vec<Known>,
+    pub requests: HashMap<RequestId, Live>,
+    pub attempts: HashMap<(RequestId, AttemptNo), Flight>,
+    pub timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
+    pub events: VecDeque<Event>,
+    pub actions: Vec<Action>,
+    pub last: u64,
+    pub counts: Counts,
+}
+
+impl State {
+    pub fn new(balancer: Balancer, names: Names) -> State {
+        State {
+            balancer,
+            names,
+            numbers: HashMap::new(),
+            backends: Vec::new(),
+            requests: HashMap::new(),
+            attempts: HashMap::new(),
+            timers: BinaryHeap::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            last: 0,
+            counts: Counts::default(),
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod handover;
 pub mod host;
+pub mod list;
 pub mod maintenance;
 pub mod peers;
 pub mod server;
