Keep a backend out by hand and by a maintenance window as two reasons

A backend was out or not; a window's end would have ended a ban by hand. A backend has a set of reasons now (Why::Hand, Why::Window). The module hears Withdraw with the first and Restore with the last; ending a reason that does not hold changes nothing, so that a repeated call is no fresh start. What an earlier process's folder tells of (`back-` files) is no reason's end: `returned` passes it on.

Host::roster gives each backend's zone, kind, cell, readiness, ban and open attempts, for the calendar's budget.

--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -155,24 +155,14 @@
 #[cfg(test)]
 mod tests {
     use super::super::super::list::List;
-    use super::super::super::upstream::{Call, Pool};
-    use super::super::super::Clock;
+    use super::super::super::upstream::Call;
     use super::*;
-    use shaletide::settings::{Names, Network};
 
     /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
     /// and the end of the time in which a keyed repeat is dropped.
     #[tokio::test]
     async fn the_first_byte_waits_for_list_request_and_window() {
-        let second = Micros(1_000_000);
-        let network = Network {
-            connect_timeout: second,
-            conn_idle: second,
-            max_retry_after: second,
-            deadlines: vec![second],
-        };
-        let balancer = Balancer::new(Config::example(), 1).unwrap();
-        let host = Host::new(balancer, Names::default(), Clock::new(), Rc::new(Pool::new(&network, 4)));
+        let host = Host::example();
         let news = |index: u64, status: &str| -> List {
             let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
             List { index, snapshot: false, endpoints: vec![entry] }
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -2,13 +2,32 @@
 
 use super::super::list::List;
 use super::super::snapshot::Saved;
-use super::state::{Known, State};
+use super::state::{Known, State, Why};
 use super::Host;
 use shaletide::*;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::{debug, info};
 
+/// One backend that a list held, as this proxy sees it now.
+#[allow(dead_code)] // until the calendar reads it
+#[derive(Clone, Debug, PartialEq)]
+pub struct RosterRow {
+    pub name: String,
+    pub zone: String,
+    pub kind: String,
+    pub cell: u64,
+    /// The list in force holds it, whatever its state.
+    pub listed: bool,
+    /// The part of its capacity that is in use or could be: 0 for one that drains, is ejected or out, less than
+    /// 1 for a cold one.
+    pub ready: f64,
+    pub by_hand: bool,
+    /// Attempts of this proxy that are out there.
+    pub open: u32,
+}
+
 impl Host {
     /// News of the list.
     pub fn members(self: &Rc<Self>, update: ListUpdate, list: &List) {
@@ -18,24 +37,26 @@
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
             if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
-                s.backends.iter_mut().for_each(|b| b.state = BackendState::Gone);
+                let entries = s.backends.iter_mut().filter_map(|b| b.entry.as_mut());
+                entries.for_each(|e| e.state = BackendState::Gone);
             }
             for e in entries {
                 let next = BackendId(s.backends.len() as u32);
                 let id = *s.numbers.entry(e.name.clone()).or_insert(next);
+                let entry = s.names.entry(&e.row, id);
+                backends.push(entry.clone());
                 match s.backends.get_mut(id.0 as usize) {
-                    Some(b) => (b.address, b.state) = (e.address, e.state),
+                    Some(b) => (b.address, b.entry) = (e.address, Some(entry)),
                     None => {
                         // The module's lines speak of numbers.
                         info!("backend {} is {} at {}", id.0, e.name, e.address);
-                        let (name, address, state) = (e.name, e.address, e.state);
-                        s.backends.push(Known { name, address, state, withdrawn: false });
+                        let (name, address, entry) = (e.name, e.address, Some(entry));
+                        s.backends.push(Known { name, address, entry, reasons: BTreeSet::new() });
                     }
                 }
                 if update != ListUpdate::Cached {
                     debug!("backend {} is {:?} at {}", id.0, e.state, e.address);
                 }
-                backends.push(s.names.entry(&e.row, id));
             }
             self.shut(s);
         }
@@ -56,23 +77,26 @@
         self.state.borrow().numbers.contains_key(name)
     }
 
-    /// Whether the backend is out by hand.
-    pub fn withdrawn(&self, name: &str) -> bool {
+    /// Whether the backend is kept out for that reason, another or not.
+    pub fn withdrawn(&self, name: &str, why: Why) -> bool {
         let s = self.state.borrow();
-        s.numbers.get(name).and_then(|id| s.backends.get(id.0 as usize)).is_some_and(|b| b.withdrawn)
+        s.numbers
+            .get(name)
+            .and_then(|id| s.backends.get(id.0 as usize))
+            .is_some_and(|b| b.reasons.contains(&why))
     }
 
     /// Takes the backend out of use; false where none of that name was ever listed.
-    pub fn withdraw(self: &Rc<Self>, name: &str) -> bool {
+    pub fn withdraw(self: &Rc<Self>, name: &str, why: Why) -> bool {
         let known = self.listed_once(name);
         if known {
-            self.withdraw_unheard(name);
+            self.withdraw_unheard(name, why);
         }
         known
     }
 
     /// The same for one that the list may name only later.
-    pub fn withdraw_unheard(self: &Rc<Self>, name: &str) {
+    pub fn withdraw_unheard(self: &Rc<Self>, name: &str, why: Why) {
         let backend = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
@@ -81,33 +105,75 @@
             if id == next {
                 info!("backend {} is {name}, not listed yet", id.0);
                 let address = SocketAddr::from(([0, 0, 0, 0], 0));
-                s.backends.push(Known {
-                    name: name.into(),
-                    address,
-                    state: BackendState::Gone,
-                    withdrawn: true,
-                });
+                s.backends.push(Known { name: name.into(), address, entry: None, reasons: BTreeSet::new() });
+            }
+            let Some(known) = s.backends.get_mut(id.0 as usize) else { return };
+            let first = known.reasons.is_empty();
+            known.reasons.insert(why);
+            if !first {
+                return; // it is out already
             }
-            s.backends.get_mut(id.0 as usize).into_iter().for_each(|b| b.withdrawn = true);
             self.shut(s);
             id
         };
         self.tell(Event::Withdraw { backend });
     }
 
-    /// Uses it again, as one that may have started as late as `since`.
-    pub fn restore(self: &Rc<Self>, name: &str, since: Time) {
-        let backend = {
+    /// That reason is over. With the last one the backend is used again, as one that may have started as late as
+    /// `since`. False, and nothing changes, where the reason did not hold.
+    pub fn restore(self: &Rc<Self>, name: &str, why: Why, since: Time) -> bool {
+        let held = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
+            let known = s.numbers.get(name).and_then(|id| s.backends.get_mut(id.0 as usize));
+            known.is_some_and(|b| b.reasons.remove(&why))
+        };
+        if held {
+            self.returned(name, since);
+        }
+        held
+    }
+
+    /// It came back at `since` at the latest, here or from another process's ban: unless a reason holds, it is used
+    /// as one that started then.
+    pub fn returned(self: &Rc<Self>, name: &str, since: Time) {
+        let backend = {
+            let s = self.state.borrow();
             let Some(&id) = s.numbers.get(name) else { return };
-            s.backends.get_mut(id.0 as usize).into_iter().for_each(|b| b.withdrawn = false);
-            self.shut(s);
+            let reasons = s.backends.get(id.0 as usize).map(|b| b.reasons.clone()).unwrap_or_default();
+            if !reasons.is_empty() {
+                info!("{name} stays out: {reasons:?}");
+                return;
+            }
+            self.shut(&s);
             id
         };
         self.tell(Event::Restore { backend, since });
     }
 
+    /// Every backend that a list held, by what this proxy knows of it.
+    #[allow(dead_code)] // until the calendar reads it
+    pub fn roster(&self) -> Vec<RosterRow> {
+        let s = self.state.borrow();
+        let mut open: BTreeMap<BackendId, u32> = BTreeMap::new();
+        s.attempts.values().for_each(|flight| *open.entry(flight.backend).or_default() += 1);
+        let ready: BTreeMap<BackendId, f64> = s.balancer.readiness(self.clock.now()).collect();
+        let row = |known: &Known| {
+            let entry = known.entry.as_ref()?;
+            Some(RosterRow {
+                name: known.name.clone(),
+                zone: s.names.zone_name(entry.zone).unwrap_or_default().into(),
+                kind: s.names.kind_name(entry.kind).unwrap_or_default().into(),
+                cell: entry.cell.0,
+                listed: entry.state != BackendState::Gone,
+                ready: ready.get(&entry.id).copied().unwrap_or(0.0),
+                by_hand: known.reasons.contains(&Why::Hand),
+                open: open.get(&entry.id).copied().unwrap_or(0),
+            })
+        };
+        s.backends.iter().filter_map(row).collect()
+    }
+
     /// Until discovery has answered for the first time.
     pub async fn listed(&self) {
         let _ = self.listed.subscribe().wait_for(|heard| *heard).await;
@@ -131,7 +197,12 @@
                 .collect(),
             overall: memory.overall,
             backends: memory.backends.iter().filter_map(|(b, m)| Some((backend(*b)?, *m))).collect(),
-            withdrawn: s.backends.iter().filter(|b| b.withdrawn).map(|b| b.name.clone()).collect(),
+            withdrawn: s
+                .backends
+                .iter()
+                .filter(|b| b.reasons.contains(&Why::Hand))
+                .map(|b| b.name.clone())
+                .collect(),
         }
     }
 
@@ -141,8 +212,8 @@
         saved
             .withdrawn
             .iter()
-            .filter(|name| !self.withdrawn(name))
-            .for_each(|name| self.withdraw_unheard(name));
+            .filter(|name| !self.withdrawn(name, Why::Hand))
+            .for_each(|name| self.withdraw_unheard(name, Why::Hand));
         let memory = {
             let s = self.state.borrow();
             Memory {
@@ -163,3 +234,53 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn host() -> Rc<Host> {
+        let host = Host::example();
+        let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": "SERVING",
+            "zone": "east", "type": "small", "group": 7});
+        host.members(ListUpdate::Full, &List { index: 1, snapshot: true, endpoints: vec![entry] });
+        host
+    }
+
+    fn row(host: &Host) -> RosterRow {
+        let rows = host.roster();
+        assert_eq!(rows.len(), 1, "{rows:?}");
+        rows[0].clone()
+    }
+
+    /// Whichever reason ends first, the backend comes back with the last one, cold from then on.
+    #[test]
+    fn a_backend_is_out_while_either_reason_holds() {
+        for (first, last) in [(Why::Hand, Why::Window), (Why::Window, Why::Hand)] {
+            let host = host();
+            let warm = RosterRow {
+                name: "b".into(),
+                zone: "east".into(),
+                kind: "small".into(),
+                cell: 7,
+                listed: true,
+                ready: 1.0,
+                by_hand: false,
+                open: 0,
+            };
+            assert_eq!(row(&host), warm);
+            assert!(!host.restore("b", first, host.clock.now()), "no such reason");
+            assert_eq!(row(&host), warm, "a fresh start would be cold");
+            assert!(host.withdraw("b", first) && host.withdraw("b", last) && host.withdraw("b", last));
+            assert!(host.restore("b", first, host.clock.now()));
+            assert!(!host.restore("b", first, host.clock.now()), "it is over");
+            let out = RosterRow { ready: 0.0, by_hand: last == Why::Hand, ..warm.clone() };
+            assert_eq!(row(&host), out, "{last:?} holds");
+            assert_eq!(host.recollect().withdrawn, if out.by_hand { vec!["b"] } else { vec![] });
+            assert!(host.restore("b", last, host.clock.now()));
+            let back = row(&host);
+            assert!(back.ready > 0.0 && back.ready < 1.0, "{back:?}");
+            assert!(!host.withdraw("never", first) && !host.restore("never", first, host.clock.now()));
+        }
+    }
+}
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -5,7 +5,9 @@
 mod report;
 mod state;
 
-pub use state::Answer;
+#[allow(unused_imports)] // until the calendar reads it
+pub use backends::RosterRow;
+pub use state::{Answer, Why};
 
 use super::upstream::{Call, Payload, Pool};
 use super::Clock;
@@ -45,6 +47,20 @@
         Rc::new(Host { state: RefCell::new(state), clock, pool, sooner, follow, listed, lag, tell })
     }
 
+    /// With the example's configuration and no backends.
+    #[cfg(test)]
+    pub fn example() -> Rc<Host> {
+        let second = Micros(1_000_000);
+        let network = shaletide::settings::Network {
+            connect_timeout: second,
+            conn_idle: second,
+            max_retry_after: second,
+            deadlines: vec![second],
+        };
+        let balancer = Balancer::new(Config::example(), 1).unwrap();
+        Host::new(balancer, Names::default(), Clock::new(), Rc::new(Pool::new(&network, 4)))
+    }
+
     pub fn class(&self, name: &str) -> Option<ClassId> {
         self.state.borrow().names.class(name)
     }
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -4,7 +4,7 @@
 use shaletide::settings::Names;
 use shaletide::*;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -40,18 +40,31 @@
     pub task: AbortHandle,
 }
 
+/// Why a backend is kept out of use, whatever the list says of it. None ends another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// Operators took it out by hand at this proxy.
+    Hand,
+    /// A maintenance window of the fleet's calendar.
+    #[allow(dead_code)] // until the calendar is there
+    Window,
+}
+
 pub struct Known {
     /// As discovery calls it.
     pub name: String,
     pub address: SocketAddr,
-    pub state: BackendState,
-    /// Taken out by hand.
-    pub withdrawn: bool,
+    /// Its line of the list; `None` for one that no list has held yet.
+    pub entry: Option<Backend>,
+    pub reasons: BTreeSet<Why>,
 }
 
 impl Known {
+    pub fn state(&self) -> BackendState {
+        self.entry.as_ref().map_or(BackendState::Gone, |e| e.state)
+    }
     pub fn open(&self) -> bool {
-        self.state == BackendState::Ready && !self.withdrawn
+        self.state() == BackendState::Ready && self.reasons.is_empty()
     }
 }
 
--- a/src/net/maintenance.rs
+++ b/src/net/maintenance.rs
@@ -1,7 +1,7 @@
 //! Backends that operators took out by hand, kept in `$TMPDIR` for the next process and for one beside this.
 //! One empty file a ban: names appear and go whole, and two processes never overwrite each other's.
 
-use super::host::Host;
+use super::host::{Host, Why};
 use shaletide::Time;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -39,7 +39,7 @@
         let (kept, told) = (RefCell::default(), RefCell::default());
         let this = Maintenance { host, dir, kept, told };
         for (name, since) in this.look().back {
-            this.host.restore(&name, since);
+            this.host.returned(&name, since);
         }
         this.follow_once();
         Rc::new(this)
@@ -47,7 +47,7 @@
 
     /// Nothing more to that backend; false where none of that name was ever listed.
     pub fn enter(&self, name: &str) -> bool {
-        if !self.host.withdraw(name) {
+        if !self.host.withdraw(name, Why::Hand) {
             return false;
         }
         info!("control: {name} is out");
@@ -68,7 +68,7 @@
         }
         let at = self.dir.as_ref().map(|dir| dir.join(file(OUT, name)));
         let kept = at.as_ref().is_some_and(|at| at.exists());
-        if !kept && !self.host.withdrawn(name) {
+        if !kept && !self.host.withdrawn(name, Why::Hand) {
             return true; // a repeated call changes nothing: it is no fresh start
         }
         if let Some((dir, at)) = self.dir.as_ref().zip(at).filter(|_| kept) {
@@ -78,7 +78,10 @@
             }
         }
         self.kept.borrow_mut().remove(name);
-        self.host.restore(name, self.host.clock.now());
+        let now = self.host.clock.now();
+        if !self.host.restore(name, Why::Hand, now) {
+            self.host.returned(name, now); // the other process's ban, which was not carried out here yet
+        }
         info!("control: {name} is back");
         true
     }
@@ -101,11 +104,11 @@
         let before = std::mem::replace(&mut *self.kept.borrow_mut(), now.clone());
         for name in now.difference(&before) {
             info!("{name} is out, as kept in TMPDIR");
-            self.host.withdraw_unheard(name);
+            self.host.withdraw_unheard(name, Why::Hand);
         }
         for name in before.difference(&now) {
             info!("{name} is back, as TMPDIR keeps it no more");
-            self.host.restore(name, self.host.clock.now());
+            self.host.restore(name, Why::Hand, self.host.clock.now());
         }
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -299,6 +299,13 @@
         self.kinds.iter().map(|(id, k)| (*id, k.hold))
     }
 
+    /// The part of its capacity that each backend is good for: 0 where it drains, is out by hand or ejected.
+    pub fn readiness(&self, now: Time) -> impl Iterator<Item = (BackendId, f64)> + '_ {
+        let usable = |p: &Peer| self.offered(p) && p.ejected.is_none();
+        let part = move |p: &Peer| if usable(p) { warmth(&self.cfg, now, p) } else { 0.0 };
+        self.peers.iter().map(move |(id, p)| (*id, part(p)))
+    }
+
     /// Takes a memory `age` old: its samples weigh less the older it is, so that new answers soon outweigh
     /// it; what the list no longer names is dropped.
     fn recall(&mut self, now: Time, memory: Memory, age: Micros) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -81,6 +81,11 @@
         self.kinds.get(kind.0 as usize).map(String::as_str)
     }
 
+    /// The name of a zone.
+    pub fn zone_name(&self, zone: ZoneId) -> Option<&str> {
+        self.zones.get(zone.0 as usize).map(String::as_str)
+    }
+
     /// The name of a class in use.
     pub fn class_name(&self, class: ClassId) -> Option<&str> {
         self.classes.get(class.0).filter(|n| n.live).map(|n| n.name.as_str())
