--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -311,6 +311,11 @@
         bid.until.filter(|until| now < *until).map(|_| bid.ballot)
     }
 
+    /// The end of its term, as far as it is renewed, while it holds the duty.
+    pub fn holds_until(&self) -> Option<Time> {
+        self.bid.as_ref().and_then(|bid| bid.until)
+    }
+
     /// Lets time pass: bids, renews, gives up. `wall_ms` is the wall clock in milliseconds since 1970. What is put
     /// into `out` goes to every voter. Call it at [`Candidate::next`] and when `wanted` changes.
     pub fn tick(&mut self, now: Time, wall_ms: u64, wanted: bool, out: &mut Vec<Message>) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use cli::{Cli, Command, LogFormat, Run};
 use net::config::{self, Node, NodeError, Snapshots, Source};
 use net::control::Control;
+use net::duties::Duties;
 use net::handover::{self, Held, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
@@ -153,6 +154,13 @@
         }
         None => None,
     };
+    let duties = match peers.as_ref().zip(node.duties.as_ref()) {
+        Some((peers, rules)) => {
+            let duties = Duties::start(host.clone(), peers, rules, node.config.ramp);
+            Some(duties.map_err(|e| format!("duties: {e}"))?)
+        }
+        None => None,
+    };
     let mut door =
         Door { at: None, running: None, maintenance, server: server.clone(), peers: peers.clone() };
     if let Some(at) = node.control {
@@ -195,12 +203,16 @@
             _ = interrupt.recv() => {}
         }
         info!("stopping");
+        duties.iter().for_each(|d| d.leave());
     };
     if node.discovery.is_some() && presence.as_ref().is_some_and(|p| p.others().older) {
         // The other one serves on meanwhile, and the list at hand may be old.
         info!("beside another process: waiting for discovery's list");
         let _ = tokio::time::timeout(FIRST_LIST, host.listed()).await;
     }
+    if let Some(duties) = &duties {
+        duties.ready().await; // a window may be open
+    }
     if let Some(Err(e)) = presence.as_ref().map(|p| p.publish()) {
         warn!("TMPDIR: another process will not see this one: {e}");
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,8 +3,9 @@
 use super::list::List;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use shaletide::fleet::lease;
 use shaletide::settings::{self, Names, Network};
-use shaletide::Config;
+use shaletide::{Config, Micros};
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
@@ -85,6 +86,8 @@
     pub snapshot: Option<Snapshots>,
     /// How state is shared with other proxies; without it none is.
     pub peers: Option<Sharing>,
+    /// What the fleet's proxies decide together; without it nothing.
+    pub duties: Option<Voting>,
 }
 
 /// `snapshot` in the configuration.
@@ -125,6 +128,61 @@
     }
 }
 
+/// `duties` in the configuration: leases between proxies and the calendar of windows.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Voting {
+    /// The advertised addresses of the members that vote: 1, 3, 5 or 7.
+    pub voters: Vec<SocketAddr>,
+    /// Milliseconds that a holding lasts unless it is renewed.
+    #[serde(default = "Voting::lease_ms")]
+    pub lease_ms: u64,
+    /// Clock rates differ from true time by this part at most.
+    #[serde(default = "Voting::drift")]
+    pub drift: f64,
+    /// The share of each kind's and each zone's capacity below which no window drains.
+    #[serde(default = "Voting::floor")]
+    pub floor: f64,
+}
+
+impl Voting {
+    fn lease_ms() -> u64 {
+        3000
+    }
+    fn drift() -> f64 {
+        0.01
+    }
+    fn floor() -> f64 {
+        0.5
+    }
+
+    /// What all voters and candidates agree on.
+    pub fn leases(&self) -> Result<lease::Rules, lease::RulesError> {
+        lease::Rules::new(self.voters.len(), Micros(self.lease_ms.saturating_mul(1000)), self.drift)
+    }
+
+    /// The first thing that is wrong, if any.
+    fn check(&self, peers: Option<&Sharing>) -> Result<(), String> {
+        if peers.is_none() {
+            return Err("peers is missing: duties are kept between the proxies of a fleet".into());
+        }
+        let distinct: BTreeSet<&SocketAddr> = self.voters.iter().collect();
+        if distinct.len() < self.voters.len() {
+            return Err("voters: an address stands twice".into());
+        }
+        if self.lease_ms < Voting::LEAST_LEASE_MS {
+            return Err(format!("lease_ms: expected at least {}", Voting::LEAST_LEASE_MS));
+        }
+        if !(0.0..=1.0).contains(&self.floor) {
+            return Err("floor: expected from 0 to 1".into());
+        }
+        self.leases().map(drop).map_err(|e| e.to_string())
+    }
+
+    /// Below this a lease would end between two turns of the worker that renews it.
+    const LEAST_LEASE_MS: u64 = 500;
+}
+
 impl Default for Snapshots {
     fn default() -> Snapshots {
         Snapshots {
@@ -154,6 +212,7 @@
     Set(String),
     Unknown(Vec<String>),
     Settings(String),
+    Duties(String),
 }
 
 impl fmt::Display for NodeError {
@@ -171,6 +230,7 @@
             NodeError::Set(text) => write!(f, "{text}"),
             NodeError::Unknown(keys) => write!(f, "unknown: {}", keys.join(", ")),
             NodeError::Settings(text) => write!(f, "settings: {text}"),
+            NodeError::Duties(text) => write!(f, "duties: {text}"),
         }
     }
 }
@@ -196,6 +256,15 @@
     snapshot: Option<Snapshots>,
     #[serde(skip_serializing_if = "Option::is_none")]
     peers: Option<Sharing>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    duties: Option<Voting>,
+}
+
+impl File {
+    fn duties(&self) -> Result<(), NodeError> {
+        let checked = self.duties.as_ref().map_or(Ok(()), |duties| duties.check(self.peers.as_ref()));
+        checked.map_err(NodeError::Duties)
+    }
 }
 
 #[derive(Deserialize, Serialize)]
@@ -282,6 +351,7 @@
             errors.push(error);
         }
     }
+    errors.extend(parsed.file.duties().err().map(|e| e.to_string()));
     errors
 }
 
@@ -315,6 +385,7 @@
         if !unknown.is_empty() {
             return Err(NodeError::Unknown(unknown));
         }
+        file.duties()?;
         // Two processes may read one file: what only this one is told comes first.
         let control = match std::env::var("NODE_CONTROL") {
             Ok(text) if !text.is_empty() => Some(text.parse().map_err(|_| NodeError::Control(text))?),
@@ -343,6 +414,7 @@
             keys,
             snapshot,
             peers: file.peers,
+            duties: file.duties,
         })
     }
 }
--- /dev/null
+++ b/src/net/duties/clock.rs
@@ -0,0 +1,218 @@
+//! The worker that lets time pass: lease timers, the holder's steps, digests, reports, and the operators' calls.
+
+use super::door;
+use super::leases::{text, Mail};
+use super::message::{self, Duties, Duty};
+use super::tables::Tables;
+use super::wire::digests;
+use super::{mono, wall, Seen};
+use shaletide::fleet::calendar::{Entry, Transition};
+use shaletide::fleet::lease::Token;
+use shaletide::{Micros, Time};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+use tracing::info;
+
+/// The longest time between two turns.
+const TURN: Micros = Micros(100_000);
+/// How often a holder says that it is there, reports go out, and digests.
+const BEAT: Micros = Micros(1_000_000);
+/// The same of digests until this proxy, after its start, lacks nothing; and when it takes part without.
+const CATCH_UP: Micros = Micros(200_000);
+const CAUGHT_UP: Micros = Micros(3_000_000);
+/// To how many members a digest goes.
+const TOLD: usize = 2;
+/// When a change is said again.
+pub const AGAIN: [Micros; 2] = [Micros(200_000), Micros(600_000)];
+
+/// What the request loop asks of this worker.
+pub enum Command {
+    /// An operator's call, and where its answer goes.
+    #[allow(dead_code)] // until the door passes calls on
+    Call(door::Call, oneshot::Sender<door::Answer>),
+    /// This proxy goes: its duties are given up.
+    Leave,
+    /// Something is due now.
+    Wake,
+}
+
+pub struct Clock {
+    tables: Arc<Tables>,
+    seen: watch::Receiver<Option<Arc<Seen>>>,
+    own: SocketAddr,
+    /// No seed is another proxy's: whoever is first need not ask.
+    alone: bool,
+    started: Time,
+    /// Where the next digest goes.
+    turn: usize,
+    digest_at: Time,
+    beat_at: Time,
+    report_at: Time,
+    /// Open requests as they were last reported.
+    reported: BTreeMap<String, u32>,
+    token: Option<Token>,
+}
+
+impl Clock {
+    pub fn new(
+        tables: Arc<Tables>, seen: watch::Receiver<Option<Arc<Seen>>>, own: SocketAddr, alone: bool,
+    ) -> Clock {
+        let now = mono();
+        let (digest_at, beat_at, report_at) = (now, now, now);
+        let (turn, reported, token) = (tables.incarnation as usize, BTreeMap::new(), None);
+        Clock { tables, seen, own, alone, started: now, turn, digest_at, beat_at, report_at, reported, token }
+    }
+
+    /// Works until the request loop is gone.
+    pub fn run(mut self, commands: &Receiver<Command>) {
+        loop {
+            let due = self.pass();
+            let wait = Duration::from_micros((due - mono()).0.min(TURN.0));
+            match commands.recv_timeout(wait) {
+                Ok(Command::Call(call, answer)) => {
+                    let _ = answer.send(door::answer(&self.tables, &call)); // who asked may be gone
+                }
+                Ok(Command::Leave) => {
+                    let mut mail = Mail::new();
+                    self.tables.leases.lock().leave(&mut mail);
+                    self.tables.send(mail);
+                }
+                Ok(Command::Wake) | Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    /// All that is due now; gives the time of the next lease timer.
+    fn pass(&mut self) -> Time {
+        if let Some(seen) = self.seen.borrow_and_update().clone() {
+            self.tables.roster.lock().seen = Some(seen);
+        }
+        self.catch_up();
+        let mut mail = Mail::new();
+        let next = self.tables.leases.lock().tick(&mut mail);
+        self.tables.send(mail);
+        let token = self.step();
+        self.beat(token);
+        self.repeat(token);
+        self.tables.derive();
+        self.digest();
+        self.report();
+        next.unwrap_or_else(|| mono() + TURN)
+    }
+
+    /// Takes part once there is nobody to learn from, or nobody answered for long.
+    fn catch_up(&self) {
+        let catching = self.tables.calendar.lock().covered.is_some();
+        let seen = self.tables.roster.lock().seen.clone();
+        let nobody = self.alone && seen.is_some_and(|s| s.members.is_empty());
+        if catching && (nobody || mono() - self.started > CAUGHT_UP) {
+            self.tables.ready();
+        }
+    }
+
+    /// The holder's steps. The clock is read for the lease after all locks are there, right before the step.
+    fn step(&self) -> Option<Token> {
+        let (token, steps, changed) = {
+            let leases = self.tables.leases.lock();
+            leases.holds()?;
+            let mut windows = self.tables.calendar.lock();
+            let roster = self.tables.roster.lock();
+            let (fleet, reports) = (roster.fleet(&windows.out), roster.reports(self.own, &windows.out));
+            let token = leases.holds()?;
+            if roster.seen.is_none() {
+                return Some(token);
+            }
+            let steps = windows.calendar.step(wall(), token, &fleet, &reports);
+            (token, steps, windows.calendar.changed())
+        };
+        steps.iter().for_each(tell);
+        let effect = |entries| Duties::Effect { duty: Duty::Calendar, token, entries };
+        self.tables.spread(entries(changed).into_iter().map(effect).collect(), &AGAIN);
+        Some(token)
+    }
+
+    /// A holder says that it is there: at once when it comes to hold the duty, then each second.
+    fn beat(&mut self, token: Option<Token>) {
+        let gained = token.is_some() && token != self.token;
+        self.token = token;
+        let now = mono();
+        if let Some(token) = token.filter(|_| gained || now >= self.beat_at) {
+            self.beat_at = now + BEAT;
+            self.tables
+                .spread(vec![Duties::Effect { duty: Duty::Calendar, token, entries: Vec::new() }], &[]);
+        }
+    }
+
+    /// Says again what is due; a holder's effects only while it holds the duty.
+    fn repeat(&self, held: Option<Token>) {
+        let due = {
+            let mut outbox = self.tables.outbox.lock();
+            let later = outbox.again.split_off(&(mono() + Micros(1)));
+            std::mem::replace(&mut outbox.again, later)
+        };
+        let ours = |m: &Duties| !matches!(m, Duties::Effect { token, .. } if Some(*token) != held);
+        self.tables.spread(due.into_values().flatten().filter(ours).collect(), &[]);
+    }
+
+    /// Tells two members, in turn, what this proxy knows.
+    fn digest(&mut self) {
+        let now = mono();
+        let members = self.tables.roster.lock().members();
+        if now < self.digest_at || members.is_empty() {
+            return;
+        }
+        let want = self.tables.calendar.lock().covered.is_some();
+        self.digest_at = now + if want { CATCH_UP } else { BEAT };
+        let words = self.tables.leases.lock().words();
+        let said = digests(&self.tables, words, want);
+        let mut mail = Mail::new();
+        for _ in 0..TOLD.min(members.len()) {
+            self.turn = self.turn.wrapping_add(1);
+            let to = members[self.turn % members.len()];
+            mail.extend(said.iter().map(|m| (to, m.clone())));
+        }
+        self.tables.send(mail);
+    }
+
+    /// Tells the holder of the requests that are open on what is out: each second, and at once where the last one ended.
+    fn report(&mut self) {
+        let holder = self.tables.leases.lock().holder();
+        let out = self.tables.calendar.lock().out.clone();
+        let seen = self.tables.roster.lock().seen.clone();
+        let Some((holder, seen)) = holder.zip(seen).filter(|_| !out.is_empty()) else {
+            return self.reported.clear();
+        };
+        let now = mono();
+        let rows = seen.rows.iter().filter(|row| out.contains(&row.name) && seen.applied.contains(&row.name));
+        let open: BTreeMap<String, u32> = rows.map(|row| (row.name.clone(), row.open)).collect();
+        let news = open.iter().any(|(name, open)| *open == 0 && self.reported.get(name) != Some(&0));
+        if open.is_empty() || now < self.report_at && !news {
+            return;
+        }
+        self.report_at = now + BEAT;
+        self.reported = open.clone();
+        let open: Vec<(String, u32)> = open.into_iter().collect();
+        if holder == self.own {
+            let most = open.len();
+            return self.tables.roster.lock().report(holder, open, most);
+        }
+        let parts = message::parts(open, |(name, _)| name.len() + 8);
+        self.tables.send(parts.into_iter().map(|open| (holder, Duties::Report { open })).collect());
+    }
+}
+
+/// One line for each step of a window.
+fn tell(step: &Transition) {
+    info!(event = "window", window = step.window, from = step.from.name(), to = step.to.name(), at = %step.at,
+        reason = step.reason, token = %text(step.token), mono_us = mono().0, "window");
+}
+
+/// Entries in bytes, in parts that fit into a message each.
+pub fn entries(entries: Vec<Entry>) -> Vec<Vec<Vec<u8>>> {
+    message::parts(entries.iter().map(Entry::encode).collect(), |bytes| bytes.len() + 2)
+}
--- /dev/null
+++ b/src/net/duties/leases.rs
@@ -0,0 +1,318 @@
+//! The table of leases: this proxy's part as a voter and as a candidate for the calendar's duty, the fence that refuses
+//! late effects, and what it has heard of the holder.
+
+use super::message::{Duties, Duty, Refused, Word};
+use super::mono;
+use shaletide::fleet::fence::Fence;
+use shaletide::fleet::lease::{Candidate, Change, Loss, Message, Rules, Token, Voter};
+use shaletide::{Micros, Time};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use tracing::{info, warn};
+
+/// What goes out, and to whom.
+pub type Mail = Vec<(SocketAddr, Duties)>;
+
+const DUTY: Duty = Duty::Calendar;
+
+/// Who is known to hold the duty.
+#[derive(Clone, Copy)]
+struct Holder {
+    token: Token,
+    /// Its address, once this proxy had its word itself.
+    at: Option<SocketAddr>,
+    /// When its last word was said, on this proxy's clock.
+    heard: Time,
+}
+
+pub struct Leases {
+    rules: Rules,
+    own: SocketAddr,
+    voters: Vec<SocketAddr>,
+    /// Where this proxy is one of the voters.
+    voter: Option<Voter>,
+    candidate: Candidate,
+    fence: Fence<Duty>,
+    /// When each voter was last heard of.
+    answered: Vec<Option<Time>>,
+    holder: Option<Holder>,
+    /// Since when the duty has been wanted without a majority's word, and whether that was said.
+    wanting: Option<(Time, bool)>,
+    /// How long a candidate that is no voter waits for a holder's word before it bids.
+    shy: Micros,
+    /// The end of the term, while this proxy holds the duty.
+    until: Option<Time>,
+    incarnation: u64,
+    /// It knows the calendar, and it does not go: so it may want the duty.
+    able: bool,
+    leaving: bool,
+}
+
+impl Leases {
+    pub fn new(rules: Rules, voters: Vec<SocketAddr>, own: SocketAddr, incarnation: u64) -> Leases {
+        let now = mono();
+        // Two to three terms, drawn once: not all of a large fleet bid together.
+        let shy = Micros(rules.term().0 * 2 + incarnation % rules.term().0.max(1));
+        Leases {
+            rules,
+            own,
+            voter: voters.contains(&own).then(|| Voter::new(rules, now)),
+            candidate: Candidate::new(rules, incarnation),
+            fence: Fence::default(),
+            answered: vec![None; voters.len()],
+            voters,
+            holder: None,
+            wanting: Some((now, false)),
+            shy,
+            until: None,
+            incarnation,
+            able: false,
+            leaving: false,
+        }
+    }
+
+    /// The token under which this proxy holds the duty at this instant.
+    pub fn holds(&self) -> Option<Token> {
+        self.candidate.holds(mono())
+    }
+
+    /// Whether and where the holder is, as far as it is known here.
+    pub fn holder(&self) -> Option<SocketAddr> {
+        match self.holds() {
+            Some(_) => Some(self.own),
+            None => self.holder.filter(|h| mono() - h.heard < self.lapse()).and_then(|h| h.at),
+        }
+    }
+
+    /// How long ago a holder was heard of; this proxy's own holding counts.
+    pub fn heard(&self) -> Micros {
+        match (self.holds(), &self.holder) {
+            (Some(_), _) => Micros(0),
+            (None, Some(holder)) => mono() - holder.heard,
+            (None, None) => Micros(u64::MAX),
+        }
+    }
+
+    /// A holder whose word is older than this may be gone.
+    fn lapse(&self) -> Micros {
+        self.rules.grant_life()
+    }
+
+    /// Lets time pass, and gives the time of the next call at the latest.
+    pub fn tick(&mut self, mail: &mut Mail) -> Option<Time> {
+        let now = mono();
+        let wanted = self.wanted(now);
+        let mut said = Vec::new();
+        self.candidate.tick(now, wall_ms(), wanted, &mut said);
+        self.post(now, said, mail);
+        self.settle(now);
+        self.majority(now, wanted);
+        self.candidate.next()
+    }
+
+    /// A voter bids as soon as its own vote is free; any other candidate once it has heard of no holder for long, so that in
+    /// a large fleet a holder's end brings the voters' bids only.
+    fn wanted(&self, now: Time) -> bool {
+        if !self.able || self.leaving {
+            return false;
+        }
+        if self.candidate.holds(now).is_some() {
+            return true;
+        }
+        match &self.voter {
+            Some(voter) => {
+                !voter.silent(now) && voter.granted(now).is_none_or(|ballot| ballot.by == self.incarnation)
+            }
+            None => self.holder.is_none_or(|h| now - h.heard > self.shy),
+        }
+    }
+
+    /// Takes a lease's message from another proxy.
+    pub fn message(&mut self, from: SocketAddr, message: Message, mail: &mut Mail) -> Result<(), Refused> {
+        let now = mono();
+        match message {
+            Message::Ask { .. } | Message::Propose { .. } | Message::Release { .. } => {
+                let answer = self.voter.as_mut().and_then(|v| v.handle(now, message));
+                mail.extend(answer.map(|message| (from, Duties::Lease { duty: DUTY, message })));
+            }
+            Message::Free { .. } | Message::Accepted { .. } | Message::Refused { .. } => {
+                let place = self.voters.iter().position(|v| *v == from).ok_or(Refused::Stranger)?;
+                let mut said = Vec::new();
+                self.answered[place] = Some(now);
+                self.candidate.heard(now, place, message, &mut said);
+                self.post(now, said, mail);
+            }
+        }
+        self.settle(now);
+        Ok(())
+    }
+
+    /// A holder's effect: refused under a token that a higher one followed, else the holder's word.
+    pub fn effect(&mut self, from: SocketAddr, token: Token, mail: &mut Mail) -> Result<(), Refused> {
+        if let Err(highest) = self.fence.admit(DUTY, token) {
+            mail.push((from, Duties::Fenced { duty: DUTY, highest }));
+            return Err(Refused::Token);
+        }
+        let now = mono();
+        self.learn(token, mail);
+        self.holder = Some(Holder { token, at: Some(from), heard: now });
+        Ok(())
+    }
+
+    /// What another proxy says of a duty; of the highest token the youngest word counts.
+    pub fn word(&mut self, word: &Word, mail: &mut Mail) {
+        self.learn(word.token, mail);
+        let Some(age) = word.age_ms else { return };
+        let heard = Time(mono().0.saturating_sub(u64::from(age).saturating_mul(1000)));
+        if self.fence.highest(&DUTY) != Some(word.token) {
+            return;
+        }
+        match &mut self.holder {
+            Some(holder) if holder.token == word.token => holder.heard = holder.heard.max(heard),
+            holder => *holder = Some(Holder { token: word.token, at: None, heard }),
+        }
+    }
+
+    /// A token was seen: nothing lower counts from now on, here and at this proxy's vote.
+    pub fn learn(&mut self, token: Token, mail: &mut Mail) {
+        let now = mono();
+        self.fence.learn(DUTY, token);
+        self.voter.iter_mut().for_each(|v| v.learn(token));
+        let mut said = Vec::new();
+        self.candidate.learn(now, token, &mut said);
+        self.post(now, said, mail);
+        self.settle(now);
+    }
+
+    /// What this proxy tells the others of the duty.
+    pub fn words(&self) -> Vec<Word> {
+        let now = mono();
+        let own = self.candidate.holds(now);
+        let word = |(duty, token): (&Duty, Token)| {
+            let age = match self.holder.filter(|h| h.token == token) {
+                _ if own == Some(token) => Some(Micros(0)),
+                holder => holder.map(|h| now - h.heard),
+            };
+            let age_ms = age.and_then(|a| u32::try_from(a.0 / 1000).ok());
+            Word { duty: *duty, token, age_ms }
+        };
+        self.fence.tokens().map(word).collect()
+    }
+
+    /// Gives the duty up for good, as this proxy goes.
+    pub fn leave(&mut self, mail: &mut Mail) {
+        self.leaving = true;
+        self.tick(mail);
+    }
+
+    /// From now on this proxy may want the duty: it knows the calendar.
+    pub fn ready(&mut self) {
+        self.able = true;
+    }
+
+    /// To every voter; this proxy's own vote is asked here.
+    fn post(&mut self, now: Time, said: Vec<Message>, mail: &mut Mail) {
+        let mut said = VecDeque::from(said);
+        while let Some(message) = said.pop_front() {
+            for (place, to) in self.voters.iter().enumerate() {
+                if *to != self.own {
+                    mail.push((*to, Duties::Lease { duty: DUTY, message }));
+                    continue;
+                }
+                let Some(answer) = self.voter.as_mut().and_then(|v| v.handle(now, message)) else { continue };
+                self.answered[place] = Some(now);
+                let mut more = Vec::new();
+                self.candidate.heard(now, place, answer, &mut more);
+                said.extend(more);
+            }
+        }
+    }
+
+    /// Says what became of the holding.
+    fn settle(&mut self, now: Time) {
+        for change in self.candidate.changes() {
+            match change {
+                Change::Gained(token) => {
+                    self.fence.learn(DUTY, token);
+                    self.voter.iter_mut().for_each(|v| v.learn(token));
+                    info!(event = "duty_held", duty = DUTY.name(), token = %text(token), mono_us = now.0,
+                        "holds the duty");
+                }
+                Change::Lost(token, why) => {
+                    // A stalled holder learns late that it held no longer; it ended with its term.
+                    let end = self.until.map_or(now, |until| until.min(now));
+                    let why = match why {
+                        Loss::Released => "released".to_string(),
+                        Loss::TermOver => "term over".to_string(),
+                        Loss::Superseded(by) => format!("superseded by {}", text(by)),
+                    };
+                    info!(event = "duty_over", duty = DUTY.name(), token = %text(token), mono_us = end.0,
+                        seen_us = now.0, reason = why, "holds the duty no longer");
+                }
+            }
+        }
+        self.until = self.candidate.holds_until();
+    }
+
+    /// Complains once where no majority of the voters answers for a whole term.
+    fn majority(&mut self, now: Time, wanted: bool) {
+        let answering = self.answering(now);
+        if !wanted || answering > self.voters.len() / 2 {
+            self.wanting = None;
+            return;
+        }
+        let (since, said) = self.wanting.get_or_insert((now, false));
+        if !*said && now - *since > self.rules.grant_life() {
+            *said = true;
+            warn!(
+                event = "duty_no_majority",
+                duty = DUTY.name(),
+                voters = self.voters.len(),
+                answering,
+                "no majority of the voters answers: nobody can hold the duty"
+            );
+        }
+    }
+
+    /// Voters that were heard of within the last term.
+    fn answering(&self, now: Time) -> usize {
+        self.answered.iter().flatten().filter(|at| now - **at <= self.rules.term()).count()
+    }
+
+    /// A voter was heard of, with whatever word.
+    pub fn alive(&mut self, from: SocketAddr) {
+        if let Some(place) = self.voters.iter().position(|v| *v == from) {
+            self.answered[place] = Some(mono());
+        }
+    }
+
+    /// For the operators' door.
+    pub fn status(&self) -> serde_json::Value {
+        let now = mono();
+        let heard = self.answered.iter().zip(&self.voters);
+        let heard = heard.filter(|(at, _)| at.is_some_and(|at| now - at <= self.rules.term()));
+        let heard: Vec<String> = heard.map(|(_, voter)| voter.to_string()).collect();
+        serde_json::json!({
+            "duty": DUTY.name(),
+            "own": self.own.to_string(),
+            "holder": self.holder().map(|at| at.to_string()),
+            "held": self.candidate.holds(now).map(text),
+            "token": self.fence.highest(&DUTY).map(text),
+            "heard_ms": Some(self.heard()).filter(|age| age.0 < u64::MAX).map(|age| age.0 / 1000),
+            "voters": self.voters.iter().map(|v| v.to_string()).collect::<Vec<_>>(),
+            "voters_heard": heard,
+            "voter": self.voter.is_some(),
+            "silent": self.voter.as_ref().is_some_and(|v| v.silent(now)),
+            "effects_refused": self.fence.refused(),
+        })
+    }
+}
+
+/// A token as logs and the door show it.
+pub fn text(token: Token) -> String {
+    format!("{}-{:016x}", token.number, token.by)
+}
+
+fn wall_ms() -> u64 {
+    crate::net::snapshot::wall_us() / 1000
+}
--- /dev/null
+++ b/src/net/duties/message.rs
@@ -0,0 +1,195 @@
+//! What proxies say to each other about duties and windows: a version byte and one message in postcard, as the body
+//! [`Body::Duty`](crate::net::peers::wire::Body::Duty) of a checked datagram. Nothing here panics on input.
+
+use crate::net::peers::wire::MOST_BODY;
+use serde::{Deserialize, Serialize};
+use shaletide::fleet::calendar::Digest;
+use shaletide::fleet::lease::{Message, Token};
+use std::fmt;
+
+/// Raised whenever a message's shape changes.
+const VERSION: u8 = 1;
+/// Bytes of the entries or names in one message at most, so that it fits a body with all else in it.
+const MOST_LOAD: usize = MOST_BODY - 80;
+
+/// What one proxy of the fleet does for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Duty {
+    /// To step the calendar of maintenance windows.
+    Calendar,
+}
+
+impl Duty {
+    pub fn name(self) -> &'static str {
+        match self {
+            Duty::Calendar => "calendar",
+        }
+    }
+}
+
+/// The highest token that the sender has seen for a duty.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Word {
+    pub duty: Duty,
+    pub token: Token,
+    /// How long ago, in milliseconds, its holder was heard of, over however many proxies; `None` where it never was.
+    pub age_ms: Option<u32>,
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Duties {
+    /// Between a candidate and a voter.
+    Lease { duty: Duty, message: Message },
+    /// What the sender knows. `want`: it asks for the receiver's own digests in return.
+    Digest { words: Vec<Word>, digest: Digest, want: bool },
+    /// Asks for windows by the hashes of their ids.
+    Ask { ids: Vec<u64> },
+    /// Windows as the sender keeps them: bytes of entries.
+    Entries { entries: Vec<Vec<u8>> },
+    /// The holder's: windows that it moved on, or none where it only says that it is there.
+    Effect { duty: Duty, token: Token, entries: Vec<Vec<u8>> },
+    /// To a late holder: a higher token was seen.
+    Fenced { duty: Duty, highest: Token },
+    /// To the holder: open requests on backends that the sender keeps out for windows.
+    Report { open: Vec<(String, u32)> },
+}
+
+/// Why a message is not used.
+#[derive(Debug)]
+pub enum Refused {
+    Version(Option<u8>),
+    Garbled(postcard::Error),
+    /// An entry inside makes no sense.
+    Entry(String),
+    /// The calendar is full.
+    Full,
+    /// An answer that only voters give, from another.
+    Stranger,
+    /// An effect under a token that a higher one followed.
+    Token,
+}
+
+impl Refused {
+    /// A stable name for logs and counters.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Refused::Version(_) => "version",
+            Refused::Garbled(_) => "garbled",
+            Refused::Entry(_) => "entry",
+            Refused::Full => "full",
+            Refused::Stranger => "stranger",
+            Refused::Token => "token",
+        }
+    }
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Version(Some(v)) => write!(f, "version {v}, this program reads {VERSION}"),
+            Refused::Version(None) => write!(f, "empty"),
+            Refused::Garbled(e) => write!(f, "does not decode: {e}"),
+            Refused::Entry(why) => write!(f, "an entry of the calendar: {why}"),
+            Refused::Full => write!(f, "the calendar is full"),
+            Refused::Stranger => write!(f, "a voter's answer from no voter"),
+            Refused::Token => write!(f, "a higher token was seen"),
+        }
+    }
+}
+
+impl std::error::Error for Refused {}
+
+/// The message's bytes.
+pub fn encode(message: &Duties) -> Vec<u8> {
+    // Plain data always encodes; were it not to, an empty body is refused like any other garbage.
+    postcard::to_extend(message, vec![VERSION]).unwrap_or_default()
+}
+
+/// A message from a body's bytes.
+pub fn decode(bytes: &[u8]) -> Result<Duties, Refused> {
+    let (version, body) = bytes.split_first().ok_or(Refused::Version(None))?;
+    if *version != VERSION {
+        return Err(Refused::Version(Some(*version)));
+    }
+    match postcard::take_from_bytes(body) {
+        Ok((message, [])) => Ok(message),
+        Ok(_) => Err(Refused::Garbled(postcard::Error::DeserializeBadEncoding)),
+        Err(e) => Err(Refused::Garbled(e)),
+    }
+}
+
+/// Parts of a list that each fit into one message; `size` is about an item's bytes.
+pub fn parts<T>(items: Vec<T>, size: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut parts: Vec<Vec<T>> = Vec::new();
+    let mut filled = MOST_LOAD;
+    for item in items {
+        filled += size(&item);
+        match parts.last_mut().filter(|_| filled <= MOST_LOAD) {
+            Some(part) => part.push(item),
+            None => {
+                filled = size(&item);
+                parts.push(vec![item]);
+            }
+        }
+    }
+    parts
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use shaletide::fleet::lease::Ballot;
+
+    fn message() -> impl Strategy<Value = Duties> {
+        let token = || (any::<u64>(), any::<u64>()).prop_map(|(number, by)| Ballot { number, by });
+        let entries = || prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..6);
+        let duty = Duty::Calendar;
+        let word = move |(token, age_ms)| Word { duty, token, age_ms };
+        let rows = prop::collection::vec(any::<(u64, u64)>(), 0..50);
+        let words = prop::collection::vec((token(), any::<Option<u32>>()).prop_map(word), 0..2);
+        prop_oneof![
+            (token(), any::<u32>()).prop_map(move |(ballot, round)| {
+                Duties::Lease { duty, message: Message::Propose { ballot, round } }
+            }),
+            (words, any::<(u64, u64, bool)>(), rows).prop_map(|(words, (from, to, want), rows)| {
+                Duties::Digest { words, digest: Digest { from, to, rows }, want }
+            }),
+            prop::collection::vec(any::<u64>(), 0..50).prop_map(|ids| Duties::Ask { ids }),
+            entries().prop_map(|entries| Duties::Entries { entries }),
+            (token(), entries()).prop_map(move |(token, entries)| Duties::Effect { duty, token, entries }),
+            token().prop_map(move |highest| Duties::Fenced { duty, highest }),
+            prop::collection::vec(("[a-z0-9-]{0,64}", any::<u32>()), 0..9)
+                .prop_map(|open| Duties::Report { open }),
+        ]
+    }
+
+    proptest! {
+        /// A message decodes to what was said; cut or with more behind it it is refused, and one with changed bytes, or
+        /// junk, never panics and never becomes another version's.
+        #[test]
+        fn only_whole_messages_are_read(m in message(), at in any::<prop::sample::Index>(), flip in 1u8..,
+                                        junk in prop::collection::vec(any::<u8>(), 1..64)) {
+            let bytes = encode(&m);
+            prop_assert_eq!(&decode(&bytes).unwrap(), &m);
+            prop_assert!(decode(&bytes[..at.index(bytes.len())]).is_err());
+            prop_assert!(decode(&[&bytes[..], &junk].concat()).is_err());
+            let mut changed = bytes.clone();
+            changed[at.index(bytes.len())] ^= flip;
+            prop_assert!(changed[0] == VERSION || decode(&changed).is_err());
+            let _ = decode(&changed);
+            let _ = decode(&junk);
+        }
+
+        /// Every item is in one part, in order, and no part is over the bound unless it is one item.
+        #[test]
+        fn parts_hold_all_and_fit(sizes in prop::collection::vec(0usize..1400, 0..40)) {
+            let parts = parts(sizes.clone(), |size| *size);
+            prop_assert_eq!(parts.concat(), sizes);
+            for part in parts {
+                prop_assert!(part.len() == 1 || part.iter().sum::<usize>() <= MOST_LOAD);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/duties/mod.rs
@@ -0,0 +1,180 @@
+//! Duties that one proxy of the fleet holds at a time, and the maintenance windows that the holder of the calendar's duty
+//! keeps: the socket side of [`shaletide::fleet`].
+//!
+//! Two threads work beside the request loop: `wire` takes the other proxies' messages, `clock` lets time pass. They
+//! share four tables. **Lock order**, checked at every lock ([`ranked`]): `leases` before `calendar` before `roster` before
+//! `outbox`; whoever holds one takes only later ones. The request loop takes none of them. It gets effects from
+//! a bounded channel, and shows what it sees through a watch in which the newest wins; operators' calls go to the clock over a
+//! bounded queue and are answered by a oneshot.
+
+mod clock;
+pub mod door;
+mod leases;
+mod message;
+mod ranked;
+mod tables;
+mod wire;
+
+use super::config::Voting;
+use super::host::{Host, RosterRow, Why};
+use super::peers::Peers;
+use clock::{Clock, Command};
+use hyper::StatusCode;
+use leases::Leases;
+use ranked::Ranked;
+use rustix::time::{clock_gettime, ClockId};
+use shaletide::fleet::calendar::{Budget, Calendar, Rules, Wall};
+use shaletide::{Micros, Time};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::Arc;
+use std::time::Duration;
+use tables::{Outbox, Roster, Tables, Windows};
+use tokio::sync::{mpsc, oneshot, watch};
+use tracing::info;
+
+/// Messages that wait for the workers at most; more are dropped, as UDP may.
+const MESSAGES: usize = 1024;
+/// Calls that wait at most.
+const CALLS: usize = 64;
+/// Effects that wait for the request loop at most: a window may take out a few hundred backends at once.
+const EFFECTS: usize = 1024;
+/// How often the request loop shows what it sees.
+const SHOW: Duration = Duration::from_millis(250);
+
+/// What the workers ask of the request loop.
+pub enum Effect {
+    /// Nothing new to that backend: a window has it.
+    Out(String),
+    /// No window has it any more.
+    Back(String),
+    /// The calendar is as the others know it: clients may come.
+    Ready,
+}
+
+/// What the request loop sees.
+pub struct Seen {
+    pub rows: Vec<RosterRow>,
+    /// Live members but this proxy.
+    pub members: Vec<SocketAddr>,
+    /// What is out for windows.
+    pub applied: BTreeSet<String>,
+}
+
+/// The monotonic clock, which all processes of a machine share.
+pub fn mono() -> Time {
+    let now = clock_gettime(ClockId::Monotonic);
+    Time((now.tv_sec as u64).saturating_mul(1_000_000).saturating_add(now.tv_nsec as u64 / 1000))
+}
+
+fn wall() -> Wall {
+    Wall(super::snapshot::wall_us())
+}
+
+/// This proxy's part in the fleet's duties.
+pub struct Duties {
+    commands: SyncSender<Command>,
+    ready: watch::Receiver<bool>,
+}
+
+impl Duties {
+    /// Starts the workers. `ramp`: how long a backend that is back is in slow start.
+    pub fn start(host: Rc<Host>, peers: &Rc<Peers>, rules: &Voting, ramp: Micros) -> io::Result<Rc<Duties>> {
+        let own = peers.own();
+        let leases = rules.leases().map_err(|e| io::Error::other(e.to_string()))?;
+        let incarnation = RandomState::new().build_hasher().finish();
+        let (effects, told) = mpsc::channel(EFFECTS);
+        let calendar = Calendar::new(Rules {
+            budget: Budget { kind: rules.floor, zone: rules.floor },
+            ramp,
+            max_age: peers.max_age(),
+        });
+        let windows = Windows { calendar, out: BTreeSet::new(), covered: Some(Vec::new()) };
+        let tables = Arc::new(Tables {
+            leases: Ranked::new(0, Leases::new(leases, rules.voters.clone(), own, incarnation)),
+            calendar: Ranked::new(1, windows),
+            roster: Ranked::new(2, Roster::default()),
+            outbox: Ranked::new(3, Outbox::new(effects)),
+            post: peers.post(),
+            incarnation,
+        });
+        let (pass, came) = sync_channel(MESSAGES);
+        let (commands, calls) = sync_channel(CALLS);
+        let (show, seen) = watch::channel(None);
+        let clock = Clock::new(tables.clone(), seen, own, peers.first());
+        let wake = commands.clone();
+        let thread = |name: &str| std::thread::Builder::new().name(format!("duties-{name}"));
+        thread("wire").spawn(move || wire::run(&tables, &came, &wake))?;
+        thread("clock").spawn(move || clock.run(&calls))?;
+        peers.pass_duties(pass);
+        info!(event = "duties_start", own = %own, voters = rules.voters.len(), lease_ms = rules.lease_ms,
+            "takes part in the fleet's duties");
+        let applied = Rc::new(RefCell::new(BTreeSet::new()));
+        let (tell, ready) = watch::channel(false);
+        tokio::task::spawn_local(apply(host.clone(), told, applied.clone(), tell));
+        tokio::task::spawn_local(shows(host, peers.clone(), applied, show));
+        Ok(Rc::new(Duties { commands, ready }))
+    }
+
+    /// Until this proxy knows the calendar, or has waited long enough for it.
+    pub async fn ready(&self) {
+        let _ = self.ready.clone().wait_for(|ready| *ready).await;
+    }
+
+    /// Gives up what this proxy holds, as it goes.
+    pub fn leave(&self) {
+        let _ = self.commands.try_send(Command::Leave); // full: the lease runs out by itself
+    }
+
+    /// An operator's call.
+    #[allow(dead_code)] // until the door passes calls on
+    pub async fn call(&self, call: door::Call) -> door::Answer {
+        let (answer, wait) = oneshot::channel();
+        if self.commands.try_send(Command::Call(call, answer)).is_ok() {
+            if let Ok(answer) = wait.await {
+                return answer;
+            }
+        }
+        (StatusCode::SERVICE_UNAVAILABLE, "{\"field\":\"path\",\"why\":\"too many calls at once\"}\n".into())
+    }
+}
+
+/// Carries out what the workers ask.
+async fn apply(
+    host: Rc<Host>, mut told: mpsc::Receiver<Effect>, applied: Rc<RefCell<BTreeSet<String>>>,
+    ready: watch::Sender<bool>,
+) {
+    while let Some(effect) = told.recv().await {
+        match effect {
+            Effect::Out(name) => {
+                host.withdraw_unheard(&name, Why::Window);
+                info!(event = "window_out", backend = name, mono_us = mono().0, "out for a window");
+                applied.borrow_mut().insert(name);
+            }
+            Effect::Back(name) => {
+                host.restore(&name, Why::Window, host.clock.now());
+                info!(event = "window_back", backend = name, mono_us = mono().0, "no window has it any more");
+                applied.borrow_mut().remove(&name);
+            }
+            Effect::Ready => drop(ready.send_replace(true)),
+        }
+    }
+}
+
+/// Shows the workers what the request loop sees.
+async fn shows(
+    host: Rc<Host>, peers: Rc<Peers>, applied: Rc<RefCell<BTreeSet<String>>>,
+    show: watch::Sender<Option<Arc<Seen>>>,
+) {
+    loop {
+        let applied = applied.borrow().clone();
+        let seen = Seen { rows: host.roster(), members: peers.members(), applied };
+        show.send_replace(Some(Arc::new(seen)));
+        tokio::time::sleep(SHOW).await;
+    }
+}
--- /dev/null
+++ b/src/net/duties/tables.rs
@@ -0,0 +1,214 @@
+//! The tables that the workers share, and what is done with several of them at once.
+
+use super::leases::{Leases, Mail};
+use super::message::{self, Duties, Refused};
+use super::ranked::Ranked;
+use super::{mono, wall, Effect, Seen};
+use crate::net::host::RosterRow;
+use crate::net::peers::post::Post;
+use crate::net::peers::wire::Body;
+use shaletide::fleet::calendar::{Backend, Calendar, Digest, Fleet, Report, Reports};
+use shaletide::{Micros, Time};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tracing::warn;
+
+/// A member's count of open requests counts for so long.
+const REPORTED: Micros = Micros(2_500_000);
+/// A complaint of each cause is logged so often at most.
+const COMPLAIN: Micros = Micros(1_000_000);
+
+pub struct Tables {
+    pub leases: Ranked<Leases>,
+    pub calendar: Ranked<Windows>,
+    pub roster: Ranked<Roster>,
+    pub outbox: Ranked<Outbox>,
+    /// The socket's sending side, which needs no lock.
+    pub post: Arc<Post>,
+    /// Drawn at this start, as no other.
+    pub incarnation: u64,
+}
+
+/// The calendar, and what follows from it here.
+pub struct Windows {
+    pub calendar: Calendar,
+    /// What the request loop was told to keep out.
+    pub out: BTreeSet<String>,
+    /// Ranges of ids of which this proxy, after its start, was shown to lack nothing; `None` once it takes part.
+    pub covered: Option<Vec<(u64, u64)>>,
+}
+
+/// The backends and members as this proxy sees them, and what the others report.
+#[derive(Default)]
+pub struct Roster {
+    /// As the request loop last told; `None` until it did.
+    pub seen: Option<Arc<Seen>>,
+    /// Open requests on backends out for windows, by the member that reported them.
+    pub reports: BTreeMap<SocketAddr, BTreeMap<String, (u32, Time)>>,
+}
+
+/// What goes out of the workers, and the counts of what came in.
+pub struct Outbox {
+    /// To the request loop.
+    pub effects: mpsc::Sender<Effect>,
+    /// Messages that are said again to all members, in the order of their times, as a datagram may be lost.
+    pub again: BTreeMap<Time, Vec<Duties>>,
+    pub sent: u64,
+    pub received: u64,
+    pub refused: BTreeMap<&'static str, u64>,
+    complained: BTreeMap<&'static str, Time>,
+}
+
+impl Outbox {
+    pub fn new(effects: mpsc::Sender<Effect>) -> Outbox {
+        let (again, refused, complained) = Default::default();
+        Outbox { effects, again, sent: 0, received: 0, refused, complained }
+    }
+
+    /// Counts a message that is not used, and says why, so often at most.
+    pub fn refuse(&mut self, from: SocketAddr, why: &Refused) {
+        let (now, cause) = (mono(), why.cause());
+        *self.refused.entry(cause).or_default() += 1;
+        let last = self.complained.get(cause);
+        if last.is_some_and(|last| now - *last < COMPLAIN) {
+            return;
+        }
+        self.complained.insert(cause, now);
+        let event = if matches!(why, Refused::Token) { "effect_refused" } else { "duties_refused" };
+        warn!(event, cause, from = %from, mono_us = now.0, "refused: {why}");
+    }
+}
+
+impl Windows {
+    /// Takes note that of this range nothing is lacking; whether that is now so of every one.
+    pub fn cover(&mut self, digest: &Digest) -> bool {
+        let Some(covered) = &mut self.covered else { return false };
+        covered.push((digest.from, digest.to));
+        covered.sort_unstable();
+        let mut next = Some(0);
+        for (from, to) in covered.iter() {
+            match next {
+                Some(at) if *from <= at => next = to.checked_add(1).map(|after| after.max(at)),
+                _ => break,
+            }
+        }
+        next.is_none()
+    }
+}
+
+impl Roster {
+    pub fn members(&self) -> Vec<SocketAddr> {
+        self.seen.as_ref().map(|s| s.members.clone()).unwrap_or_default()
+    }
+
+    /// The listed backends. What one that is out for a window could take is not known: as much as any other.
+    pub fn fleet(&self, out: &BTreeSet<String>) -> Fleet {
+        let backend = |row: &RosterRow| Backend {
+            zone: row.zone.clone(),
+            kind: row.kind.clone(),
+            cell: row.cell,
+            serving: row.serving,
+            ready: if out.contains(&row.name) { 1.0 } else { row.ready },
+            out_by_hand: row.by_hand,
+            capacity: 1.0,
+        };
+        let rows = self.seen.iter().flat_map(|s| &s.rows).filter(|row| row.listed);
+        rows.map(|row| (row.name.clone(), backend(row))).collect()
+    }
+
+    /// Open requests on the backends that are out, as all live members and this proxy say. Of whom did not say, one
+    /// request is taken to be open on each.
+    pub fn reports(&self, own: SocketAddr, out: &BTreeSet<String>) -> Reports {
+        let now = mono();
+        let nothing = BTreeMap::new();
+        let of = |member: SocketAddr| {
+            let said = self.reports.get(&member).unwrap_or(&nothing);
+            let count = |name: &String| said.get(name).filter(|(_, at)| now - *at < REPORTED).copied();
+            let open =
+                out.iter().map(|name| (name.clone(), count(name).map_or(1, |(open, _)| open))).collect();
+            let age = out.iter().map(|name| count(name).map_or(Micros(0), |(_, at)| now - at)).max();
+            Report { age: age.unwrap_or_default(), open }
+        };
+        let members = self.members().into_iter().chain([own]);
+        members.enumerate().map(|(n, member)| (n as u64, of(member))).collect()
+    }
+
+    /// Takes a report, with the time at which it came.
+    pub fn report(&mut self, from: SocketAddr, open: Vec<(String, u32)>, most: usize) {
+        let now = mono();
+        let said = self.reports.entry(from).or_default();
+        said.retain(|_, (_, at)| now - *at < REPORTED);
+        for (name, open) in open {
+            if said.len() < most || said.contains_key(&name) {
+                said.insert(name, (open, now));
+            }
+        }
+    }
+}
+
+impl Tables {
+    /// Sends what goes to others.
+    pub fn send(&self, mail: Mail) {
+        let count = mail.len() as u64;
+        for (to, message) in mail {
+            self.post.send(to, Body::Duty(message::encode(&message)));
+        }
+        if count > 0 {
+            self.outbox.lock().sent += count;
+        }
+    }
+
+    /// Says something to all live members, and once more after each of these pauses.
+    pub fn spread(&self, messages: Vec<Duties>, again: &[Micros]) {
+        if messages.is_empty() {
+            return;
+        }
+        let members = self.roster.lock().members();
+        let now = mono();
+        {
+            let mut outbox = self.outbox.lock();
+            for pause in again {
+                outbox.again.entry(now + *pause).or_default().extend(messages.iter().cloned());
+            }
+        }
+        let mail = members.iter().flat_map(|to| messages.iter().map(|m| (*to, m.clone()))).collect();
+        self.send(mail);
+    }
+
+    /// Derives what this proxy keeps out, and tells the request loop what changed. What the queue has no room for
+    /// comes with the next call.
+    pub fn derive(&self) {
+        let heard = self.leases.lock().heard();
+        let mut windows = self.calendar.lock();
+        let windows = &mut *windows;
+        let fleet = {
+            let roster = self.roster.lock();
+            if roster.seen.is_none() {
+                return; // which backends a zone has is not known yet
+            }
+            roster.fleet(&windows.out)
+        };
+        let out = windows.calendar.out(wall(), heard, &fleet);
+        let outbox = self.outbox.lock();
+        for name in &out {
+            if !windows.out.contains(name) && outbox.effects.try_send(Effect::Out(name.clone())).is_ok() {
+                windows.out.insert(name.clone());
+            }
+        }
+        // One that left the list stays out, as it may be listed again before its window is over.
+        windows.out.retain(|name| {
+            let back = !out.contains(name) && fleet.contains_key(name);
+            !back || outbox.effects.try_send(Effect::Back(name.clone())).is_err()
+        });
+    }
+
+    /// This proxy takes part from now on: what was repaired is in force before it takes clients.
+    pub fn ready(&self) {
+        self.derive();
+        self.leases.lock().ready();
+        self.calendar.lock().covered = None;
+        let _ = self.outbox.lock().effects.try_send(Effect::Ready);
+    }
+}
--- /dev/null
+++ b/src/net/duties/wire.rs
@@ -0,0 +1,130 @@
+//! The worker that takes the other proxies' messages.
+
+use super::clock::{entries, Command, AGAIN};
+use super::leases::Mail;
+use super::message::{self, Duties, Duty, Refused, Word};
+use super::tables::Tables;
+use super::wall;
+use crate::net::peers::Passed;
+use shaletide::fleet::calendar::{Digest, Entry, Garbled};
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, SyncSender};
+use std::sync::Arc;
+
+/// Names that are kept of one member's reports.
+const MOST_REPORTED: usize = 1024;
+
+/// Takes messages until the socket's side is gone.
+pub fn run(tables: &Arc<Tables>, came: &Receiver<Passed>, clock: &SyncSender<Command>) {
+    while let Ok((from, bytes)) = came.recv() {
+        let mut mail = Mail::new();
+        let held = tables.leases.lock().holds();
+        let taken = message::decode(&bytes).and_then(|m| take(tables, from, m, &mut mail));
+        tables.send(mail);
+        {
+            let mut outbox = tables.outbox.lock();
+            outbox.received += 1;
+            if let Err(why) = taken {
+                outbox.refuse(from, &why);
+            }
+        }
+        if held.is_none() && tables.leases.lock().holds().is_some() {
+            let _ = clock.try_send(Command::Wake); // full: it is awake anyway
+        }
+    }
+}
+
+fn take(tables: &Tables, from: SocketAddr, message: Duties, mail: &mut Mail) -> Result<(), Refused> {
+    tables.leases.lock().alive(from);
+    match message {
+        Duties::Lease { duty: Duty::Calendar, message } => tables.leases.lock().message(from, message, mail),
+        Duties::Digest { words, digest, want } => {
+            digested(tables, from, &words, &digest, want, mail);
+            Ok(())
+        }
+        Duties::Ask { ids } => {
+            let asked = tables.calendar.lock().calendar.asked(&ids, wall());
+            mail.extend(entries(asked).into_iter().map(|entries| (from, Duties::Entries { entries })));
+            Ok(())
+        }
+        Duties::Entries { entries } => merge(tables, &entries, mail),
+        Duties::Effect { duty: Duty::Calendar, token, entries } => {
+            tables.leases.lock().effect(from, token, mail)?;
+            merge(tables, &entries, mail)
+        }
+        Duties::Fenced { duty: Duty::Calendar, highest } => {
+            tables.leases.lock().learn(highest, mail);
+            Ok(())
+        }
+        Duties::Report { open } => {
+            tables.roster.lock().report(from, open, MOST_REPORTED);
+            Ok(())
+        }
+    }
+}
+
+/// Learns what another proxy knows, and gives and asks for what either lacks.
+fn digested(tables: &Tables, from: SocketAddr, words: &[Word], digest: &Digest, want: bool, mail: &mut Mail) {
+    {
+        let mut leases = tables.leases.lock();
+        words.iter().for_each(|word| leases.word(word, mail));
+        if want {
+            mail.extend(digests(tables, leases.words(), false).into_iter().map(|m| (from, m)));
+        }
+    }
+    let (lacking, covered) = {
+        let mut windows = tables.calendar.lock();
+        let lacking = windows.calendar.lacking(digest, wall());
+        let covered = lacking.ask.is_empty() && windows.cover(digest);
+        (lacking, covered)
+    };
+    if !lacking.ask.is_empty() {
+        mail.push((from, Duties::Ask { ids: lacking.ask }));
+    }
+    mail.extend(entries(lacking.send).into_iter().map(|entries| (from, Duties::Entries { entries })));
+    if covered {
+        tables.ready();
+    }
+}
+
+/// All that this proxy knows, for one that may know less.
+pub fn digests(tables: &Tables, words: Vec<Word>, want: bool) -> Vec<Duties> {
+    let digests = tables.calendar.lock().calendar.digests(wall());
+    digests.into_iter().map(|digest| Duties::Digest { words: words.clone(), digest, want }).collect()
+}
+
+/// Takes entries: each that is sound, whatever the others are; the first that is not is the complaint.
+fn merge(tables: &Tables, entries: &[Vec<u8>], mail: &mut Mail) -> Result<(), Refused> {
+    let now = wall();
+    let mut wrong = None;
+    let (changed, highest) = {
+        let mut windows = tables.calendar.lock();
+        let mut changed = false;
+        for bytes in entries {
+            let merged = Entry::decode(bytes, now).and_then(|entry| windows.calendar.merge(&entry, now));
+            match merged {
+                Ok(news) => changed |= news,
+                Err(e) => drop(wrong.get_or_insert(e)),
+            }
+        }
+        (changed, windows.calendar.highest())
+    };
+    if changed {
+        if highest != Default::default() {
+            tables.leases.lock().learn(highest, mail);
+        }
+        tables.derive();
+    }
+    match wrong {
+        None => Ok(()),
+        Some(Garbled::Full) => Err(Refused::Full),
+        Some(Garbled::Bytes) => Err(Refused::Entry("does not decode".into())),
+        Some(Garbled::Field(why)) => Err(Refused::Entry(why.to_string())),
+    }
+}
+
+/// What operators changed here goes to all members.
+pub fn spread_edits(tables: &Tables, changed: Vec<Entry>) {
+    let messages = entries(changed).into_iter().map(|entries| Duties::Entries { entries }).collect();
+    tables.spread(messages, &AGAIN);
+}
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -11,7 +11,6 @@
 use tracing::{debug, info};
 
 /// One backend that a list held, as this proxy sees it now.
-#[allow(dead_code)] // until the calendar reads it
 #[derive(Clone, Debug, PartialEq)]
 pub struct RosterRow {
     pub name: String,
@@ -20,6 +19,8 @@
     pub cell: u64,
     /// The list in force holds it, whatever its state.
     pub listed: bool,
+    /// It says that it serves, and not that it drains.
+    pub serving: bool,
     /// The part of its capacity that is in use or could be: 0 for one that drains, is ejected or out, less than
     /// 1 for a cold one.
     pub ready: f64,
@@ -152,7 +153,6 @@
     }
 
     /// Every backend that a list held, by what this proxy knows of it.
-    #[allow(dead_code)] // until the calendar reads it
     pub fn roster(&self) -> Vec<RosterRow> {
         let s = self.state.borrow();
         let mut open: BTreeMap<BackendId, u32> = BTreeMap::new();
@@ -166,6 +166,7 @@
                 kind: s.names.kind_name(entry.kind).unwrap_or_default().into(),
                 cell: entry.cell.0,
                 listed: entry.state != BackendState::Gone,
+                serving: entry.state == BackendState::Ready,
                 ready: ready.get(&entry.id).copied().unwrap_or(0.0),
                 by_hand: known.reasons.contains(&Why::Hand),
                 open: open.get(&entry.id).copied().unwrap_or(0),
@@ -264,6 +265,7 @@
                 kind: "small".into(),
                 cell: 7,
                 listed: true,
+                serving: true,
                 ready: 1.0,
                 by_hand: false,
                 open: 0,
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -46,7 +46,6 @@
     /// Operators took it out by hand at this proxy.
     Hand,
     /// A maintenance window of the fleet's calendar.
-    #[allow(dead_code)] // until the calendar is there
     Window,
 }
 
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -2,6 +2,7 @@
 //! messages, and the snapshot that a new proxy asks of a live one. What the facts mean is the module's to decide.
 
 pub mod facts;
+pub mod post;
 pub mod wire;
 
 use super::config::Sharing;
@@ -9,6 +10,7 @@
 use super::snapshot::{self, wall_us, Header, Snapshot};
 use facts::{Board, Fact, Facts};
 use foca::{AccumulatingRuntime, Foca, Identity, OwnedNotification, PeriodicParams, Timer};
+use post::Post;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
@@ -19,12 +21,14 @@
 use std::net::SocketAddr;
 use std::num::{NonZeroU32, NonZeroUsize};
 use std::rc::Rc;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tracing::{info, warn};
-use wire::{Body, Cluster, Envelope, Gate, Refused};
+use wire::{Body, Envelope, Gate, Refused};
 
 /// Own verdicts that wait to go out: far more than a proxy ejects between two turns of the loop.
 const QUEUE: usize = 1024;
@@ -71,9 +75,6 @@
 /// What came and went since the start.
 #[derive(Default)]
 struct Counts {
-    sent: u64,
-    sent_bytes: u64,
-    unsent: u64,
     received: u64,
     told: u64,
     heard: u64,
@@ -97,7 +98,6 @@
     timers: BTreeMap<(Instant, u64), Timer<Member>>,
     timer: u64,
     gate: Gate,
-    last_sent: u64,
     counts: Counts,
     complained: BTreeMap<&'static str, u64>,
     origins: HashMap<SocketAddr, OriginId>,
@@ -106,17 +106,23 @@
     learn: Option<(Instant, Duration)>,
 }
 
+/// A message on duties, with its sender.
+pub type Passed = (SocketAddr, Vec<u8>);
+
 /// This proxy's part in the fleet.
 pub struct Peers {
     host: Rc<Host>,
     rules: Sharing,
-    cluster: Cluster,
     /// Hash of the settings in force, which a reload changes.
     settings: Rc<Cell<[u8; 32]>>,
     own: SocketAddr,
     /// Proxies expected, this one among them.
     fleet: usize,
     socket: UdpSocket,
+    /// The same socket's sending side.
+    post: Arc<Post>,
+    /// Where messages on duties go, while there are workers that take them.
+    duties: RefCell<Option<SyncSender<Passed>>>,
     board: Rc<RefCell<Board>>,
     state: RefCell<State>,
 }
@@ -127,9 +133,12 @@
     pub async fn start(
         host: Rc<Host>, rules: Sharing, settings: Rc<Cell<[u8; 32]>>, fleet: u32, seed: u64, cold: bool,
     ) -> io::Result<Rc<Peers>> {
-        let socket = UdpSocket::bind(rules.listen).await?;
+        let sending = std::net::UdpSocket::bind(rules.listen)?;
+        sending.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(sending.try_clone()?)?;
         let own = rules.advertise.unwrap_or(socket.local_addr()?);
         let cluster = wire::cluster(&rules.cluster);
+        let post = Arc::new(Post::new(sending, cluster, own));
         let bound = Micros::from_secs(rules.max_age_s);
         let board = Rc::new(RefCell::new(Board::default()));
         let facts = Facts { board: board.clone(), own, bound };
@@ -142,7 +151,6 @@
             timers: BTreeMap::new(),
             timer: 0,
             gate: Gate::new(cluster, bound),
-            last_sent: 0,
             counts: Counts::default(),
             complained: BTreeMap::new(),
             origins: HashMap::new(),
@@ -154,17 +162,9 @@
         info!(event = "peers_start", listen = %socket.local_addr()?, advertise = %own,
             cluster = rules.cluster, seeds = rules.seeds.len(), "shares state with its peers");
         let state = RefCell::new(state);
-        let peers = Rc::new(Peers {
-            host,
-            rules,
-            cluster,
-            settings,
-            own,
-            fleet: fleet as usize,
-            socket,
-            board,
-            state,
-        });
+        let (fleet, duties) = (fleet as usize, RefCell::new(None));
+        let peers = Peers { host, rules, settings, own, fleet, socket, post, duties, board, state };
+        let peers = Rc::new(peers);
         tokio::task::spawn_local(peers.clone().run(told));
         Ok(peers)
     }
@@ -220,6 +220,11 @@
             }
             Body::Ask { nonce } => self.give(envelope.from, nonce),
             Body::Part { nonce, index, of, bytes } => self.part(nonce, index, of, bytes),
+            Body::Duty(bytes) => {
+                let duties = self.duties.borrow();
+                let taken = duties.as_ref().and_then(|to| to.try_send((envelope.from, bytes)).ok());
+                return taken.ok_or(Refused::Unheard);
+            }
         }?;
         self.carry_out();
         Ok(())
@@ -270,7 +275,7 @@
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
             while let Some((to, bytes)) = s.outbox.to_send() {
-                self.send(s, to.addr, Body::Swim(bytes.to_vec()));
+                self.post.send(to.addr, Body::Swim(bytes.to_vec()));
             }
             while let Some((after, timer)) = s.outbox.to_schedule() {
                 s.timer += 1;
@@ -317,19 +322,6 @@
         self.host.heard(&fact.backend, Heard { backend, origin, verdict, age, bound, others, turn });
     }
 
-    fn send(&self, s: &mut State, to: SocketAddr, body: Body) {
-        s.last_sent = wall_us().max(s.last_sent + 1);
-        let envelope = Envelope { cluster: self.cluster, from: self.own, sent_us: s.last_sent, body };
-        let sent = wire::encode(&envelope).ok().map(|bytes| self.socket.try_send_to(&bytes, to));
-        match sent {
-            Some(Ok(length)) => {
-                s.counts.sent += 1;
-                s.counts.sent_bytes += length as u64;
-            }
-            _ => s.counts.unsent += 1, // UDP is not sure to arrive anyway
-        }
-    }
-
     /// Without a live member the seeds are asked again.
     fn knock(&self) {
         {
@@ -366,13 +358,12 @@
         asking.nonce += 1; // parts of the call before come too late
         asking.parts.clear();
         let (nonce, to) = (asking.nonce, live[asking.nonce as usize % live.len()]);
-        self.send(s, to, Body::Ask { nonce });
+        self.post.send(to, Body::Ask { nonce });
     }
 
     /// Gives a member what this proxy learned; while that is nothing it stays silent, so that another is asked.
     fn give(&self, to: SocketAddr, nonce: u64) -> Result<(), Refused> {
-        let mut s = self.state.borrow_mut();
-        if !s.swim.iter_members().any(|m| m.id().addr == to) {
+        if !self.state.borrow().swim.iter_members().any(|m| m.id().addr == to) {
             return Err(Refused::Unasked);
         }
         let mut saved = self.host.recollect();
@@ -389,7 +380,7 @@
         }
         for (index, part) in parts.iter().enumerate() {
             let (index, of) = (index as u16, parts.len() as u16);
-            self.send(&mut s, to, Body::Part { nonce, index, of, bytes: part.to_vec() });
+            self.post.send(to, Body::Part { nonce, index, of, bytes: part.to_vec() });
         }
         Ok(())
     }
@@ -440,15 +431,48 @@
         self.carry_out();
     }
 
+    /// Its advertised address.
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
+    /// Live members but this one, by address.
+    pub fn members(&self) -> Vec<SocketAddr> {
+        let s = self.state.borrow();
+        let mut members: Vec<SocketAddr> = s.swim.iter_members().map(|m| m.id().addr).collect();
+        members.sort_unstable();
+        members
+    }
+
+    /// Whether it joins through nobody.
+    pub fn first(&self) -> bool {
+        self.rules.seeds.iter().all(|seed| *seed == self.own)
+    }
+
+    /// Past this shared state is too old.
+    pub fn max_age(&self) -> Micros {
+        Micros::from_secs(self.rules.max_age_s)
+    }
+
+    /// The sending side of its socket.
+    pub fn post(&self) -> Arc<Post> {
+        self.post.clone()
+    }
+
+    /// From now on messages on duties go there, with their senders; what it has no room for is dropped.
+    pub fn pass_duties(&self, to: SyncSender<Passed>) {
+        *self.duties.borrow_mut() = Some(to);
+    }
+
     /// Members and counts, for the operators' door: JSON.
     pub fn status(&self) -> String {
+        let members = self.members();
         let s = self.state.borrow();
-        let mut members: Vec<String> = s.swim.iter_members().map(|m| m.id().addr.to_string()).collect();
-        members.sort();
         let c = &s.counts;
+        let [sent, sent_bytes, unsent] = self.post.counts();
         serde_json::json!({
-            "own": self.own.to_string(), "members": members, "sent": c.sent, "sent_bytes": c.sent_bytes,
-            "unsent": c.unsent, "received": c.received, "refused": c.refused, "facts_told": c.told,
+            "own": self.own.to_string(), "members": members, "sent": sent, "sent_bytes": sent_bytes,
+            "unsent": unsent, "received": c.received, "refused": c.refused, "facts_told": c.told,
             "facts_untold": c.untold, "facts_heard": c.heard, "facts_stale": self.board.borrow().stale,
             "waiting": s.swim.custom_broadcast_backlog(),
         })
@@ -468,7 +492,7 @@
         return;
     }
     s.learn = Some((now + pause, pause));
-    let drawn = (s.timer ^ s.last_sent) as usize % known;
+    let drawn = (s.timer ^ wall_us()) as usize % known;
     let Some(to) = s.swim.iter_members().nth(drawn).map(|m| m.id().clone()) else { return };
     if let Err(e) = s.swim.announce(to, &mut s.outbox) {
         warn!(event = "membership_announce", "membership: {e}");
--- a/src/net/peers/wire.rs
+++ b/src/net/peers/wire.rs
@@ -9,7 +9,7 @@
 
 const MAGIC: [u8; 4] = *b"SHTP";
 /// Raised whenever the envelope's or a body's shape changes.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 const PREFIX: usize = 9;
 /// Bytes of a datagram at most: below every usual path's limit, so that none is cut up on its way.
 pub const MOST: usize = 1400;
@@ -50,6 +50,8 @@
     Ask { nonce: u64 },
     /// One part, from 0, of so many of a snapshot's bytes.
     Part { nonce: u64, index: u16, of: u16, bytes: Vec<u8> },
+    /// On duties and windows, of a codec of its own.
+    Duty(Vec<u8>),
 }
 
 /// Why a datagram is not used.
@@ -67,6 +69,8 @@
     Replayed,
     /// A call that only members may make, or a part that nobody asked for.
     Unasked,
+    /// On duties, which this proxy has none of, or whose worker has too much to do.
+    Unheard,
     Swim(foca::Error),
 }
 
@@ -85,6 +89,7 @@
             Refused::Ahead(_) => "ahead",
             Refused::Replayed => "replayed",
             Refused::Unasked => "unasked",
+            Refused::Unheard => "unheard",
             Refused::Swim(_) => "swim",
         }
     }
@@ -104,6 +109,7 @@
             Refused::Ahead(by) => write!(f, "sent {:.1} s in the future", by.secs()),
             Refused::Replayed => write!(f, "it came before"),
             Refused::Unasked => write!(f, "from no member, or not asked for"),
+            Refused::Unheard => write!(f, "on duties, with nobody here to take it"),
             Refused::Swim(e) => write!(f, "membership: {e}"),
         }
     }
@@ -204,6 +210,7 @@
         let bytes = || proptest::collection::vec(any::<u8>(), 0..900);
         let body = prop_oneof![
             bytes().prop_map(Body::Swim),
+            bytes().prop_map(Body::Duty),
             any::<u64>().prop_map(|nonce| Body::Ask { nonce }),
             (any::<u64>(), any::<u16>(), any::<u16>(), bytes())
                 .prop_map(|(nonce, index, of, bytes)| Body::Part { nonce, index, of, bytes }),
