--- a/src/fleet/calendar/alone.rs
+++ b/src/fleet/calendar/alone.rs
@@ -51,12 +51,15 @@
     }
 
     fn decide_alone(&mut self, now: Wall, fleet: &Fleet) {
-        // What the copy says is out becomes this proxy's own to end.
+        // What the copy says is out comes back at its end, or once a cancel has reached the copy.
         for entry in self.entries.values() {
             let mark = entry.mark.as_ref().filter(|m| m.step.is_out());
             let Some(mark) = mark.filter(|_| !self.alone.contains_key(&entry.id)) else { continue };
-            let alone = Alone { occurrence: mark.occurrence, word: word(entry) };
-            self.alone.insert(entry.id.clone(), alone);
+            let over = entry.planned(mark.occurrence).is_none_or(|planned| now >= entry.span(planned).end);
+            if over || entry.cancelled.is_some() {
+                let alone = Alone { occurrence: mark.occurrence, word: word(entry) };
+                self.alone.insert(entry.id.clone(), alone);
+            }
         }
         let mut due = Vec::new();
         for entry in self.entries.values().filter(|e| e.cancelled.is_none() && !self.keeps_out(e, now)) {
--- a/src/fleet/calendar/budget.rs
+++ b/src/fleet/calendar/budget.rs
@@ -116,11 +116,13 @@
 
     /// Lets a window through, or says what it waits for. Windows come in their order.
     pub(super) fn take(&mut self, window: &'a str, names: BTreeSet<&'a str>) -> Result<(), String> {
+        // Also what takes nothing now (its backends are out or dead) waits where too little is left: they
+        // could come back while it has them.
         let mut takes: BTreeMap<Group, f64> = BTreeMap::new();
-        for name in names.difference(&self.out) {
+        for name in &names {
             let Some(backend) = self.fleet.get(*name) else { continue };
-            let free = backend.free();
-            for group in groups(backend).into_iter().filter(|_| free > 0.0) {
+            let free = if self.out.contains(name) { 0.0 } else { backend.free() };
+            for group in groups(backend) {
                 *takes.entry(group).or_default() += free;
             }
         }
