--- a/tests/calendar.rs
+++ b/tests/calendar.rs
@@ -538,7 +538,7 @@
                         match fates.next().unwrap() {
                             0 => {}
                             1 => late.push((to, entry.clone())),
-                            n => (1..n).for_each(|_| tell(&mut proxies[to], &[entry.clone()], at(now))),
+                            n => (1..n).for_each(|_| tell(&mut proxies[to], std::slice::from_ref(&entry), at(now))),
                         }
                     }
                 }
