Answer calls on duties and windows at every proxy's door, and keep the windows

A proxy that has just started takes part once a member that is no newcomer showed it to lack nothing.

--- a/src/net/duties/clock.rs
+++ b/src/net/duties/clock.rs
@@ -32,7 +32,6 @@
 /// What the request loop asks of this worker.
 pub enum Command {
     /// An operator's call, and where its answer goes.
-    #[allow(dead_code)] // until the door passes calls on
     Call(door::Call, oneshot::Sender<door::Answer>),
     /// This proxy goes: its duties are given up.
     Leave,
@@ -44,7 +43,7 @@
     tables: Arc<Tables>,
     seen: watch::Receiver<Option<Arc<Seen>>>,
     own: SocketAddr,
-    /// No seed is another proxy's: whoever is first need not ask.
+    /// The fleet is this proxy: there is nobody to learn from.
     alone: bool,
     started: Time,
     /// Where the next digest goes.
@@ -108,9 +107,8 @@
     /// Takes part once there is nobody to learn from, or nobody answered for long.
     fn catch_up(&self) {
         let catching = self.tables.calendar.lock().covered.is_some();
-        let seen = self.tables.roster.lock().seen.clone();
-        let nobody = self.alone && seen.is_some_and(|s| s.members.is_empty());
-        if catching && (nobody || mono() - self.started > CAUGHT_UP) {
+        let seen = self.tables.roster.lock().seen.is_some();
+        if catching && (self.alone && seen || mono() - self.started > CAUGHT_UP) {
             self.tables.ready();
         }
     }
@@ -166,10 +164,10 @@
         if now < self.digest_at || members.is_empty() {
             return;
         }
-        let want = self.tables.calendar.lock().covered.is_some();
-        self.digest_at = now + if want { CATCH_UP } else { BEAT };
+        let new = self.tables.calendar.lock().covered.is_some();
+        self.digest_at = now + if new { CATCH_UP } else { BEAT };
         let words = self.tables.leases.lock().words();
-        let said = digests(&self.tables, words, want);
+        let said = digests(&self.tables, words, new);
         let mut mail = Mail::new();
         for _ in 0..TOLD.min(members.len()) {
             self.turn = self.turn.wrapping_add(1);
--- a/src/net/duties/leases.rs
+++ b/src/net/duties/leases.rs
@@ -33,8 +33,9 @@
     voter: Option<Voter>,
     candidate: Candidate,
     fence: Fence<Duty>,
-    /// When each voter was last heard of.
+    /// When each voter last answered this proxy, and when any word of it came.
     answered: Vec<Option<Time>>,
+    heard: Vec<Option<Time>>,
     holder: Option<Holder>,
     /// Since when the duty has been wanted without a majority's word, and whether that was said.
     wanting: Option<(Time, bool)>,
@@ -60,6 +61,7 @@
             candidate: Candidate::new(rules, incarnation),
             fence: Fence::default(),
             answered: vec![None; voters.len()],
+            heard: vec![None; voters.len()],
             voters,
             holder: None,
             wanting: Some((now, false)),
@@ -80,7 +82,10 @@
     pub fn holder(&self) -> Option<SocketAddr> {
         match self.holds() {
             Some(_) => Some(self.own),
-            None => self.holder.filter(|h| mono() - h.heard < self.lapse()).and_then(|h| h.at),
+            None => {
+                let other = |h: &Holder| h.at != Some(self.own) && mono() - h.heard < self.rules.grant_life();
+                self.holder.filter(other).and_then(|h| h.at)
+            }
         }
     }
 
@@ -93,11 +98,6 @@
         }
     }
 
-    /// A holder whose word is older than this may be gone.
-    fn lapse(&self) -> Micros {
-        self.rules.grant_life()
-    }
-
     /// Lets time pass, and gives the time of the next call at the latest.
     pub fn tick(&mut self, mail: &mut Mail) -> Option<Time> {
         let now = mono();
@@ -252,6 +252,9 @@
             }
         }
         self.until = self.candidate.holds_until();
+        if let Some(token) = self.candidate.holds(now) {
+            self.holder = Some(Holder { token, at: Some(self.own), heard: now });
+        }
     }
 
     /// Complains once where no majority of the voters answers for a whole term.
@@ -274,7 +277,7 @@
         }
     }
 
-    /// Voters that were heard of within the last term.
+    /// Voters that answered within the last term.
     fn answering(&self, now: Time) -> usize {
         self.answered.iter().flatten().filter(|at| now - **at <= self.rules.term()).count()
     }
@@ -282,15 +285,16 @@
     /// A voter was heard of, with whatever word.
     pub fn alive(&mut self, from: SocketAddr) {
         if let Some(place) = self.voters.iter().position(|v| *v == from) {
-            self.answered[place] = Some(mono());
+            self.heard[place] = Some(mono());
         }
     }
 
     /// For the operators' door.
     pub fn status(&self) -> serde_json::Value {
         let now = mono();
-        let heard = self.answered.iter().zip(&self.voters);
-        let heard = heard.filter(|(at, _)| at.is_some_and(|at| now - at <= self.rules.term()));
+        let heard = self.heard.iter().zip(&self.voters);
+        let lately = |at: &Option<Time>| at.is_some_and(|at| now - at <= self.rules.term());
+        let heard = heard.filter(|(at, voter)| **voter == self.own || lately(at));
         let heard: Vec<String> = heard.map(|(_, voter)| voter.to_string()).collect();
         serde_json::json!({
             "duty": DUTY.name(),
--- a/src/net/duties/message.rs
+++ b/src/net/duties/message.rs
@@ -41,8 +41,8 @@
 pub enum Duties {
     /// Between a candidate and a voter.
     Lease { duty: Duty, message: Message },
-    /// What the sender knows. `want`: it asks for the receiver's own digests in return.
-    Digest { words: Vec<Word>, digest: Digest, want: bool },
+    /// What the sender knows. `new`: it has just started and may lack anything. `ask`: the receiver's digests are wanted.
+    Digest { words: Vec<Word>, digest: Digest, new: bool, ask: bool },
     /// Asks for windows by the hashes of their ids.
     Ask { ids: Vec<u64> },
     /// Windows as the sender keeps them: bytes of entries.
@@ -153,8 +153,8 @@
             (token(), any::<u32>()).prop_map(move |(ballot, round)| {
                 Duties::Lease { duty, message: Message::Propose { ballot, round } }
             }),
-            (words, any::<(u64, u64, bool)>(), rows).prop_map(|(words, (from, to, want), rows)| {
-                Duties::Digest { words, digest: Digest { from, to, rows }, want }
+            (words, any::<(u64, u64, bool)>(), rows).prop_map(|(words, (from, to, new), rows)| {
+                Duties::Digest { words, digest: Digest { from, to, rows }, new, ask: !new }
             }),
             prop::collection::vec(any::<u64>(), 0..50).prop_map(|ids| Duties::Ask { ids }),
             entries().prop_map(|entries| Duties::Entries { entries }),
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -16,10 +16,12 @@
 mod wire;
 
 use super::config::Voting;
+use super::control::{DutiesDoor, Later};
 use super::host::{Host, RosterRow, Why};
 use super::peers::Peers;
+use bytes::Bytes;
 use clock::{Clock, Command};
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use leases::Leases;
 use ranked::Ranked;
 use rustix::time::{clock_gettime, ClockId};
@@ -106,7 +108,7 @@
         let (pass, came) = sync_channel(MESSAGES);
         let (commands, calls) = sync_channel(CALLS);
         let (show, seen) = watch::channel(None);
-        let clock = Clock::new(tables.clone(), seen, own, peers.first());
+        let clock = Clock::new(tables.clone(), seen, own, peers.alone());
         let wake = commands.clone();
         let thread = |name: &str| std::thread::Builder::new().name(format!("duties-{name}"));
         thread("wire").spawn(move || wire::run(&tables, &came, &wake))?;
@@ -121,7 +123,7 @@
         Ok(Rc::new(Duties { commands, ready }))
     }
 
-    /// Until this proxy knows the calendar, or has waited long enough for it.
+    /// Until this proxy knows the calendar as another one does, or has waited long enough for it.
     pub async fn ready(&self) {
         let _ = self.ready.clone().wait_for(|ready| *ready).await;
     }
@@ -130,17 +132,22 @@
     pub fn leave(&self) {
         let _ = self.commands.try_send(Command::Leave); // full: the lease runs out by itself
     }
+}
 
-    /// An operator's call.
-    #[allow(dead_code)] // until the door passes calls on
-    pub async fn call(&self, call: door::Call) -> door::Answer {
+impl DutiesDoor for Duties {
+    fn call(&self, method: &Method, path: &[&str], body: Bytes) -> Later {
+        let path = path.iter().map(|part| part.to_string()).collect();
         let (answer, wait) = oneshot::channel();
-        if self.commands.try_send(Command::Call(call, answer)).is_ok() {
-            if let Ok(answer) = wait.await {
-                return answer;
+        let call = Command::Call(door::Call { method: method.clone(), path, body }, answer);
+        let queued = self.commands.try_send(call).is_ok();
+        Box::pin(async move {
+            let busy = (StatusCode::SERVICE_UNAVAILABLE, "too many calls at once\n".to_string());
+            if queued {
+                wait.await.unwrap_or(busy)
+            } else {
+                busy
             }
-        }
-        (StatusCode::SERVICE_UNAVAILABLE, "{\"field\":\"path\",\"why\":\"too many calls at once\"}\n".into())
+        })
     }
 }
 
--- a/src/net/duties/wire.rs
+++ b/src/net/duties/wire.rs
@@ -38,8 +38,8 @@
     tables.leases.lock().alive(from);
     match message {
         Duties::Lease { duty: Duty::Calendar, message } => tables.leases.lock().message(from, message, mail),
-        Duties::Digest { words, digest, want } => {
-            digested(tables, from, &words, &digest, want, mail);
+        Duties::Digest { words, digest, new, ask } => {
+            digested(tables, from, &words, &digest, (new, ask), mail);
             Ok(())
         }
         Duties::Ask { ids } => {
@@ -64,18 +64,23 @@
 }
 
 /// Learns what another proxy knows, and gives and asks for what either lacks.
-fn digested(tables: &Tables, from: SocketAddr, words: &[Word], digest: &Digest, want: bool, mail: &mut Mail) {
+fn digested(
+    tables: &Tables, from: SocketAddr, words: &[Word], digest: &Digest, (new, ask): (bool, bool),
+    mail: &mut Mail,
+) {
     {
         let mut leases = tables.leases.lock();
         words.iter().for_each(|word| leases.word(word, mail));
-        if want {
+        if ask {
             mail.extend(digests(tables, leases.words(), false).into_iter().map(|m| (from, m)));
         }
     }
+    let seen = tables.roster.lock().seen.is_some();
     let (lacking, covered) = {
         let mut windows = tables.calendar.lock();
         let lacking = windows.calendar.lacking(digest, wall());
-        let covered = lacking.ask.is_empty() && windows.cover(digest);
+        // Another new proxy knows as little as this one.
+        let covered = seen && !new && lacking.ask.is_empty() && windows.cover(digest);
         (lacking, covered)
     };
     if !lacking.ask.is_empty() {
@@ -87,10 +92,12 @@
     }
 }
 
-/// All that this proxy knows, for one that may know less.
-pub fn digests(tables: &Tables, words: Vec<Word>, want: bool) -> Vec<Duties> {
-    let digests = tables.calendar.lock().calendar.digests(wall());
-    digests.into_iter().map(|digest| Duties::Digest { words: words.clone(), digest, want }).collect()
+/// All that this proxy knows, for others that may know less.
+pub fn digests(tables: &Tables, words: Vec<Word>, ask: bool) -> Vec<Duties> {
+    let windows = tables.calendar.lock();
+    let (digests, new) = (windows.calendar.digests(wall()), windows.covered.is_some());
+    let said = |digest| Duties::Digest { words: words.clone(), digest, new, ask };
+    digests.into_iter().map(said).collect()
 }
 
 /// Takes entries: each that is sound, whatever the others are; the first that is not is the complaint.
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -444,9 +444,9 @@
         members
     }
 
-    /// Whether it joins through nobody.
-    pub fn first(&self) -> bool {
-        self.rules.seeds.iter().all(|seed| *seed == self.own)
+    /// Whether the fleet is this proxy, as far as its configuration says.
+    pub fn alone(&self) -> bool {
+        self.fleet <= 1 && self.rules.seeds.iter().all(|seed| *seed == self.own)
     }
 
     /// Past this shared state is too old.
