--- a/src/net/duties/clock.rs
+++ b/src/net/duties/clock.rs
@@ -115,20 +115,21 @@
 
     /// The holder's steps. The clock is read for the lease after all locks are there, right before the step.
     fn step(&self) -> Option<Token> {
-        let (token, steps, changed) = {
+        let (token, at, steps, changed) = {
             let leases = self.tables.leases.lock();
             leases.holds()?;
             let mut windows = self.tables.calendar.lock();
             let roster = self.tables.roster.lock();
             let (fleet, reports) = (roster.fleet(&windows.out), roster.reports(self.own, &windows.out));
-            let token = leases.holds()?;
             if roster.seen.is_none() {
-                return Some(token);
+                return leases.holds();
             }
+            let at = mono();
+            let token = leases.holds()?;
             let steps = windows.calendar.step(wall(), token, &fleet, &reports);
-            (token, steps, windows.calendar.changed())
+            (token, at, steps, windows.calendar.changed())
         };
-        steps.iter().for_each(tell);
+        steps.iter().for_each(|step| tell(step, at));
         let effect = |entries| Duties::Effect { duty: Duty::Calendar, token, entries };
         self.tables.spread(entries(changed).into_iter().map(effect).collect(), &AGAIN);
         Some(token)
@@ -204,10 +205,10 @@
     }
 }
 
-/// One line for each step of a window.
-fn tell(step: &Transition) {
+/// One line for each step of a window, with the time at which the lease was looked at.
+fn tell(step: &Transition, at: Time) {
     info!(event = "window", window = step.window, from = step.from.name(), to = step.to.name(), at = %step.at,
-        reason = step.reason, token = %text(step.token), mono_us = mono().0, "window");
+        reason = step.reason, token = %text(step.token), mono_us = at.0, "window");
 }
 
 /// Entries in bytes, in parts that fit into a message each.
--- a/src/net/duties/message.rs
+++ b/src/net/duties/message.rs
@@ -137,12 +137,13 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
     use proptest::prelude::*;
     use shaletide::fleet::lease::Ballot;
 
-    fn message() -> impl Strategy<Value = Duties> {
+    /// Any message, of any of its kinds.
+    pub fn message() -> impl Strategy<Value = Duties> {
         let token = || (any::<u64>(), any::<u64>()).prop_map(|(number, by)| Ballot { number, by });
         let entries = || prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..6);
         let duty = Duty::Calendar;
@@ -150,8 +151,16 @@
         let rows = prop::collection::vec(any::<(u64, u64)>(), 0..50);
         let words = prop::collection::vec((token(), any::<Option<u32>>()).prop_map(word), 0..2);
         prop_oneof![
-            (token(), any::<u32>()).prop_map(move |(ballot, round)| {
-                Duties::Lease { duty, message: Message::Propose { ballot, round } }
+            (token(), token(), any::<u32>(), 0..6).prop_map(move |(ballot, highest, round, kind)| {
+                let message = match kind {
+                    0 => Message::Ask { ballot },
+                    1 => Message::Free { ballot },
+                    2 => Message::Propose { ballot, round },
+                    3 => Message::Accepted { ballot, round },
+                    4 => Message::Refused { ballot, round, highest },
+                    _ => Message::Release { ballot },
+                };
+                Duties::Lease { duty, message }
             }),
             (words, any::<(u64, u64, bool)>(), rows).prop_map(|(words, (from, to, new), rows)| {
                 Duties::Digest { words, digest: Digest { from, to, rows }, new, ask: !new }
--- a/src/net/duties/tables.rs
+++ b/src/net/duties/tables.rs
@@ -212,3 +212,31 @@
         let _ = self.outbox.lock().effects.try_send(Effect::Ready);
     }
 }
+
+#[cfg(test)]
+impl Tables {
+    /// The tables of a voter that serves, and what the request loop is asked.
+    pub fn example() -> (Tables, mpsc::Receiver<Effect>) {
+        use shaletide::fleet::calendar::{Budget, Rules};
+        use shaletide::fleet::lease;
+        let own = SocketAddr::from(([127, 0, 0, 1], 9));
+        let voters = [9, 10, 11].map(|port| SocketAddr::from(([127, 0, 0, 1], port))).to_vec();
+        let rules = lease::Rules::new(voters.len(), Micros(1_000_000), 0.01).unwrap();
+        let (ramp, max_age) = (Micros(1_000_000), Micros(5_000_000));
+        let calendar = Calendar::new(Rules { budget: Budget { kind: 0.5, zone: 0.5 }, ramp, max_age });
+        let windows = Windows { calendar, out: BTreeSet::new(), covered: Some(Vec::new()) };
+        let (rows, members, applied) = (Vec::new(), voters[1..].to_vec(), BTreeSet::new());
+        let seen = Some(Arc::new(Seen { rows, members, applied }));
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        let (effects, told) = mpsc::channel(64);
+        let tables = Tables {
+            leases: Ranked::new(0, Leases::new(rules, voters, own, 7)),
+            calendar: Ranked::new(1, windows),
+            roster: Ranked::new(2, Roster { seen, ..Roster::default() }),
+            outbox: Ranked::new(3, Outbox::new(effects)),
+            post: Arc::new(Post::new(socket, [0; 8], own)),
+            incarnation: 7,
+        };
+        (tables, told)
+    }
+}
--- a/src/net/duties/wire.rs
+++ b/src/net/duties/wire.rs
@@ -135,3 +135,58 @@
     let messages = entries(changed).into_iter().map(|entries| Duties::Entries { entries }).collect();
     tables.spread(messages, &AGAIN);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::message::tests::message;
+    use super::super::tables::Windows;
+    use super::*;
+    use proptest::prelude::*;
+    use shaletide::fleet::calendar::{Put, Spec, Stamp};
+    use std::collections::BTreeSet;
+
+    proptest! {
+        /// Whatever members and strangers say, in any order: nothing panics, no lock is taken out of order, the highest token
+        /// never falls, and the window that is there stays as it was.
+        #[test]
+        fn no_words_break_the_tables(said in prop::collection::vec((9u16..14, message()), 1..40)) {
+            let (tables, _told) = Tables::example();
+            let spec = Spec::from_json(br#"{"ids":["a"],"begin":"2099-01-01T00:00:00Z","end":"2099-01-01T01:00:00Z","by":"x"}"#);
+            let stamp = Stamp { at: wall(), by: 1 };
+            let put = tables.calendar.lock().calendar.put("w", spec.unwrap(), stamp, wall());
+            prop_assert_eq!(put, Ok(Put::New));
+            let window = |tables: &Tables| tables.calendar.lock().calendar.get("w").cloned();
+            let (before, mut highest) = (window(&tables), None);
+            for (port, message) in said {
+                let mut mail = Mail::new();
+                let _ = take(&tables, SocketAddr::from(([127, 0, 0, 1], port)), message, &mut mail);
+                mail.iter().for_each(|(_, answer)| drop(message::decode(&message::encode(answer)).unwrap()));
+                tables.leases.lock().tick(&mut mail);
+                let token = tables.leases.lock().words().first().map(|word| word.token);
+                prop_assert!(token >= highest, "{token:?} after {highest:?}");
+                highest = token;
+            }
+            prop_assert_eq!(window(&tables), before);
+        }
+    }
+
+    /// A proxy that starts is covered only once the ranges that were shown to it leave no gap, in whatever order.
+    #[test]
+    fn only_ranges_without_a_gap_cover_the_calendar() {
+        let (tables, _told) = Tables::example();
+        let calendar = tables.calendar.lock().calendar.clone();
+        let covers = |ranges: &[(u64, u64)]| {
+            let mut windows =
+                Windows { calendar: calendar.clone(), out: BTreeSet::new(), covered: Some(Vec::new()) };
+            let last = ranges
+                .iter()
+                .map(|(from, to)| windows.cover(&Digest { from: *from, to: *to, rows: Vec::new() }));
+            last.last().unwrap_or_default()
+        };
+        assert!(covers(&[(0, u64::MAX)]) && covers(&[(6, u64::MAX), (0, 5)]));
+        assert!(covers(&[(0, 9), (3, 5), (10, u64::MAX)]), "one inside another");
+        assert!(
+            !covers(&[(0, 5), (7, u64::MAX)]) && !covers(&[(1, u64::MAX)]) && !covers(&[(0, u64::MAX - 1)])
+        );
+    }
+}
