Let the door take bodies and answer calls on windows and duties through a trait

The operators' door answered in the turn of the loop and never read a body. Calls on maintenance windows need both a body and an answer that comes from other threads. The door now knows GET /windows, GET /duties, PUT and DELETE /windows/ID and POST /windows/ID/extend and /begin, and hands them, with their decoded path and up to 64 KiB of body, to whoever implements DutiesDoor; without one they answer 404 "no duties in the configuration". Over 64 KiB is 413, a broken body or a badly encoded path 400, a wrong method 405 with Allow, and no answer within 1 s 503. The calls that were there, with their messages, are unchanged.

--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 use clap::Parser;
 use cli::{Cli, Command, LogFormat, Run};
 use net::config::{self, Node, NodeError, Snapshots, Source};
-use net::control::Control;
+use net::control::{Control, DutiesDoor};
 use net::handover::{self, Held, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
@@ -153,8 +153,14 @@
         }
         None => None,
     };
-    let mut door =
-        Door { at: None, running: None, maintenance, server: server.clone(), peers: peers.clone() };
+    let mut door = Door {
+        at: None,
+        running: None,
+        maintenance,
+        server: server.clone(),
+        peers: peers.clone(),
+        duties: None,
+    };
     if let Some(at) = node.control {
         door.open(at)?;
     }
@@ -328,6 +334,8 @@
     maintenance: Rc<Maintenance>,
     server: Rc<Server>,
     peers: Option<Rc<Peers>>,
+    /// Who answers the calls on duties and windows, where there are any.
+    duties: Option<Rc<dyn DutiesDoor>>,
 }
 
 impl Door {
@@ -335,7 +343,8 @@
     fn open(&mut self, at: SocketAddr) -> Result<(), String> {
         let listener = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
         info!("control on {}", listener.local_addr().unwrap_or(at));
-        let control = Control::new(self.server.clone(), self.maintenance.clone(), self.peers.clone());
+        let (peers, duties) = (self.peers.clone(), self.duties.clone());
+        let control = Control::new(self.server.clone(), self.maintenance.clone(), peers, duties);
         self.close();
         self.at = Some(at);
         self.running = Some(tokio::task::spawn_local(control.run(listener)).abort_handle());
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,11 +1,13 @@
-//! The operators' door: one call to a connection, on an address of its own.
+//! The operators' door: one call to a connection, on an address of its own. What this process knows is answered in the
+//! same turn of the loop; calls on windows and duties go to those who keep them, and come back later.
 
 use super::maintenance::Maintenance;
 use super::peers::Peers;
 use super::server::Server;
 use super::stream::Stream;
+use super::MAX_BODY;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW};
 use hyper::server::conn::http1;
@@ -14,6 +16,8 @@
 use std::borrow::Cow;
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -25,19 +29,35 @@
 /// A call that is not over by then is cut.
 const PATIENCE: Duration = Duration::from_secs(2);
 const MAX_HEAD: usize = 8 * 1024;
+/// Calls on duties and windows have so long, within [`PATIENCE`], so that their caller hears of it.
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 
-/// What a call comes to.
-type Said = Result<Cow<'static, str>, (StatusCode, &'static str)>;
+/// Why a call is not carried out.
+type Refusal = (StatusCode, &'static str);
+
+/// Status and text that a call on duties or windows comes to, once its keepers have said so.
+pub type Later = Pin<Box<dyn Future<Output = (StatusCode, String)>>>;
+
+/// Who answers the calls on duties and windows.
+pub trait DutiesDoor {
+    /// `path`: its segments, decoded; only calls that the door knows come here. `body` is at most 64 KiB of
+    /// anything. The future is dropped where the caller leaves or it takes over a second.
+    fn call(&self, method: &Method, path: &[&str], body: Bytes) -> Later;
+}
 
 pub struct Control {
     server: Rc<Server>,
     maintenance: Rc<Maintenance>,
     peers: Option<Rc<Peers>>,
+    duties: Option<Rc<dyn DutiesDoor>>,
 }
 
 impl Control {
-    pub fn new(server: Rc<Server>, maintenance: Rc<Maintenance>, peers: Option<Rc<Peers>>) -> Rc<Control> {
-        Rc::new(Control { server, maintenance, peers })
+    pub fn new(
+        server: Rc<Server>, maintenance: Rc<Maintenance>, peers: Option<Rc<Peers>>,
+        duties: Option<Rc<dyn DutiesDoor>>,
+    ) -> Rc<Control> {
+        Rc::new(Control { server, maintenance, peers, duties })
     }
 
     /// Answers calls for as long as the program runs.
@@ -58,8 +78,10 @@
             }
             let control = self.clone();
             let call = tokio::task::spawn_local(async move {
-                let answer = |request| std::future::ready(Ok::<_, Infallible>(control.answer(&request)));
-                let service = service_fn(answer);
+                let service = service_fn(|request| {
+                    let control = control.clone();
+                    async move { Ok::<_, Infallible>(control.answer(request).await) }
+                });
                 let mut builder = http1::Builder::new();
                 builder.keep_alive(false).max_buf_size(MAX_HEAD);
                 let conn = builder.serve_connection(Stream::new(tcp), service);
@@ -71,32 +93,42 @@
         }
     }
 
-    fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-        let (status, text) = match self.call(request) {
-            Ok(text) => (StatusCode::OK, text),
-            Err((status, text)) => (status, Cow::Borrowed(text)),
-        };
-        let mut response = Response::new(Full::new(Bytes::from(text.into_owned())));
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let methods = methods(request.uri().path());
+        let said = self.said(request, methods).await;
+        let (status, text) = said.unwrap_or_else(|(status, text)| (status, text.into()));
+        let mut response = Response::new(Full::new(Bytes::from(text)));
         *response.status_mut() = status;
         if status == StatusCode::METHOD_NOT_ALLOWED {
-            let read = ["/status", "/peers"].contains(&request.uri().path());
-            let allowed = if read { "GET" } else { "PUT" };
-            response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+            let names: Vec<&str> = methods.iter().map(Method::as_str).collect();
+            let names = HeaderValue::from_str(&names.join(", "));
+            names.into_iter().for_each(|names| drop(response.headers_mut().insert(ALLOW, names)));
         }
         response
     }
 
-    fn call(&self, request: &Request<Incoming>) -> Said {
-        let unknown = (StatusCode::NOT_FOUND, "no backend of that id was ever listed\n");
-        let path = request.uri().path();
-        let method = match path {
-            "/status" | "/peers" => Method::GET,
-            "/maintenance/enter" | "/maintenance/exit" => Method::PUT,
-            _ => return Err((StatusCode::NOT_FOUND, "no such call\n")),
-        };
-        if request.method() != method {
+    async fn said(
+        &self, request: Request<Incoming>, methods: &[Method],
+    ) -> Result<(StatusCode, String), Refusal> {
+        if methods.is_empty() {
+            return Err((StatusCode::NOT_FOUND, "no such call\n"));
+        }
+        let off = (StatusCode::NOT_FOUND, "no duties in the configuration\n");
+        let fleet = ["/windows", "/duties"].iter().any(|call| request.uri().path().starts_with(call));
+        let duties = fleet.then(|| self.duties.as_ref().ok_or(off)).transpose()?;
+        if !methods.contains(request.method()) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"));
         }
+        match duties {
+            Some(duties) => ask(&**duties, request).await,
+            None => self.call(&request).map(|text| (StatusCode::OK, text.into_owned())),
+        }
+    }
+
+    /// A call that this process answers by itself.
+    fn call(&self, request: &Request<Incoming>) -> Result<Cow<'static, str>, Refusal> {
+        let unknown = (StatusCode::NOT_FOUND, "no backend of that id was ever listed\n");
+        let path = request.uri().path();
         if path == "/status" {
             let not_yet = (StatusCode::SERVICE_UNAVAILABLE, "not taking clients\n");
             return if self.server.taking() { Ok("serving\n".into()) } else { Err(not_yet) };
@@ -114,6 +146,39 @@
     }
 }
 
+/// The methods that a call takes; none where there is no such call.
+fn methods(path: &str) -> &'static [Method] {
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    match segments[..] {
+        ["status" | "peers" | "windows" | "duties"] => &[Method::GET],
+        ["maintenance", "enter" | "exit"] => &[Method::PUT],
+        ["windows", id] if !id.is_empty() => &[Method::PUT, Method::DELETE],
+        ["windows", id, "extend" | "begin"] if !id.is_empty() => &[Method::POST],
+        _ => &[],
+    }
+}
+
+/// Has a call answered by those who keep duties and windows.
+async fn ask(duties: &dyn DutiesDoor, request: Request<Incoming>) -> Result<(StatusCode, String), Refusal> {
+    let (head, body) = request.into_parts();
+    let badly = (StatusCode::BAD_REQUEST, "the path is badly encoded\n");
+    let path: Option<Vec<String>> = head.uri.path().split('/').skip(1).map(decoded).collect();
+    let path = path.ok_or(badly)?;
+    let path: Vec<&str> = path.iter().map(String::as_str).collect();
+    let answer = duties.call(&head.method, &path, whole(body).await?);
+    let late = (StatusCode::SERVICE_UNAVAILABLE, "no answer in time, ask again\n");
+    tokio::time::timeout(ANSWER_WITHIN, answer).await.map_err(|_| late)
+}
+
+/// The whole body of a call, or why it is refused.
+async fn whole(body: Incoming) -> Result<Bytes, Refusal> {
+    let all = Limited::new(body, MAX_BODY).collect().await;
+    all.map(|all| all.to_bytes()).map_err(|e| match e.is::<LengthLimitError>() {
+        true => (StatusCode::PAYLOAD_TOO_LARGE, "a body is at most 64 KiB\n"),
+        false => (StatusCode::BAD_REQUEST, "the body is broken\n"),
+    })
+}
+
 /// The one `who` of a query, decoded.
 fn who(query: Option<&str>) -> Result<String, &'static str> {
     let pairs = query.unwrap_or_default().split('&').map(|pair| pair.split_once('=').unwrap_or((pair, "")));
@@ -122,7 +187,7 @@
         (None, _) => Err("who is missing\n"),
         (Some(_), Some(_)) => Err("who stands twice\n"),
         (Some(""), None) => Err("who is empty\n"),
-        (Some(id), None) => decoded(id).ok_or("who is badly encoded\n"),
+        (Some(id), None) => decoded(&id.replace('+', " ")).ok_or("who is badly encoded\n"),
     }
 }
 
@@ -136,7 +201,6 @@
                 let mut digit = || char::from(bytes.next()?).to_digit(16).map(|d| d as u8);
                 digit()? << 4 | digit()?
             }
-            b'+' => b' ',
             other => other,
         });
     }
@@ -145,7 +209,124 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::host::Host;
+    use super::super::server::Rules;
     use super::*;
+    use shaletide::settings::Network;
+    use shaletide::{Config, Micros};
+    use std::io::{Read, Write};
+    use std::net::TcpStream;
+
+    /// Says what it heard; of the window `late` nothing.
+    struct Echo;
+
+    impl DutiesDoor for Echo {
+        fn call(&self, method: &Method, path: &[&str], body: Bytes) -> Later {
+            let (late, length) = (path.get(1) == Some(&"late"), body.len());
+            let heard = format!("{method} {} {length}", path.join("|"));
+            Box::pin(async move {
+                tokio::task::yield_now().await;
+                if late {
+                    std::future::pending::<()>().await;
+                }
+                (StatusCode::ACCEPTED, heard)
+            })
+        }
+    }
+
+    /// A door's answers, whole, each to the bytes of one call.
+    async fn answers(duties: Option<Rc<dyn DutiesDoor>>, calls: &[Vec<u8>]) -> Vec<String> {
+        let second = Micros(1_000_000);
+        let network = Network {
+            connect_timeout: second,
+            conn_idle: second,
+            max_retry_after: second,
+            deadlines: vec![second],
+        };
+        let host = Host::example();
+        let server = Server::new(host.clone(), Rules::new(&Config::example(), &network), 4);
+        let control = Control::new(server, Maintenance::new(host, None), None, duties);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let door = tokio::task::spawn_local(control.run(listener));
+        let calls = calls.to_vec();
+        let (tell, told) = tokio::sync::oneshot::channel();
+        std::thread::spawn(move || {
+            let ask = |call: &Vec<u8>| {
+                let mut tcp = TcpStream::connect(at).unwrap();
+                tcp.write_all(call).unwrap();
+                let mut answer = String::new();
+                tcp.read_to_string(&mut answer).unwrap();
+                answer
+            };
+            let _ = tell.send(calls.iter().map(ask).collect());
+        });
+        let answers = told.await.expect("an answer to each");
+        door.abort();
+        answers
+    }
+
+    fn call(line: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+        [format!("{line} HTTP/1.1\r\nHost: d\r\n{headers}\r\n").as_bytes(), body].concat()
+    }
+
+    fn with_body(line: &str, body: &[u8]) -> Vec<u8> {
+        call(line, &format!("Content-Length: {}\r\n", body.len()), body)
+    }
+
+    fn chunked(line: &str, body: &[u8]) -> Vec<u8> {
+        let body = [format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n0\r\n\r\n"].concat();
+        call(line, "Transfer-Encoding: chunked\r\n", &body)
+    }
+
+    /// Whole bodies and decoded paths reach the keepers; all that makes no sense gets one refusal that says why.
+    #[tokio::test]
+    async fn calls_on_windows_reach_their_keepers_or_are_refused() {
+        let most = vec![b'x'; MAX_BODY];
+        let over = vec![b'x'; MAX_BODY + 1];
+        let cases = [
+            (with_body("PUT /windows/a%2Fb%20c+d", b"{}"), "202", "PUT windows|a/b c+d 2"),
+            (call("DELETE /windows/w", "", b""), "202", "DELETE windows|w 0"),
+            (chunked("POST /windows/w/extend", b"12345"), "202", "POST windows|w|extend 5"),
+            (call("POST /windows/w/begin", "", b""), "202", "POST windows|w|begin 0"),
+            (call("GET /windows?x=1", "", b""), "202", "GET windows 0"),
+            (call("GET /duties", "", b""), "202", "GET duties 0"),
+            (with_body("PUT /windows/w", &most), "202", "PUT windows|w 65536"),
+            (with_body("PUT /windows/w", &over), "413", "a body is at most 64 KiB\n"),
+            (chunked("PUT /windows/w", &over), "413", "a body is at most 64 KiB\n"),
+            (
+                call("PUT /windows/w", "Transfer-Encoding: chunked\r\n", b"zz\r\n"),
+                "400",
+                "the body is broken\n",
+            ),
+            (call("PUT /windows/%zz", "", b""), "400", "the path is badly encoded\n"),
+            (call("PUT /windows/%ff", "", b""), "400", "the path is badly encoded\n"),
+            (call("POST /windows/w", "", b""), "405", "wrong method\n"),
+            (call("GET /windows/late/begin", "", b""), "405", "wrong method\n"),
+            (call("PUT /windows/", "", b""), "404", "no such call\n"),
+            (call("POST /windows/w/close", "", b""), "404", "no such call\n"),
+            (call("PUT /windows/late", "", b""), "503", "no answer in time, ask again\n"),
+        ];
+        let scope = tokio::task::LocalSet::new();
+        scope
+            .run_until(async {
+                let calls: Vec<Vec<u8>> = cases.iter().map(|c| c.0.clone()).collect();
+                let got = answers(Some(Rc::new(Echo)), &calls).await;
+                for ((call, status, text), answer) in cases.iter().zip(&got) {
+                    let line = String::from_utf8_lossy(&call[..call.len().min(60)]).into_owned();
+                    assert_eq!(answer.split(' ').nth(1), Some(*status), "{line}: {answer}");
+                    assert_eq!(answer.split("\r\n\r\n").nth(1), Some(*text), "{line}");
+                }
+                assert!(got[12].contains("allow: PUT, DELETE\r\n"), "{}", got[12]);
+                for answer in answers(None, &calls[..3]).await {
+                    assert!(
+                        answer.starts_with("HTTP/1.1 404")
+                            && answer.ends_with("\r\n\r\nno duties in the configuration\n")
+                    );
+                }
+            })
+            .await;
+    }
 
     #[test]
     fn an_id_is_taken_only_from_a_sound_query() {
