--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -163,8 +163,10 @@
 
     /// The first thing that is wrong, if any.
     fn check(&self, peers: Option<&Sharing>) -> Result<(), String> {
-        if peers.is_none() {
-            return Err("peers is missing: duties are kept between the proxies of a fleet".into());
+        let peers = peers.ok_or("peers is missing: duties are kept between the proxies of a fleet")?;
+        if peers.max_age_s < Voting::LEAST_AGE_S {
+            // A holder says that it is there each second: its word would be too old before the next one comes.
+            return Err(format!("peers.max_age_s: expected at least {} with duties", Voting::LEAST_AGE_S));
         }
         let distinct: BTreeSet<&SocketAddr> = self.voters.iter().collect();
         if distinct.len() < self.voters.len() {
@@ -181,6 +183,7 @@
 
     /// Below this a lease would end between two turns of the worker that renews it.
     const LEAST_LEASE_MS: u64 = 500;
+    const LEAST_AGE_S: f64 = 3.0;
 }
 
 impl Default for Snapshots {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -66,6 +66,34 @@
     }
 }
 
+/// Duties that could not be kept are refused with the key that is wrong, and none are kept without peers.
+#[test]
+fn check_refuses_duties_that_cannot_be_kept() {
+    let peers = r#"peers={"listen":"127.0.0.1:0","cluster":"c","seeds":[]}"#;
+    let old = r#"peers={"listen":"127.0.0.1:0","cluster":"c","seeds":[],"max_age_s":1}"#;
+    let voters = r#""voters":["127.0.0.1:1","127.0.0.1:2","127.0.0.1:3"]"#;
+    let check = |peers: &str, duties: &str| {
+        let duties = format!("duties={{{duties}}}");
+        output(&["check", EXAMPLE, "--set", peers, "--set", &duties])
+    };
+    assert_eq!(check(peers, voters).0, Some(0));
+    for (peers, duties, words) in [
+        ("name=x", voters.into(), "duties: peers is missing"),
+        (old, voters.into(), "duties: peers.max_age_s"),
+        (peers, r#""voters":[]"#.into(), "duties: voters: expected 1, 3, 5 or 7"),
+        (peers, r#""voters":["127.0.0.1:1","127.0.0.1:2"]"#.into(), "duties: voters: expected 1, 3, 5 or 7"),
+        (peers, voters.replace(":3", ":2"), "duties: voters: an address stands twice"),
+        (peers, r#""voters":["here"]"#.into(), "duties.voters[0]: "),
+        (peers, format!(r#"{voters},"lease_ms":10"#), "duties: lease_ms"),
+        (peers, format!(r#"{voters},"drift":0.5"#), "duties: drift"),
+        (peers, format!(r#"{voters},"floor":1.5"#), "duties: floor"),
+        (peers, format!(r#"{voters},"flor":0.5"#), "unknown field `flor`"),
+    ] {
+        let (code, text) = check(peers, &duties);
+        assert!(code == Some(2) && text.contains(words), "{duties}: {code:?} {text}");
+    }
+}
+
 /// What `show-config` prints is itself a configuration, with the defaults in it and what was set.
 #[test]
 fn what_show_config_prints_is_the_configuration_in_force() {
