--- a/src/main.rs
+++ b/src/main.rs
@@ -7,8 +7,9 @@
 use clap::Parser;
 use cli::{Cli, Command, LogFormat, Run};
 use net::config::{self, Node, NodeError, Snapshots, Source};
-use net::control::Control;
+use net::control::{Control, DutiesDoor};
 use net::discovery::Pace;
+use net::duties::Duties;
 use net::handover::{self, Held, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
@@ -154,8 +155,21 @@
         }
         None => None,
     };
-    let mut door =
-        Door { at: None, running: None, maintenance, server: server.clone(), peers: peers.clone() };
+    let duties = match peers.as_ref().zip(node.duties.as_ref()) {
+        Some((peers, rules)) => {
+            let duties = Duties::start(host.clone(), peers, rules, node.config.ramp);
+            Some(duties.map_err(|e| format!("duties: {e}"))?)
+        }
+        None => None,
+    };
+    let mut door = Door {
+        at: None,
+        running: None,
+        maintenance,
+        server: server.clone(),
+        peers: peers.clone(),
+        duties: duties.clone().map(|d| d as Rc<dyn DutiesDoor>),
+    };
     if let Some(at) = node.control {
         door.open(at)?;
     }
@@ -196,12 +210,16 @@
             _ = interrupt.recv() => {}
         }
         info!("stopping");
+        duties.iter().for_each(|d| d.leave());
     };
     if node.discovery.is_some() && presence.as_ref().is_some_and(|p| p.others().older) {
         // The other one serves on meanwhile, and the list at hand may be old.
         info!("beside another process: waiting for discovery's list");
         let _ = tokio::time::timeout(FIRST_LIST, host.listed()).await;
     }
+    if let Some(duties) = &duties {
+        duties.ready().await; // a window may be open
+    }
     if let Some(Err(e)) = presence.as_ref().map(|p| p.publish()) {
         warn!("TMPDIR: another process will not see this one: {e}");
     }
@@ -329,6 +347,8 @@
     maintenance: Rc<Maintenance>,
     server: Rc<Server>,
     peers: Option<Rc<Peers>>,
+    /// Who answers the calls on duties and windows, where there are any.
+    duties: Option<Rc<dyn DutiesDoor>>,
 }
 
 impl Door {
@@ -336,7 +356,8 @@
     fn open(&mut self, at: SocketAddr) -> Result<(), String> {
         let listener = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
         info!("control on {}", listener.local_addr().unwrap_or(at));
-        let control = Control::new(self.server.clone(), self.maintenance.clone(), self.peers.clone());
+        let (peers, duties) = (self.peers.clone(), self.duties.clone());
+        let control = Control::new(self.server.clone(), self.maintenance.clone(), peers, duties);
         self.close();
         self.at = Some(at);
         self.running = Some(tokio::task::spawn_local(control.run(listener)).abort_handle());
