Give the tests one fleet of real proxies, with steady clients and a check of who held what

The tests of duties and windows need what tests/peers.rs had for itself, and more: proxies that are killed and started again under their name, partitions, spoiled and replayed datagrams, backends that write down every request with its time, clients whose every answer is kept, and a check over all logs that no two proxies held a duty at once, no token fell and nobody acted outside of its holding.

--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -2,65 +2,10 @@
 
 mod rig;
 
-use rig::faults::Faults;
+use rig::fleet::{Fleet, Status};
 use rig::*;
 use std::time::{Duration, Instant};
 
-/// What `GET /peers` answers, as far as the tests ask.
-struct Status(serde_json::Value);
-
-impl Status {
-    fn of(proxy: &Proxy) -> Status {
-        Status(serde_json::from_slice(&proxy.call("GET /peers").body).expect("JSON at the door"))
-    }
-    fn members(&self) -> usize {
-        self.0["members"].as_array().unwrap().len()
-    }
-    fn refused(&self, cause: &str) -> u64 {
-        self.0["refused"][cause].as_u64().unwrap_or(0)
-    }
-    fn count(&self, what: &str) -> u64 {
-        self.0[what].as_u64().unwrap()
-    }
-}
-
-struct Fleet {
-    faults: Faults,
-    proxies: Vec<Proxy>,
-}
-
-/// Proxy number `n` of a fleet of `size`; all start from the first one as their seed.
-fn start(faults: &Faults, n: usize, size: usize, known: &[String], variables: &[(&str, String)]) -> Proxy {
-    let settings = SETTINGS
-        .replace(r#""position":0,"group_size":1,"#, &format!(r#""position":{n},"group_size":{size},"#));
-    let peers = format!(
-        r#","peers":{{"listen":"127.0.0.1:0","advertise":"{}","cluster":"test","seeds":["{}"]}}"#,
-        faults.address(n),
-        faults.address(0)
-    );
-    let proxy = Proxy::seeded(n as u64 + 1, known, &settings, &peers, &[variables, &[tmp()]].concat());
-    faults.started(n, &proxy.said);
-    proxy
-}
-
-impl Fleet {
-    fn new(size: usize, seed: u64, known: &[String], variables: &[(&str, String)]) -> Fleet {
-        let faults = Faults::new(size, seed);
-        let proxies = (0..size).map(|n| start(&faults, n, size, known, variables)).collect();
-        Fleet { faults, proxies }
-    }
-
-    /// Waits until each of these sees so many others; how long that took.
-    fn until(&self, of: &[usize], others: usize) -> Duration {
-        let begun = Instant::now();
-        while of.iter().any(|n| Status::of(&self.proxies[*n]).members() != others) {
-            assert!(begun.elapsed() < 3 * PATIENCE, "not {others} others at each of {of:?}");
-            std::thread::sleep(Duration::from_millis(50));
-        }
-        begun.elapsed()
-    }
-}
-
 /// Every proxy is asked four times a second for so long; answers that were not 200.
 fn ask_all(proxies: &[Proxy], seconds: u32) -> std::thread::JoinHandle<usize> {
     let at: Vec<_> = proxies.iter().map(|proxy| proxy.address).collect();
@@ -194,13 +139,12 @@
     assert_eq!(asked.join().unwrap(), 0, "a client of a live proxy was not served");
     eprintln!("two of six found dead after {found:.1?}");
     assert_eq!(fleet.proxies[0].call("PUT /maintenance/enter?who=b0").status(), 200);
-    let back = start(&fleet.faults, 4, 6, &known, &[]);
+    fleet.restart(4);
     let begun = Instant::now();
-    while back.logged("peer_snapshot_taken") == 0 {
+    while fleet.proxies[4].logged("peer_snapshot_taken") == 0 {
         assert!(begun.elapsed() < PATIENCE, "no snapshot came");
         std::thread::sleep(Duration::from_millis(20));
     }
-    fleet.proxies.push(back);
     fleet.until(&[0, 1, 2, 3, 4], 4);
     let before = backend.count();
     for _ in 0..30 {
--- a/tests/rig/faults.rs
+++ b/tests/rig/faults.rs
@@ -1,5 +1,5 @@
 //! Faults between the proxies of a fleet: each one's datagrams come through a relay of the test's own on loopback,
-//! which drops, delays, reorders, doubles or cuts them off one way, by a seed.
+//! which drops, delays, reorders, doubles, spoils, replays or cuts them off one way, by a seed.
 
 use super::*;
 use std::collections::{HashMap, HashSet};
@@ -11,6 +11,10 @@
     /// Parts of all, from 0 to 1.
     pub drop: f64,
     pub double: f64,
+    /// One byte of the datagram is changed.
+    pub spoil: f64,
+    /// The datagram that came before it to the same proxy comes once more behind it.
+    pub replay: f64,
     /// Each is late by an even draw up to this, so that they overtake each other.
     pub late: Duration,
     /// From, to: nothing passes that way.
@@ -59,6 +63,14 @@
         self.rules.lock().unwrap().slow = both.map(|pair| (pair, time)).collect();
     }
 
+    /// Nothing passes between these groups, either way; whoever is in none is alone. Other rules stay as they are.
+    pub fn split(&self, groups: &[&[usize]]) {
+        let group = |n: usize| groups.iter().position(|g| g.contains(&n)).ok_or(n);
+        let all = 0..self.sockets.len();
+        let pairs = all.clone().flat_map(|a| all.clone().map(move |b| (a, b)));
+        self.rules.lock().unwrap().cut = pairs.filter(|(a, b)| group(*a) != group(*b)).collect();
+    }
+
     /// Whatever was wrong ends.
     pub fn heal(&self) {
         *self.rules.lock().unwrap() = Rules::default();
@@ -83,16 +95,20 @@
                     (real.get(&source).copied(), target)
                 };
                 let (Some(from), Some(target)) = (from, target) else { continue };
-                let (copies, late, slow) = {
+                let mut data = bytes[..length].to_vec();
+                let (copies, late, slow, again) = {
                     let rules = rules.lock().unwrap();
                     let lost = rules.cut.contains(&(from, to)) || chance() < rules.drop;
-                    let copies = if lost { 0 } else { 1 + u32::from(chance() < rules.double) };
-                    (copies, rules.late, rules.slow.get(&(from, to)).copied().unwrap_or_default())
+                    let copies = if lost { 0 } else { 1 + usize::from(chance() < rules.double) };
+                    if length > 0 && chance() < rules.spoil {
+                        data[(chance() * length as f64) as usize] ^= 1 + (chance() * 255.0) as u8;
+                    }
+                    let slow = rules.slow.get(&(from, to)).copied().unwrap_or_default();
+                    (copies, rules.late, slow, copies > 0 && chance() < rules.replay)
                 };
-                let data = bytes[..length].to_vec();
-                for _ in 0..copies {
-                    last.lock().unwrap().insert(to, data.clone());
-                    let (socket, data, wait) = (socket.clone(), data.clone(), slow + late.mul_f64(chance()));
+                let before = if copies > 0 { last.lock().unwrap().insert(to, data.clone()) } else { None };
+                for data in std::iter::repeat_n(data, copies).chain(before.filter(|_| again)) {
+                    let (socket, wait) = (socket.clone(), slow + late.mul_f64(chance()));
                     let send = move || drop(socket.send_to(&data, target));
                     if wait.is_zero() {
                         send();
--- /dev/null
+++ b/tests/rig/holdings.rs
@@ -0,0 +1,101 @@
+//! Who held a duty when, read from the logs of all processes of a fleet: two that held it at once, and acts outside of
+//! the actor's own holding, are told.
+
+use std::collections::HashMap;
+
+/// One process of a proxy: what it logged, and when it was killed, if it was.
+#[derive(Clone, Debug, Default)]
+pub struct Life {
+    pub proxy: usize,
+    pub log: String,
+    /// Microseconds on the machine's monotonic clock, as all times here.
+    pub killed: Option<u64>,
+}
+
+/// A fencing token, ordered as the program orders it.
+pub type Token = (u64, String);
+
+/// A span in which a process believed that it held the duty.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holding {
+    pub proxy: usize,
+    /// Which of the lives, by its place.
+    pub life: usize,
+    pub token: Token,
+    pub from: u64,
+    /// `u64::MAX` while it goes on.
+    pub to: u64,
+}
+
+/// A field of a log line, without its quotes.
+pub fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    let rest = line.split_once(&format!(" {name}="))?.1;
+    match rest.strip_prefix('"') {
+        Some(quoted) => quoted.split('"').next(),
+        None => rest.split(' ').next(),
+    }
+}
+
+/// The same as a number.
+pub fn number(line: &str, name: &str) -> Option<u64> {
+    field(line, name)?.parse().ok()
+}
+
+pub fn token(line: &str) -> Option<Token> {
+    let (number, by) = field(line, "token")?.split_once('.')?;
+    Some((number.parse().ok()?, by.into()))
+}
+
+/// The lines of one event.
+pub fn events<'a>(log: &'a str, event: &str) -> impl Iterator<Item = &'a str> + use<'a> {
+    let event = event.to_string();
+    log.lines().filter(move |line| field(line, "event") == Some(&event))
+}
+
+/// Every holding, in the order of their begins.
+pub fn holdings(lives: &[Life]) -> Vec<Holding> {
+    let mut all = Vec::new();
+    for (n, life) in lives.iter().enumerate() {
+        let ends: HashMap<Token, u64> = events(&life.log, "duty_over")
+            .filter_map(|l| {
+                let noticed = number(l, "mono_us")?;
+                Some((token(l)?, number(l, "until_us").map_or(noticed, |until| until.min(noticed))))
+            })
+            .collect();
+        for line in events(&life.log, "duty_held") {
+            let token = token(line).unwrap_or_else(|| panic!("no token: {line}"));
+            let from = number(line, "mono_us").unwrap_or_else(|| panic!("no time: {line}"));
+            let end = ends.get(&token).copied().unwrap_or(u64::MAX);
+            let to = end.min(life.killed.unwrap_or(u64::MAX));
+            all.push(Holding { proxy: life.proxy, life: n, token, from, to });
+        }
+    }
+    all.sort_by_key(|h| h.from);
+    all
+}
+
+/// Whatever contradicts "one holder at a time, and only it acts", in words; empty where nothing does.
+pub fn contradictions(lives: &[Life]) -> Vec<String> {
+    let all = holdings(lives);
+    let mut wrong = Vec::new();
+    for (n, one) in all.iter().enumerate() {
+        for other in &all[n + 1..] {
+            if other.from < one.to {
+                wrong.push(format!("two holders at once: {one:?} and {other:?}"));
+            }
+            if other.token <= one.token {
+                wrong.push(format!("a token that did not grow: {one:?} then {other:?}"));
+            }
+        }
+    }
+    for (n, life) in lives.iter().enumerate() {
+        for line in events(&life.log, "window") {
+            let Some((by, at)) = token(line).zip(number(line, "mono_us")) else { continue };
+            let own = |h: &&Holding| h.life == n && h.token == by && h.from <= at && at <= h.to;
+            if all.iter().find(own).is_none() {
+                wrong.push(format!("proxy {} acted outside of its holding: {line}", life.proxy));
+            }
+        }
+    }
+    wrong
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 pub mod faults;
+pub mod fleet;
+pub mod holdings;
 
 /// No wait in these tests is meant to last as long: it only ends a test that would hang.
 pub const PATIENCE: Duration = Duration::from_secs(20);
