--- a/tests/rig/fleet.rs
+++ b/tests/rig/fleet.rs
@@ -134,6 +134,13 @@
         self.killed.extend(of.iter().map(|n| (*n, mono_us())));
     }
 
+    /// SIGTERM; returns once the process has ended.
+    pub fn end(&mut self, n: usize) {
+        self.proxies[n].terminate();
+        let _ = self.proxies[n].child.wait();
+        self.killed.insert(n, mono_us());
+    }
+
     /// Those whose process lives.
     pub fn live(&self) -> Vec<usize> {
         (0..self.proxies.len()).filter(|n| !self.killed.contains_key(n)).collect()
