Show windows kept through a killed, stopped and parted holder, by five real proxies each

Nine tests, each with five processes, three voters, six or eight backends and steady clients: a successor of a killed holder under noise; late words of a stopped one refused by their token; partitions with the holder in the minority, in the majority, without any, healed in the open window, and a one-way cut, beside a second window that the budget holds back on every side; all voters killed with empty memory, then all proxies; three windows one after the other beside a backend that died and a holder that left.

--- /dev/null
+++ b/tests/windows.rs
@@ -0,0 +1,243 @@
+//! Maintenance windows that a fleet keeps while its holder is killed, stopped or cut off: several real processes,
+//! faults between them (`rig::faults`), steady clients, and backends that write down what reached them. Every test ends
+//! with `check`: no client failed, nothing lost or doubled, nothing to a drained backend, never two holders.
+
+mod rig;
+
+use rig::fleet::{check, mono_us, Fleet, Load, Recorder, Shape, Shut, Window};
+use rig::holdings;
+use std::time::Duration;
+
+const ALL: [usize; 5] = [0, 1, 2, 3, 4];
+/// What the protocol grants between the word that a backend drains and the last new request to it.
+const GRACE_US: u64 = 2_000_000;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Five proxies, three of them voters, that know each other, and so many backends of one kind and zone.
+fn fleet(seed: u64, backends: usize, shape: Shape) -> (Vec<Recorder>, Fleet) {
+    let (recorders, known) = Recorder::several(backends);
+    let fleet = Fleet::of(Shape { size: ALL.len(), seed, known, voters: 3, ..shape });
+    fleet.until(&ALL, ALL.len() - 1);
+    (recorders, fleet)
+}
+
+fn shape() -> Shape {
+    Shape { lease_ms: 1500, floor: 0.5, max_age_s: 3.0, ..Shape::default() }
+}
+
+fn noise(fleet: &Fleet) {
+    let mut rules = fleet.faults.rules.lock().unwrap();
+    (rules.drop, rules.double, rules.late) = (0.05, 0.05, Duration::from_millis(20));
+    (rules.spoil, rules.replay) = (0.01, 0.02);
+}
+
+fn but(n: usize) -> Vec<usize> {
+    ALL.into_iter().filter(|other| *other != n).collect()
+}
+
+/// Shut from the grace after the decision to drain on, as long as everyone is connected.
+fn decided(fleet: &Fleet, windows: &[&Window]) -> Vec<Shut> {
+    let of = |w: &&Window| w.shut(fleet.stepped(&w.id, "draining").at + GRACE_US);
+    windows.iter().flat_map(of).collect()
+}
+
+/// Windows run while a twentieth of the datagrams is lost, doubled, spoiled or late; the holder is killed while the first
+/// one drains. Its successor goes on: every other proxy takes each backend out once and back once.
+#[test]
+fn a_successor_goes_on_where_a_killed_holder_stopped() {
+    let (backends, mut fleet) = fleet(19, 6, shape());
+    noise(&fleet);
+    let load = Load::start(&fleet, PAUSE);
+    let (first, token) = fleet.holder(&[]);
+    load.away(&[first]);
+    let rest = but(first);
+    let windows =
+        [fleet.put(rest[0], "w0", &["b0"], 4.0, 4.0, 3), fleet.put(rest[1], "w1", &["b1"], 4.5, 4.0, 3)];
+    fleet.know(&ALL, &[&windows[0], &windows[1]]);
+    assert_eq!(fleet.stepped("w0", "draining").proxy, first);
+    fleet.kill(&[first]);
+    let (next, grown) = fleet.holder(&[first]);
+    assert!(next != first && grown > token, "{grown:?} after {token:?}");
+    for window in &windows {
+        assert_eq!(fleet.stepped(&window.id, "done").token, grown);
+        fleet.out_and_back_once(&rest, window);
+    }
+    let shut = decided(&fleet, &[&windows[0], &windows[1]]);
+    check("holder killed", &fleet, &backends, &load.end(), &shut);
+}
+
+/// The holder stops past its lease while its word to drain is still on its way to some. Another goes on, and what comes
+/// late from the first is refused by its token. Continued, it finds its holding over before it acts.
+#[test]
+fn late_words_of_a_stopped_holder_are_refused_by_their_token() {
+    let (backends, fleet) = fleet(23, 6, Shape { lease_ms: 1000, max_age_s: 8.0, ..shape() });
+    let load = Load::start(&fleet, PAUSE);
+    let (first, token) = fleet.holder(&[]);
+    load.away(&[first]);
+    let rest = but(first);
+    let slow: Vec<usize> = rest.iter().copied().filter(|n| *n >= 3).collect(); // no voters: the lease goes on
+    fleet.faults.part(&[first], &slow, Duration::from_secs(5));
+    let window = fleet.put(rest[0], "w0", &["b0"], 4.0, 5.0, 4);
+    assert_eq!(fleet.stepped("w0", "draining").proxy, first);
+    fleet.proxies[first].signal("-STOP");
+    let (next, grown) = fleet.holder(&[first]);
+    assert!(next != first && grown > token, "{grown:?} after {token:?}");
+    for n in &slow {
+        let refused = |l: &&str| holdings::field(l, "cause") == Some("token");
+        let late = |f: &Fleet| holdings::events(&f.log(*n), "effect_refused").any(|l| refused(&l));
+        fleet.wait("a late word refused", |f| late(f).then_some(()));
+    }
+    fleet.faults.heal();
+    fleet.proxies[first].signal("-CONT");
+    let over = |f: &Fleet| holdings::events(&f.log(first), "duty_over").count() > 0;
+    fleet.wait("the stopped holder to find its holding over", |f| over(f).then_some(()));
+    load.back(&fleet, &[first]);
+    assert_eq!(fleet.stepped("w0", "done").token, grown);
+    fleet.out_and_back_once(&rest, &window);
+    let shut = decided(&fleet, &[&window]);
+    check("holder stopped", &fleet, &backends, &load.end(), &shut);
+}
+
+/// Two windows that do not fit together are known everywhere; then, at a step of the first, `cut` parts the fleet by its
+/// holder for longer than a proxy goes by a holder's last word. On every side the first opens on time and closes on
+/// time, and the second waits for it until its own time is over.
+fn parted(name: &str, seed: u64, step: &str, cut: impl Fn(&Fleet, usize, &Window)) -> Fleet {
+    let (backends, fleet) = fleet(seed, 6, shape());
+    let load = Load::start(&fleet, PAUSE);
+    let (holder, _) = fleet.holder(&[]);
+    let window = fleet.put(holder, "w0", &["b0", "b1"], 7.0, 6.0, 4);
+    let other = fleet.put(holder, "w1", &["b2", "b3"], 7.1, 6.0, 4);
+    fleet.know(&ALL, &[&window, &other]);
+    if step != "planned" {
+        fleet.stepped("w0", step);
+    }
+    cut(&fleet, holder, &window);
+    fleet.out_and_back_once(&ALL, &window);
+    fleet.faults.heal();
+    fleet.until(&ALL, ALL.len() - 1);
+    fleet.stepped("w1", "refused");
+    for n in ALL {
+        assert_eq!(fleet.moves(n, "b2").0, [0; 0], "proxy {n} went below the floor");
+    }
+    check(name, &fleet, &backends, &load.end(), &window.shut(window.begin));
+    fleet
+}
+
+#[test]
+fn windows_are_kept_on_time_with_the_holder_in_the_minority() {
+    let fleet = parted("holder in the minority", 29, "planned", |fleet, holder, _| {
+        fleet.faults.split(&[&[holder], &but(holder)]);
+        fleet.holder(&[holder]);
+    });
+    let (drained, done) = (fleet.stepped("w0", "draining"), fleet.stepped("w0", "done"));
+    assert_eq!(drained.token, done.token, "the majority's holder kept the window from begin to end");
+}
+
+/// Cut off in an open window, the minority restores at its end by itself.
+#[test]
+fn windows_are_kept_on_time_with_the_holder_in_the_majority() {
+    let fleet = parted("holder in the majority", 31, "open", |fleet, holder, _| {
+        let voters = [0, 1, 2].into_iter().filter(|v| *v != holder).take(2);
+        let side: Vec<usize> = voters.chain([holder]).collect();
+        let other: Vec<usize> = ALL.into_iter().filter(|n| !side.contains(n)).collect();
+        fleet.faults.split(&[&side, &other]);
+    });
+    fleet.stepped("w0", "done");
+}
+
+#[test]
+fn windows_are_kept_on_time_without_any_majority() {
+    let fleet = parted("no majority", 37, "planned", |fleet, _, _| fleet.faults.split(&[&[3, 4]]));
+    let said = |n: &usize| holdings::events(&fleet.log(*n), "duty_no_majority").count() > 0;
+    assert!(ALL.iter().any(said), "nobody said that there is no majority");
+    fleet.stepped("w0", "refused"); // nobody held the duty in all its time
+}
+
+/// Every proxy drains by itself; then the fleet is whole again in the open window, and its new holder takes it over.
+#[test]
+fn a_holder_that_comes_back_in_an_open_window_takes_it_over() {
+    let fleet = parted("no majority, healed in the window", 53, "planned", |fleet, _, window| {
+        fleet.faults.split(&[&[3, 4]]);
+        let out = |f: &Fleet| ALL.iter().all(|n| !f.moves(*n, "b0").0.is_empty());
+        fleet.wait("all to drain by themselves", |f| out(f).then_some(()));
+        fleet.wait("the window to open", |_| (mono_us() > window.begin).then_some(()));
+        fleet.faults.heal();
+    });
+    fleet.stepped("w0", "done");
+}
+
+#[test]
+fn windows_are_kept_on_time_while_nobody_hears_the_holder() {
+    let fleet = parted("one way cut", 41, "planned", |fleet, holder, _| {
+        fleet.faults.rules.lock().unwrap().cut = but(holder).into_iter().map(|n| (holder, n)).collect();
+        fleet.holder(&[holder]);
+    });
+    fleet.stepped("w0", "done");
+}
+
+/// All voters are killed at once in an open window and start again with nothing in their memory; later the whole fleet
+/// does. Tokens grow both times, and nothing is restored before its window's end.
+#[test]
+fn tokens_grow_over_a_restart_of_all_voters_and_nothing_is_restored_early() {
+    let (backends, mut fleet) = fleet(43, 6, shape());
+    let load = Load::start(&fleet, PAUSE);
+    let (_, before) = fleet.holder(&[]);
+    let window = fleet.put(3, "w0", &["b0"], 3.0, 9.0, 3);
+    let draining = fleet.stepped("w0", "draining").at;
+    fleet.stepped("w0", "open");
+    let voters = [0, 1, 2];
+    load.away(&voters);
+    fleet.kill(&voters);
+    voters.iter().for_each(|n| fleet.restart(*n));
+    let knows = |f: &Fleet| voters.iter().all(|n| !f.moves(*n, "b0").0.is_empty());
+    fleet.wait("the new processes to be told of the window", |f| knows(f).then_some(()));
+    load.back(&fleet, &voters);
+    let (_, after) = fleet.wait("a new holder", |f| Some(f.holder(&[])).filter(|(_, t)| *t > before));
+    assert!(after.0 > before.0, "{after:?} after {before:?}");
+    fleet.out_and_back_once(&ALL, &window);
+    fleet.stepped("w0", "done");
+    load.away(&ALL);
+    fleet.kill(&ALL);
+    ALL.iter().for_each(|n| fleet.restart(*n));
+    let (_, last) = fleet.holder(&[]);
+    assert!(last.0 > after.0, "{last:?} after {after:?}");
+    check("all voters killed", &fleet, &backends, &load.end(), &window.shut(draining + GRACE_US));
+}
+
+/// Three windows of two backends each want the same time, of eight of which three fifths have to stay ready: they run one
+/// after the other, in the order of their begins, while one more backend dies and the holder goes by SIGTERM. A fourth that
+/// would take three does not fit beside the dead one: it is refused when its time is over.
+#[test]
+fn the_budget_lets_windows_run_one_after_the_other() {
+    let (backends, mut fleet) = fleet(47, 8, Shape { floor: 0.6, ..shape() });
+    let load = Load::start(&fleet, PAUSE);
+    let (first, _) = fleet.holder(&[]);
+    let put = |at, id, ids: &[&str], begin, end| fleet.put(at, id, ids, begin, end - begin, 2);
+    let windows = [
+        put(0, "w0", &["b0", "b1"], 3.0, 6.0),
+        put(1, "w1", &["b2", "b3"], 3.1, 12.0),
+        put(2, "w2", &["b4", "b5"], 3.2, 18.0),
+    ];
+    put(3, "w3", &["b0", "b1", "b2"], 3.3, 24.0);
+    fleet.stepped("w0", "open");
+    let waits = |id: &str| {
+        let list = fleet.json((first + 1) % 5, "/windows").to_string();
+        assert!(list.contains("waiting"), "{id} does not say what it waits for: {list}");
+    };
+    waits("w1");
+    backends[7].die();
+    fleet.stepped("w1", "open");
+    load.away(&[first]);
+    fleet.end(first);
+    let rest = but(first);
+    fleet.stepped("w3", "refused");
+    assert!(fleet.steps("w3").iter().all(|d| d.to != "draining"), "{:?}", fleet.steps("w3"));
+    for pair in windows.windows(2) {
+        let (over, next) =
+            (fleet.stepped(&pair[0].id, "restoring").at, fleet.stepped(&pair[1].id, "draining").at);
+        assert!(over <= next, "{} drained {} us before {} was back", pair[1].id, over - next, pair[0].id);
+    }
+    windows.iter().for_each(|w| fleet.out_and_back_once(&rest, w));
+    let shut = decided(&fleet, &[&windows[0], &windows[1], &windows[2]]);
+    check("budget", &fleet, &backends, &load.end(), &shut);
+}
