Take percent-decoding and hex file names from the crates percent-encoding and hex

Both were written out by hand. form_urlencoded does not fit: it replaces broken UTF-8 and leaves a broken %zz as it stands, where the door refuses both. So percent-encoding decodes, with a check of the escapes in front and the strict conversion to UTF-8 behind. The files' names are as before. The inherited tests of both are unchanged.

--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -191,20 +191,12 @@
     }
 }
 
-/// Percent-decoding that takes nothing broken.
+/// Percent-decoding that takes nothing broken: the crate would leave a `%zz` as it stands.
 fn decoded(text: &str) -> Option<String> {
-    let mut bytes = text.bytes();
-    let mut out = Vec::with_capacity(text.len());
-    while let Some(byte) = bytes.next() {
-        out.push(match byte {
-            b'%' => {
-                let mut digit = || char::from(bytes.next()?).to_digit(16).map(|d| d as u8);
-                digit()? << 4 | digit()?
-            }
-            other => other,
-        });
-    }
-    String::from_utf8(out).ok()
+    let byte = |rest: &str| rest.bytes().take(2).filter(u8::is_ascii_hexdigit).count() == 2;
+    let sound = text.split('%').skip(1).all(byte);
+    let bytes = percent_encoding::percent_decode_str(text);
+    sound.then(|| bytes.decode_utf8().ok().map(Cow::into_owned)).flatten()
 }
 
 #[cfg(test)]
--- a/src/net/maintenance.rs
+++ b/src/net/maintenance.rs
@@ -146,14 +146,12 @@
 
 /// Ids may hold anything: in hex they are plain names of files.
 fn file(prefix: &str, id: &str) -> PathBuf {
-    let hex: String = id.bytes().map(|b| format!("{b:02x}")).collect();
-    Path::new(&format!("{prefix}{hex}")).into()
+    Path::new(&format!("{prefix}{}", hex::encode(id))).into()
 }
 
-fn decode(hex: &str) -> Option<String> {
-    let digits: Option<Vec<u8>> = hex.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
-    let digits = digits.filter(|d| !d.is_empty() && d.len() % 2 == 0)?;
-    String::from_utf8(digits.chunks(2).map(|d| d[0] << 4 | d[1]).collect()).ok()
+fn decode(text: &str) -> Option<String> {
+    let bytes = hex::decode(text).ok().filter(|bytes| !bytes.is_empty())?;
+    String::from_utf8(bytes).ok()
 }
 
 #[cfg(test)]
