Have check name every error inside settings, each once

The settings' reader stopped at the first value that it could not read, so that a file with five mistakes took five rounds. Now a wrong value is noted under its path and a stand-in that breaks no bound takes its place; reading goes on, and bounds are looked at as well. What only follows from another error is left out (my_zone where zones is unreadable). Unknown keys are named beside errors too. Messages are as before; run and SIGHUP still name the first.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -172,6 +172,11 @@
 
     /// The first field that is out of its range, if any.
     pub fn validate(&self) -> Result<(), ConfigError> {
+        self.errors().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Every field that is out of its range.
+    pub fn errors(&self) -> Vec<ConfigError> {
         let part = |x: f64| (0.0..=1.0).contains(&x);
         let above_zero = |x: f64| x > 0.0 && x.is_finite();
         let classes = &self.classes;
@@ -198,8 +203,8 @@
                 "(0, 1]",
             ),
         ];
-        let failed = tests.into_iter().find(|t| !t.0);
-        failed.map_or(Ok(()), |(_, field, expected)| Err(ConfigError { field, expected }))
+        let failed = tests.into_iter().filter(|t| !t.0);
+        failed.map(|(_, field, expected)| ConfigError { field, expected }).collect()
     }
 }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -274,14 +274,8 @@
         Err(e) => return vec![e.to_string()],
     };
     let mut errors: Vec<String> = parsed.unknown.iter().map(|key| format!("{key}: unknown key")).collect();
-    let settings = &parsed.file.settings;
-    let read = settings::read(settings).and_then(|(c, _)| c.validate().map_err(|e| e.to_string()));
-    let found = [read.err(), settings::network(settings).err(), seed(&parsed.file.seed).err()];
-    for error in found.into_iter().flatten().map(|e| NodeError::Settings(e).to_string()) {
-        if !errors.contains(&error) {
-            errors.push(error);
-        }
-    }
+    let found = settings::errors(&parsed.file.settings).into_iter().chain(seed(&parsed.file.seed).err());
+    errors.extend(found.map(|e| NodeError::Settings(e).to_string()));
     errors
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -99,59 +99,104 @@
     }
 }
 
-/// A value inside the settings, with the path that led to it.
+/// What reading came upon.
+#[derive(Default)]
+struct Notes {
+    /// Paths that were asked for.
+    seen: RefCell<BTreeSet<String>>,
+    /// What was wrong, in the order of reading: one text for a path.
+    wrong: RefCell<Vec<(String, String)>>,
+}
+
+impl Notes {
+    /// Whether the value there, or one inside it, could not be read.
+    fn misread(&self, path: &str) -> bool {
+        let inside = |rest: &str| rest.is_empty() || rest.starts_with(['.', '[']);
+        self.wrong.borrow().iter().any(|(p, _)| p.strip_prefix(path).is_some_and(inside))
+    }
+    /// What was read, or the first that was wrong.
+    fn sound<T>(&self, read: T) -> Result<T, String> {
+        self.wrong.borrow().first().map_or(Ok(read), |(_, text)| Err(text.clone()))
+    }
+}
+
+/// A value inside the settings, with the path that led to it. One that is wrong is noted, and a stand-in that breaks
+/// no rule takes its place, so that reading goes on to what else is wrong.
 struct Key<'a> {
     path: String,
     value: Option<&'a Value>,
-    /// Paths that were asked for.
-    seen: Rc<RefCell<BTreeSet<String>>>,
+    notes: Rc<Notes>,
 }
 
 impl<'a> Key<'a> {
     fn root(settings: &'a Value) -> Key<'a> {
-        Key { path: String::new(), value: Some(settings), seen: Rc::default() }
+        Key { path: String::new(), value: Some(settings), notes: Rc::default() }
     }
     fn get(&self, name: &str) -> Key<'a> {
         let path = if self.path.is_empty() { name.into() } else { format!("{}.{name}", self.path) };
-        self.seen.borrow_mut().insert(path.clone());
-        Key { path, value: self.value.and_then(|v| v.get(name)), seen: self.seen.clone() }
+        self.notes.seen.borrow_mut().insert(path.clone());
+        Key { path, value: self.value.and_then(|v| v.get(name)), notes: self.notes.clone() }
     }
-    fn want<T>(&self, got: Option<T>, what: &str) -> Result<T, String> {
-        got.ok_or_else(|| match self.value {
-            Some(v) => format!("{}: expected {what}, got {v}", self.path),
-            None => format!("{}: missing, expected {what}", self.path),
+    fn wrong(&self, text: String) {
+        let mut wrong = self.notes.wrong.borrow_mut();
+        if wrong.iter().all(|(path, _)| *path != self.path) {
+            wrong.push((self.path.clone(), format!("{}: {text}", self.path)));
+        }
+    }
+    fn want<T>(&self, got: Option<T>, what: &str, stand_in: T) -> T {
+        got.unwrap_or_else(|| {
+            self.wrong(match self.value {
+                Some(v) => format!("expected {what}, got {v}"),
+                None => format!("missing, expected {what}"),
+            });
+            stand_in
         })
     }
-    fn text(&self) -> Result<&'a str, String> {
-        self.want(self.value.and_then(Value::as_str), "text")
+    fn text(&self) -> &'a str {
+        self.want(self.value.and_then(Value::as_str), "text", "")
     }
-    fn flag(&self) -> Result<bool, String> {
-        self.want(self.value.and_then(Value::as_bool), "true or false")
+    fn flag(&self) -> bool {
+        self.want(self.value.and_then(Value::as_bool), "true or false", false)
     }
-    fn real(&self) -> Result<f64, String> {
-        self.want(self.value.and_then(Value::as_f64), "a number")
+    fn real(&self) -> f64 {
+        self.want(self.value.and_then(Value::as_f64), "a number", 1.0)
     }
-    fn micros(&self) -> Result<Micros, String> {
-        self.want(self.value.and_then(Value::as_u64), "whole microseconds").map(Micros)
+    fn whole(&self) -> Option<u64> {
+        self.value.and_then(Value::as_u64)
     }
-    fn count(&self) -> Result<u32, String> {
-        let got = self.value.and_then(Value::as_u64).and_then(|n| u32::try_from(n).ok());
-        self.want(got, "a whole number")
+    fn micros(&self) -> Micros {
+        Micros(self.want(self.whole(), "whole microseconds", 1))
     }
-    fn list(&self) -> Result<Vec<Key<'a>>, String> {
-        let items = self.want(self.value.and_then(Value::as_array), "an array")?;
+    fn count(&self, stand_in: u32) -> u32 {
+        self.want(self.whole().and_then(|n| u32::try_from(n).ok()), "a whole number", stand_in)
+    }
+    fn list(&self) -> Vec<Key<'a>> {
+        let items = self.want(self.value.and_then(Value::as_array).map(Vec::as_slice), "an array", &[]);
         let item =
-            |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v), seen: self.seen.clone() };
-        Ok(items.iter().enumerate().map(item).collect())
+            |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v), notes: self.notes.clone() };
+        items.iter().enumerate().map(item).collect()
     }
 }
 
-/// Reads the settings; unknown keys are skipped (see [`unknown`]).
+/// Reads the settings, or says what is wrong first; unknown keys are skipped (see [`unknown`]).
 pub fn read(settings: &Value) -> Result<(Config, Names), String> {
-    read_with(&Key::root(settings), Names::default())
+    let root = Key::root(settings);
+    let read = read_with(&root, Names::default());
+    root.notes.sound(read)
 }
 
-/// Paths of values that nothing reads; none for settings that have an error.
+/// All that is wrong with the settings, one text each: values that cannot be read, then such as break a bound.
+pub fn errors(settings: &Value) -> Vec<String> {
+    let root = Key::root(settings);
+    let (config, _) = read_with(&root, Names::default());
+    network_of(&root);
+    let follows = |e: &ConfigError| e.field == "classes" && root.notes.misread("profiles");
+    let bounds = config.errors().into_iter().filter(|e| !follows(e)).map(|e| e.to_string());
+    let wrong = root.notes.wrong.borrow();
+    wrong.iter().map(|(_, text)| text.clone()).chain(bounds).collect()
+}
+
+/// Paths of values that nothing reads.
 pub fn unknown(settings: &Value) -> Vec<String> {
     fn leaves(path: &str, value: &Value, all: &mut Vec<String>) {
         match value {
@@ -166,118 +211,120 @@
         }
     }
     let root = Key::root(settings);
-    if read_with(&root, Names::default()).and_then(|_| network_of(&root)).is_err() {
-        return Vec::new(); // the error comes first: what follows it was never asked for
-    }
+    read_with(&root, Names::default());
+    network_of(&root);
     let mut all = Vec::new();
     leaves("", settings, &mut all);
-    let seen = root.seen.borrow();
-    all.retain(|path| !seen.contains(path));
+    let seen = root.notes.seen.borrow();
+    all.retain(|path| !seen.contains(path) && !root.notes.misread(path));
     all
 }
 
 /// `names`: the places and kinds that have numbers already.
-fn read_with(root: &Key, mut names: Names) -> Result<(Config, Names), String> {
-    for zone in root.get("zones").list()? {
-        number(&mut names.zones, zone.text()?);
+fn read_with(root: &Key, mut names: Names) -> (Config, Names) {
+    for zone in root.get("zones").list() {
+        number(&mut names.zones, zone.text());
     }
-    for kind in root.get("kinds").list()? {
-        number(&mut names.kinds, kind.text()?);
+    for kind in root.get("kinds").list() {
+        number(&mut names.kinds, kind.text());
     }
     let my_zone = root.get("my_zone");
-    let zone = names.zones.iter().position(|z| my_zone.text().is_ok_and(|m| m == z));
-    let zone = ZoneId(my_zone.want(zone, "one of zones")? as u32);
-    let mut classes = Vec::new();
-    for class in root.get("profiles").list()? {
-        let name = class.get("name");
-        if name.text().is_ok_and(|m| Named::find(&names.classes, m).is_some()) {
-            return Err(format!("{}: the name stands twice", name.path));
-        }
-        names.classes.push(Named::new(name.text()?));
-        let (scope, window) = (class.get("key_scope"), class.get("window_us"));
-        let effect = match class.get("effect").text()? {
-            "free" => Effect::Free,
-            "guarded" => {
-                let scope = match scope.text()? {
-                    "all" => KeyScope::All,
-                    "zone" => KeyScope::Zone,
-                    "cell" => KeyScope::Cell,
-                    _ => return scope.want(None, "all, zone or cell"),
-                };
-                Effect::Keyed(scope, window.micros()?)
-            }
-            "single_shot" => Effect::Unsafe,
-            _ => return class.get("effect").want(None, "free, guarded or single_shot"),
-        };
-        let stretch = class.get("aim_stretch");
-        let (aim, deadline) = (class.get("aim_us"), class.get("deadline_us"));
-        if deadline.micros()?.0 == 0 {
-            return deadline.want(None, "a time above 0");
-        }
-        if aim.micros()? > deadline.micros()? {
-            return Err(format!("{}: expected no more than deadline_us", aim.path));
-        }
-        classes.push(Class {
-            aim: aim.micros()?,
-            aim_stretch: if stretch.value.is_some() { stretch.real()? } else { 0.0 },
-            effect,
-            worth: class.get("gain").real()?,
-            late_worth: class.get("late_worth").real()?,
-        });
+    let zone = my_zone.value.and_then(Value::as_str);
+    let zone = zone.and_then(|name| names.zones.iter().position(|z| z == name));
+    if zone.is_some() || !root.notes.misread("zones") {
+        my_zone.want(zone, "one of zones", 0);
     }
+    let classes = root.get("profiles").list().iter().map(|key| class(key, &mut names)).collect();
     let mut tenants = Vec::new();
-    for tenant in root.get("customers").list()? {
-        names.tenants.push(Named::new(tenant.get("name").text()?));
-        tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real()? });
+    for tenant in root.get("customers").list() {
+        names.tenants.push(Named::new(tenant.get("name").text()));
+        tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real() });
     }
     let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
     let must_ask = rules.get("must_ask_in_us");
-    let discovery = match root.get("discovery").text()? {
+    let discovery = match root.get("discovery").text() {
         "automatic" => Discovery::Push,
-        "subscribe" => Discovery::Subscribe(must_ask.micros()?),
-        _ => return root.get("discovery").want(None, "automatic or subscribe"),
+        "subscribe" => Discovery::Subscribe(must_ask.micros()),
+        _ => root.get("discovery").want(None, "automatic or subscribe", Discovery::Push),
     };
     let config = Config {
-        proxies: root.get("group_size").count()?,
-        position: root.get("position").count()?,
-        zone,
+        proxies: root.get("group_size").count(u32::MAX),
+        position: root.get("position").count(0),
+        zone: ZoneId(zone.unwrap_or(0) as u32),
         classes,
         tenants,
-        over_quota_worth: root.get("over_share_worth").real()?,
-        goal_whole: goal.get("whole").real()?,
-        goal_worst_class: goal.get("worst_class").real()?,
-        cross_zone_cost: root.get("costs").get("cross_zone").real()?,
+        over_quota_worth: root.get("over_share_worth").real(),
+        goal_whole: goal.get("whole").real(),
+        goal_worst_class: goal.get("worst_class").real(),
+        cross_zone_cost: root.get("costs").get("cross_zone").real(),
         discovery,
-        max_attempts: limits.get("max_attempts").count()?,
-        cancel: limits.get("cancel").flag()?,
-        second_copies: limits.get("parallel_tries").flag()?,
-        tick: root.get("granularity_us").micros()?,
-        cold_from: rules.get("cold_from").real()?,
-        ramp: rules.get("ramp_time_us").micros()?,
-        fall_multiple: rules.get("fall_multiple").real()?,
-        fall_window: rules.get("tip_after_us").micros()?,
-        locality: locality(&root.get("locality"))?,
-        regions: regions(&root.get("locality").get("regions"), &mut names)?,
+        max_attempts: limits.get("max_attempts").count(1),
+        cancel: limits.get("cancel").flag(),
+        second_copies: limits.get("parallel_tries").flag(),
+        tick: root.get("granularity_us").micros(),
+        cold_from: rules.get("cold_from").real(),
+        ramp: rules.get("ramp_time_us").micros(),
+        fall_multiple: rules.get("fall_multiple").real(),
+        fall_window: rules.get("tip_after_us").micros(),
+        locality: locality(&root.get("locality")),
+        regions: regions(&root.get("locality").get("regions"), &mut names),
     };
-    Ok((config, names))
+    (config, names)
 }
 
-/// `locality`, where it stands: both keys, or an error that names the missing one.
-fn locality(key: &Key) -> Result<Option<Locality>, String> {
-    if key.value.is_none() {
-        return Ok(None);
+/// One of `profiles`; its name gets the next number.
+fn class(class: &Key, names: &mut Names) -> Class {
+    let name = class.get("name");
+    if Named::find(&names.classes, name.text()).is_some() {
+        name.wrong("the name stands twice".into());
+    }
+    names.classes.push(Named::new(name.text()));
+    let (scope, window) = (class.get("key_scope"), class.get("window_us"));
+    let effect = match class.get("effect").text() {
+        "free" => Effect::Free,
+        "guarded" => {
+            let scope = match scope.text() {
+                "all" => KeyScope::All,
+                "zone" => KeyScope::Zone,
+                "cell" => KeyScope::Cell,
+                _ => scope.want(None, "all, zone or cell", KeyScope::All),
+            };
+            Effect::Keyed(scope, window.micros())
+        }
+        "single_shot" => Effect::Unsafe,
+        _ => class.get("effect").want(None, "free, guarded or single_shot", Effect::Free),
+    };
+    let stretch = class.get("aim_stretch");
+    let (aim, deadline) = (class.get("aim_us"), class.get("deadline_us"));
+    if deadline.micros().0 == 0 {
+        deadline.want(None, "a time above 0", ());
+    } else if aim.whole().zip(deadline.whole()).is_some_and(|(aim, deadline)| aim > deadline) {
+        aim.wrong("expected no more than deadline_us".into());
+    }
+    Class {
+        aim: aim.micros(),
+        aim_stretch: if stretch.value.is_some() { stretch.real() } else { 0.0 },
+        effect,
+        worth: class.get("gain").real(),
+        late_worth: class.get("late_worth").real(),
     }
-    Ok(Some(Locality { leave_share: key.get("leave_share").real()?, ramp: key.get("ramp_us").micros()? }))
+}
+
+/// `locality`, where it stands: both keys, or an error that names the missing one.
+fn locality(key: &Key) -> Option<Locality> {
+    key.value?;
+    Some(Locality { leave_share: key.get("leave_share").real(), ramp: key.get("ramp_us").micros() })
 }
 
 /// `locality.regions`: zone names to region names. A zone that no list has named yet gets its number here.
-fn regions(key: &Key, names: &mut Names) -> Result<BTreeMap<ZoneId, RegionId>, String> {
-    let Some(value) = key.value else { return Ok(BTreeMap::new()) };
-    let table = key.want(value.as_object(), "a table of zones and their regions")?;
+fn regions(key: &Key, names: &mut Names) -> BTreeMap<ZoneId, RegionId> {
+    let Some(value) = key.value else { return BTreeMap::new() };
+    let none = serde_json::Map::new();
+    let table = key.want(value.as_object(), "a table of zones and their regions", &none);
     let mut known = Vec::new();
     let entry = |zone: &String| {
-        let region = RegionId(1 + number(&mut known, key.get(zone).text()?));
-        Ok((ZoneId(number(&mut names.zones, zone)), region))
+        let region = RegionId(1 + number(&mut known, key.get(zone).text()));
+        (ZoneId(number(&mut names.zones, zone)), region)
     };
     table.keys().map(entry).collect()
 }
@@ -297,18 +344,20 @@
 
 /// Reads the part of the settings that concerns sockets.
 pub fn network(settings: &Value) -> Result<Network, String> {
-    network_of(&Key::root(settings))
+    let root = Key::root(settings);
+    let read = network_of(&root);
+    root.notes.sound(read)
 }
 
-fn network_of(root: &Key) -> Result<Network, String> {
+fn network_of(root: &Key) -> Network {
     let limits = root.get("limits");
     let deadline = |class: &Key| class.get("deadline_us").micros();
-    Ok(Network {
-        connect_timeout: limits.get("dial_timeout_us").micros()?,
-        conn_idle: limits.get("conn_idle_us").micros()?,
-        max_retry_after: limits.get("max_retry_after_us").micros()?,
-        deadlines: root.get("profiles").list()?.iter().map(deadline).collect::<Result<_, _>>()?,
-    })
+    Network {
+        connect_timeout: limits.get("dial_timeout_us").micros(),
+        conn_idle: limits.get("conn_idle_us").micros(),
+        max_retry_after: limits.get("max_retry_after_us").micros(),
+        deadlines: root.get("profiles").list().iter().map(deadline).collect(),
+    }
 }
 
 /// Settings that take the place of others while requests are open.
@@ -331,7 +380,9 @@
 /// Reads settings that follow others. A class or tenant keeps its number; a class whose rules differ gets a new one.
 pub fn change(settings: &Value, names: &Names, config: &Config, before: &Network) -> Result<Change, String> {
     let places = Names { classes: Vec::new(), tenants: Vec::new(), ..names.clone() };
-    let (fresh, fresh_names) = read_with(&Key::root(settings), places)?;
+    let root = Key::root(settings);
+    let read = read_with(&root, places);
+    let (fresh, fresh_names) = root.notes.sound(read)?;
     let fresh_network = network(settings)?;
     fresh.validate().map_err(|e| e.to_string())?;
     if fresh.discovery != config.discovery {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -56,6 +56,38 @@
         let text = text.replace("settings: profiles", "settings.profiles");
         expected.iter().for_each(|words| assert!(text.contains(words), "{to}: {words:?} not in {text}"));
     }
+    // Each once, whatever stands before it, and nothing that only follows from another.
+    let mut bad = sound.replace("name = \"write\"", "name = \"read\"");
+    for (from, to) in [
+        ("aim_us = 400000", "aim_us = \"soon\""),
+        ("deadline_us = 1000000", "deadline_us = 0"),
+        ("effect = \"single_shot\"", "effect = \"guarded\""),
+        ("whole = 1.0", "whole = 1.5\nwhol = 1.0"),
+        ("zones = [\"here\"]", "zones = \"here\""),
+        ("granularity_us = 5000", "granularity_us = 0"),
+        ("dial_timeout_us = 300000", ""),
+        ("position = 0", "position = 1"),
+        ("seed = 1", "seed = \"x\""),
+    ] {
+        assert!(bad.contains(from), "{from}");
+        bad = bad.replacen(from, to, 1);
+    }
+    let (code, text) = output(&["check", &written(&bad)]);
+    let expected = [
+        "settings.blend.whol: unknown key",
+        "settings: zones: expected an array, got \"here\"",
+        "settings: profiles[0].deadline_us: expected a time above 0, got 0",
+        "settings: profiles[0].aim_us: expected whole microseconds, got \"soon\"",
+        "settings: profiles[1].name: the name stands twice",
+        "settings: profiles[1].key_scope: missing, expected text",
+        "settings: profiles[1].window_us: missing, expected whole microseconds",
+        "settings: limits.dial_timeout_us: missing, expected whole microseconds",
+        "settings: position: expected less than proxies",
+        "settings: goal_whole: expected a part from 0 to 1",
+        "settings: tick: expected a time above 0",
+        "settings: seed: expected a number or up to 16 hex digits",
+    ];
+    assert_eq!((code, text.lines().collect::<Vec<_>>()), (Some(2), expected.to_vec()));
     for (set, words) in [
         ("settings.blend.whol=1", "unknown"),
         ("known.endpoints[7].name=x", "there is no"),
