Give the counts of the report line as Prometheus figures at the door's /metrics

The counts were in the log only, as differences every five seconds. GET /metrics now gives them since the process's start, with gauges of open requests, clients, upstreams and timer lag, through the `metrics` facade, so that other parts can count with the same macros. They are worked out at the call: a request pays nothing.

--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,8 @@
 use clap::Parser;
 use cli::{Cli, Command, LogFormat, Run};
 use net::config::{self, Node, NodeError, Snapshots, Source};
-use net::control::{Control, DutiesDoor};
+use net::control::{Control, Keepers};
+use net::figures::Figures;
 use net::handover::{self, Held, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
@@ -153,14 +154,15 @@
         }
         None => None,
     };
-    let mut door = Door {
-        at: None,
-        running: None,
-        maintenance,
+    let keepers = Keepers {
+        host: host.clone(),
         server: server.clone(),
+        maintenance,
         peers: peers.clone(),
         duties: None,
+        figures: Figures::install(),
     };
+    let mut door = Door { at: None, running: None, keepers };
     if let Some(at) = node.control {
         door.open(at)?;
     }
@@ -331,11 +333,7 @@
 struct Door {
     at: Option<SocketAddr>,
     running: Option<AbortHandle>,
-    maintenance: Rc<Maintenance>,
-    server: Rc<Server>,
-    peers: Option<Rc<Peers>>,
-    /// Who answers the calls on duties and windows, where there are any.
-    duties: Option<Rc<dyn DutiesDoor>>,
+    keepers: Keepers,
 }
 
 impl Door {
@@ -343,8 +341,7 @@
     fn open(&mut self, at: SocketAddr) -> Result<(), String> {
         let listener = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
         info!("control on {}", listener.local_addr().unwrap_or(at));
-        let (peers, duties) = (self.peers.clone(), self.duties.clone());
-        let control = Control::new(self.server.clone(), self.maintenance.clone(), peers, duties);
+        let control = Control::new(self.keepers.clone());
         self.close();
         self.at = Some(at);
         self.running = Some(tokio::task::spawn_local(control.run(listener)).abort_handle());
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,8 @@
 //! The operators' door: one call to a connection, on an address of its own. What this process knows is answered in the
 //! same turn of the loop; calls on windows and duties go to those who keep them, and come back later.
 
+use super::figures::Figures;
+use super::host::Host;
 use super::maintenance::Maintenance;
 use super::peers::Peers;
 use super::server::Server;
@@ -9,7 +11,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, ALLOW};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -29,6 +31,8 @@
 /// A call that is not over by then is cut.
 const PATIENCE: Duration = Duration::from_secs(2);
 const MAX_HEAD: usize = 8 * 1024;
+/// The form of the figures, without which Prometheus does not take them.
+const FIGURES: &str = "text/plain; version=0.0.4";
 /// Calls on duties and windows have so long, within [`PATIENCE`], so that their caller hears of it.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 
@@ -45,19 +49,24 @@
     fn call(&self, method: &Method, path: &[&str], body: Bytes) -> Later;
 }
 
-pub struct Control {
-    server: Rc<Server>,
-    maintenance: Rc<Maintenance>,
-    peers: Option<Rc<Peers>>,
-    duties: Option<Rc<dyn DutiesDoor>>,
+/// Who knows or carries out what calls ask for.
+#[derive(Clone)]
+pub struct Keepers {
+    pub host: Rc<Host>,
+    pub server: Rc<Server>,
+    pub maintenance: Rc<Maintenance>,
+    pub peers: Option<Rc<Peers>>,
+    /// `None`: there are no duties and no windows.
+    pub duties: Option<Rc<dyn DutiesDoor>>,
+    /// What the process's recorder holds.
+    pub figures: Figures,
 }
 
+pub struct Control(Keepers);
+
 impl Control {
-    pub fn new(
-        server: Rc<Server>, maintenance: Rc<Maintenance>, peers: Option<Rc<Peers>>,
-        duties: Option<Rc<dyn DutiesDoor>>,
-    ) -> Rc<Control> {
-        Rc::new(Control { server, maintenance, peers, duties })
+    pub fn new(keepers: Keepers) -> Rc<Control> {
+        Rc::new(Control(keepers))
     }
 
     /// Answers calls for as long as the program runs.
@@ -94,11 +103,15 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let figures = request.uri().path() == "/metrics";
         let methods = methods(request.uri().path());
         let said = self.said(request, methods).await;
         let (status, text) = said.unwrap_or_else(|(status, text)| (status, text.into()));
         let mut response = Response::new(Full::new(Bytes::from(text)));
         *response.status_mut() = status;
+        if figures && status == StatusCode::OK {
+            response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(FIGURES));
+        }
         if status == StatusCode::METHOD_NOT_ALLOWED {
             let names: Vec<&str> = methods.iter().map(Method::as_str).collect();
             let names = HeaderValue::from_str(&names.join(", "));
@@ -115,7 +128,7 @@
         }
         let off = (StatusCode::NOT_FOUND, "no duties in the configuration\n");
         let fleet = ["/windows", "/duties"].iter().any(|call| request.uri().path().starts_with(call));
-        let duties = fleet.then(|| self.duties.as_ref().ok_or(off)).transpose()?;
+        let duties = fleet.then(|| self.0.duties.as_ref().ok_or(off)).transpose()?;
         if !methods.contains(request.method()) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"));
         }
@@ -131,16 +144,20 @@
         let path = request.uri().path();
         if path == "/status" {
             let not_yet = (StatusCode::SERVICE_UNAVAILABLE, "not taking clients\n");
-            return if self.server.taking() { Ok("serving\n".into()) } else { Err(not_yet) };
+            return if self.0.server.taking() { Ok("serving\n".into()) } else { Err(not_yet) };
+        }
+        if path == "/metrics" {
+            self.0.host.figures(self.0.server.clients());
+            return Ok(self.0.figures.render().into());
         }
         if path == "/peers" {
             let alone = (StatusCode::NOT_FOUND, "state is not shared: no peers in the configuration\n");
-            return self.peers.as_ref().map(|p| p.status().into()).ok_or(alone);
+            return self.0.peers.as_ref().map(|p| p.status().into()).ok_or(alone);
         }
         let id = who(request.uri().query()).map_err(|text| (StatusCode::BAD_REQUEST, text))?;
         let (known, done) = match path {
-            "/maintenance/enter" => (self.maintenance.enter(&id), "out\n"),
-            _ => (self.maintenance.exit(&id), "back\n"),
+            "/maintenance/enter" => (self.0.maintenance.enter(&id), "out\n"),
+            _ => (self.0.maintenance.exit(&id), "back\n"),
         };
         known.then_some(done.into()).ok_or(unknown)
     }
@@ -150,7 +167,7 @@
 fn methods(path: &str) -> &'static [Method] {
     let segments: Vec<&str> = path.split('/').skip(1).collect();
     match segments[..] {
-        ["status" | "peers" | "windows" | "duties"] => &[Method::GET],
+        ["status" | "peers" | "metrics" | "windows" | "duties"] => &[Method::GET],
         ["maintenance", "enter" | "exit"] => &[Method::PUT],
         ["windows", id] if !id.is_empty() => &[Method::PUT, Method::DELETE],
         ["windows", id, "extend" | "begin"] if !id.is_empty() => &[Method::POST],
@@ -201,7 +218,6 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::host::Host;
     use super::super::server::Rules;
     use super::*;
     use shaletide::settings::Network;
@@ -237,7 +253,9 @@
         };
         let host = Host::example();
         let server = Server::new(host.clone(), Rules::new(&Config::example(), &network), 4);
-        let control = Control::new(server, Maintenance::new(host, None), None, duties);
+        let maintenance = Maintenance::new(host.clone(), None);
+        let figures = Figures::default();
+        let control = Control::new(Keepers { host, server, maintenance, peers: None, duties, figures });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let at = listener.local_addr().unwrap();
         let door = tokio::task::spawn_local(control.run(listener));
--- a/src/net/host/report.rs
+++ b/src/net/host/report.rs
@@ -1,6 +1,7 @@
-//! Lines on what goes on.
+//! Lines and figures on what goes on.
 
 use super::Host;
+use shaletide::Micros;
 use tracing::{debug, info};
 
 impl Host {
@@ -16,6 +17,7 @@
     pub fn report(&self, clients: usize) {
         let mut s = self.state.borrow_mut();
         let c = std::mem::take(&mut s.counts);
+        s.told.iter_mut().zip(c.named()).for_each(|(told, (_, new))| *told += new);
         info!(
             "requests {} served {} refused {} failed {} overdue {} gone {}; attempts {} full {} errors {} \
              resets {} unconnected {} unsent {}; open requests {} clients {} upstreams {} connects {} lag {} us",
@@ -38,4 +40,57 @@
             self.lag.get(),
         );
     }
+
+    /// Brings the recorder's figures up to date: at the time of reading, so that requests pay nothing for them.
+    pub fn figures(&self, clients: usize) {
+        let s = self.state.borrow();
+        for (told, (name, new)) in s.told.iter().zip(s.counts.named()) {
+            metrics::counter!(name).absolute(told + new);
+        }
+        metrics::gauge!("shaletide_requests_open").set(s.requests.len() as f64);
+        metrics::gauge!("shaletide_clients").set(clients as f64);
+        metrics::gauge!("shaletide_upstreams").set(self.pool.open() as f64);
+        metrics::gauge!("shaletide_timer_lag_seconds").set(Micros(self.lag.get()).secs());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::figures::Figures;
+    use crate::net::upstream::{Call, Payload};
+    use shaletide::{Arrival, ClassId, Effect, RequestId};
+    use std::rc::Rc;
+
+    /// A line tells what is new since the last, the figures tell of all.
+    #[test]
+    fn figures_go_on_over_the_lines() {
+        let (host, figures) = (Host::example(), Figures::default());
+        let call = Rc::new(Call {
+            method: hyper::Method::GET,
+            uri: hyper::Uri::from_static("/read/k"),
+            headers: hyper::HeaderMap::new(),
+            body: Payload::Whole(bytes::Bytes::new()),
+        });
+        let arrival = Arrival {
+            request: RequestId(0),
+            class: ClassId(0),
+            tenant: None,
+            time_left: Micros(60_000_000),
+            work_hint: None,
+            repeat: false,
+        };
+        for n in 1..4 {
+            let (id, _wait) = host.request(arrival.clone(), &call, Effect::Free);
+            host.client_gone(id);
+            for _ in 0..2 {
+                metrics::with_local_recorder(&figures, || host.figures(n));
+                let text = figures.render();
+                for line in [format!("shaletide_requests_total {n}"), format!("shaletide_clients {n}")] {
+                    assert!(text.lines().any(|l| l == line), "{line} not in {text}");
+                }
+                host.report(n);
+            }
+        }
+    }
 }
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -85,6 +85,29 @@
     pub unsent: u64,
 }
 
+/// How many things are counted.
+pub const COUNTED: usize = 12;
+
+impl Counts {
+    /// Each under its name at the door.
+    pub fn named(&self) -> [(&'static str, u64); COUNTED] {
+        [
+            ("shaletide_requests_total", self.requests),
+            ("shaletide_requests_served_total", self.served),
+            ("shaletide_requests_refused_total", self.refused),
+            ("shaletide_requests_failed_total", self.failed),
+            ("shaletide_requests_overdue_total", self.timed_out),
+            ("shaletide_requests_gone_total", self.gone),
+            ("shaletide_attempts_total", self.attempts),
+            ("shaletide_attempts_full_total", self.full),
+            ("shaletide_attempts_errors_total", self.errors),
+            ("shaletide_attempts_reset_total", self.resets),
+            ("shaletide_attempts_unconnected_total", self.unconnected),
+            ("shaletide_attempts_unsent_total", self.unsent),
+        ]
+    }
+}
+
 pub struct State {
     pub balancer: Balancer,
     pub names: Names,
@@ -97,6 +120,8 @@
     pub actions: Vec<Action>,
     pub last: u64,
     pub counts: Counts,
+    /// What lines were written about already, under the names of [`Counts::named`].
+    pub told: [u64; COUNTED],
 }
 
 impl State {
@@ -113,6 +138,7 @@
             actions: Vec::new(),
             last: 0,
             counts: Counts::default(),
+            told: [0; COUNTED],
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod control;
 pub mod discovery;
+pub mod figures;
 pub mod handover;
 pub mod host;
 pub mod list;
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -43,6 +43,14 @@
     assert!(client.answer().is_none_or(|a| a.status() == 400));
     assert_eq!(proxy.call("GET /status").status(), 200);
     assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    let figures = proxy.call("GET /metrics");
+    assert_eq!(figures.header("content-type"), Some("text/plain; version=0.0.4"));
+    let text = String::from_utf8(figures.body).unwrap();
+    assert!(
+        text.contains("# TYPE shaletide_requests_served_total counter\nshaletide_requests_served_total 1\n"),
+        "{text}"
+    );
+    assert_eq!(proxy.call("PUT /metrics").status(), 405);
 }
 
 /// Callers that hold their connection with no whole call make way, and each is let go in the end.
