--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod discovery;
 pub mod duties;
+pub mod figures;
 pub mod handover;
 pub mod host;
 pub mod list;
