--- a/src/net/duties/leases.rs
+++ b/src/net/duties/leases.rs
@@ -44,6 +44,7 @@
     /// The end of the term, while this proxy holds the duty.
     until: Option<Time>,
     incarnation: u64,
+    started: Time,
     /// It knows the calendar, and it does not go: so it may want the duty.
     able: bool,
     leaving: bool,
@@ -68,6 +69,7 @@
             shy,
             until: None,
             incarnation,
+            started: now,
             able: false,
             leaving: false,
         }
@@ -123,7 +125,7 @@
             Some(voter) => {
                 !voter.silent(now) && voter.granted(now).is_none_or(|ballot| ballot.by == self.incarnation)
             }
-            None => self.holder.is_none_or(|h| now - h.heard > self.shy),
+            None => now - self.holder.map_or(self.started, |h| h.heard) > self.shy,
         }
     }
 
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -39,9 +39,11 @@
 const REJOIN: Duration = Duration::from_secs(2);
 /// How often the seeds are told of a proxy that knows no live member.
 const KNOCK: Duration = Duration::from_secs(1);
-/// News of a member come in after so long another one is asked for its list; each list without news half as much longer than
-/// the one before, until nothing is asked any more: a list holds some 60 members, drawn at random.
+/// News of a member come in after so long another one is asked for its list; each list without news a tenth longer than
+/// the one before, until nothing is asked any more. A list holds some 60 members, drawn at random: of three hundred the last
+/// one is missing after these 32 lists in 1 of 3,000 proxies.
 const LEARN: Duration = Duration::from_millis(100);
+const LONGER: f64 = 1.1;
 const LEARNT: Duration = Duration::from_secs(2);
 /// How long one member has for its snapshot, and how many are asked.
 const ASK_FOR: Duration = Duration::from_millis(500);
@@ -486,7 +488,7 @@
 fn learn(s: &mut State, fleet: usize, now: Instant) {
     let Some((_, pause)) = s.learn.filter(|l| l.0 <= now) else { return };
     let known = s.swim.num_members();
-    let pause = pause.mul_f64(1.5);
+    let pause = pause.mul_f64(LONGER);
     if known == 0 || known + 1 == fleet || pause > LEARNT {
         s.learn = None;
         return;
