--- a/src/fleet/calendar/entry.rs
+++ b/src/fleet/calendar/entry.rs
@@ -284,18 +284,6 @@
         };
         Some(over.max(marked) + TOMBSTONE)
     }
-
-    /// Writes the holder's word; says since when it counts. It is never below the word it follows, even where
-    /// the holder's clock was set back, as other proxies would keep the higher one.
-    pub(super) fn set(&mut self, mut mark: Mark) -> Wall {
-        let (occurrence, token, step) = (mark.occurrence, mark.token, mark.step);
-        let same =
-            self.mark.as_ref().filter(|m| (m.occurrence, m.token, m.step) == (occurrence, token, step));
-        mark.at = same.map_or(mark.at, |was| mark.at.max(was.at + Micros(1)));
-        let at = mark.at;
-        self.mark = Some(mark);
-        at
-    }
 }
 
 impl Mark {
--- a/src/fleet/calendar/phases.rs
+++ b/src/fleet/calendar/phases.rs
@@ -47,7 +47,7 @@
 
 impl Calendar {
     /// Takes each step whose time has come. Only for the proxy that holds the duty now, a few times a
-    /// second; with a token below one that a window bears nothing happens. What changed, also without a
+    /// second, by a clock that is not set back while it holds; with a token below one that a window bears nothing happens. What changed, also without a
     /// transition, is in [`changed`](Calendar::changed) afterwards.
     pub fn step(&mut self, now: Wall, token: Token, fleet: &Fleet, reports: &Reports) -> Vec<Transition> {
         if token < self.highest() {
@@ -57,9 +57,9 @@
         let ramp = self.rules.ramp;
         for (id, entry) in &mut self.entries {
             while let Some((planned, from, to, reason)) = advance(entry, now, ramp, fleet, reports) {
-                let at = entry.set(Mark::new(planned.begin, token, to, now, &reason));
+                entry.mark = Some(Mark::new(planned.begin, token, to, now, &reason));
                 self.changed.insert(id.clone());
-                steps.push(Transition { window: id.clone(), from, to, at, reason, token });
+                steps.push(Transition { window: id.clone(), from, to, at: now, reason, token });
             }
         }
         self.begin_due(now, token, fleet, &mut steps);
@@ -95,10 +95,10 @@
         for (id, mark) in marks {
             let Some(entry) = self.entries.get_mut(&id) else { continue };
             let (to, reason) = (mark.step, mark.why.clone());
-            let at = entry.set(mark);
+            entry.mark = Some(mark);
             self.changed.insert(id.clone());
             if to != Step::Planned {
-                steps.push(Transition { window: id, from: Step::Planned, to, at, reason, token });
+                steps.push(Transition { window: id, from: Step::Planned, to, at: now, reason, token });
             }
         }
     }
