--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -193,6 +193,7 @@
 
     /// Takes a candidate's message and gives the answer to it, if there is one.
     pub fn handle(&mut self, now: Time, message: Message) -> Option<Message> {
+        self.grant = self.grant.filter(|(_, until)| now < *until);
         match message {
             Message::Ask { ballot } if !self.silent(now) => Some(match self.grants(now, ballot) {
                 true => Message::Free { ballot },
