--- a/src/net/duties/message.rs
+++ b/src/net/duties/message.rs
@@ -68,6 +68,8 @@
     Stranger,
     /// An effect under a token that a higher one followed.
     Token,
+    /// A token with a number that no clock gives: above it none could follow.
+    Number(u64),
 }
 
 impl Refused {
@@ -80,6 +82,7 @@
             Refused::Full => "full",
             Refused::Stranger => "stranger",
             Refused::Token => "token",
+            Refused::Number(_) => "number",
         }
     }
 }
@@ -94,12 +97,44 @@
             Refused::Full => write!(f, "the calendar is full"),
             Refused::Stranger => write!(f, "a voter's answer from no voter"),
             Refused::Token => write!(f, "a higher token was seen"),
+            Refused::Number(number) => write!(f, "no token has number {number}"),
         }
     }
 }
 
 impl std::error::Error for Refused {}
 
+/// Tokens' numbers are milliseconds since 1970 or little more: this is far in the future, and far from the end of numbers.
+const MOST_NUMBER: u64 = 1 << 53;
+
+/// A token that others may follow.
+pub fn sound(token: Token) -> Result<(), Refused> {
+    if token.number < MOST_NUMBER {
+        Ok(())
+    } else {
+        Err(Refused::Number(token.number))
+    }
+}
+
+impl Duties {
+    /// Whether every token in it, entries' aside, is one that others may follow.
+    fn check(&self) -> Result<(), Refused> {
+        match self {
+            Duties::Lease { message, .. } => match message {
+                Message::Refused { ballot, highest, .. } => sound(*ballot).and_then(|()| sound(*highest)),
+                Message::Ask { ballot }
+                | Message::Free { ballot }
+                | Message::Propose { ballot, .. }
+                | Message::Accepted { ballot, .. }
+                | Message::Release { ballot } => sound(*ballot),
+            },
+            Duties::Digest { words, .. } => words.iter().try_for_each(|word| sound(word.token)),
+            Duties::Effect { token, .. } | Duties::Fenced { highest: token, .. } => sound(*token),
+            Duties::Ask { .. } | Duties::Entries { .. } | Duties::Report { .. } => Ok(()),
+        }
+    }
+}
+
 /// The message's bytes.
 pub fn encode(message: &Duties) -> Vec<u8> {
     // Plain data always encodes; were it not to, an empty body is refused like any other garbage.
@@ -112,8 +147,8 @@
     if *version != VERSION {
         return Err(Refused::Version(Some(*version)));
     }
-    match postcard::take_from_bytes(body) {
-        Ok((message, [])) => Ok(message),
+    match postcard::take_from_bytes::<Duties>(body) {
+        Ok((message, [])) => message.check().map(|()| message),
         Ok(_) => Err(Refused::Garbled(postcard::Error::DeserializeBadEncoding)),
         Err(e) => Err(Refused::Garbled(e)),
     }
@@ -144,7 +179,7 @@
 
     /// Any message, of any of its kinds.
     pub fn message() -> impl Strategy<Value = Duties> {
-        let token = || (any::<u64>(), any::<u64>()).prop_map(|(number, by)| Ballot { number, by });
+        let token = || (0..MOST_NUMBER, any::<u64>()).prop_map(|(number, by)| Ballot { number, by });
         let entries = || prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..6);
         let duty = Duty::Calendar;
         let word = move |(token, age_ms)| Word { duty, token, age_ms };
@@ -191,6 +226,25 @@
             let _ = decode(&junk);
         }
 
+        /// A token above which no other could come is refused, wherever it stands.
+        #[test]
+        fn no_token_is_the_last(m in message(), number in MOST_NUMBER..) {
+            let last = Ballot { number, by: 0 };
+            let said = match m {
+                Duties::Lease { duty, message: Message::Refused { ballot, round, .. } } => {
+                    Duties::Lease { duty, message: Message::Refused { ballot, round, highest: last } }
+                }
+                Duties::Lease { duty, .. } => Duties::Lease { duty, message: Message::Ask { ballot: last } },
+                Duties::Digest { mut words, digest, new, ask } => {
+                    words.push(Word { duty: Duty::Calendar, token: last, age_ms: None });
+                    Duties::Digest { words, digest, new, ask }
+                }
+                Duties::Effect { duty, entries, .. } => Duties::Effect { duty, token: last, entries },
+                _ => Duties::Fenced { duty: Duty::Calendar, highest: last },
+            };
+            prop_assert!(matches!(decode(&encode(&said)), Err(Refused::Number(n)) if n == number));
+        }
+
         /// Every item is in one part, in order, and no part is over the bound unless it is one item.
         #[test]
         fn parts_hold_all_and_fit(sizes in prop::collection::vec(0usize..1400, 0..40)) {
--- a/src/net/duties/wire.rs
+++ b/src/net/duties/wire.rs
@@ -2,7 +2,7 @@
 
 use super::clock::{entries, Command, AGAIN};
 use super::leases::Mail;
-use super::message::{self, Duties, Duty, Refused, Word};
+use super::message::{self, sound, Duties, Duty, Refused, Word};
 use super::tables::Tables;
 use super::wall;
 use crate::net::peers::Passed;
@@ -104,11 +104,15 @@
 fn merge(tables: &Tables, entries: &[Vec<u8>], mail: &mut Mail) -> Result<(), Refused> {
     let now = wall();
     let mut wrong = None;
+    let decode = |bytes: &Vec<u8>| {
+        let entry = Entry::decode(bytes, now).map_err(refused)?;
+        entry.mark.as_ref().map_or(Ok(()), |mark| sound(mark.token)).map(|()| entry)
+    };
     let (changed, highest) = {
         let mut windows = tables.calendar.lock();
         let mut changed = false;
         for bytes in entries {
-            let merged = Entry::decode(bytes, now).and_then(|entry| windows.calendar.merge(&entry, now));
+            let merged = decode(bytes).and_then(|e| windows.calendar.merge(&e, now).map_err(refused));
             match merged {
                 Ok(news) => changed |= news,
                 Err(e) => drop(wrong.get_or_insert(e)),
@@ -122,11 +126,14 @@
         }
         tables.derive();
     }
-    match wrong {
-        None => Ok(()),
-        Some(Garbled::Full) => Err(Refused::Full),
-        Some(Garbled::Bytes) => Err(Refused::Entry("does not decode".into())),
-        Some(Garbled::Field(why)) => Err(Refused::Entry(why.to_string())),
+    wrong.map_or(Ok(()), Err)
+}
+
+fn refused(why: Garbled) -> Refused {
+    match why {
+        Garbled::Full => Refused::Full,
+        Garbled::Bytes => Refused::Entry("does not decode".into()),
+        Garbled::Field(why) => Refused::Entry(why.to_string()),
     }
 }
 
