--- a/src/fleet/calendar/spec.rs
+++ b/src/fleet/calendar/spec.rs
@@ -146,7 +146,10 @@
         let mut reader = serde_json::Deserializer::from_slice(body);
         let read: Body = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
             let path = e.path().to_string();
-            Invalid::new(if path == "." { "body" } else { &path }, e.inner().to_string())
+            Invalid::new(
+                if matches!(path.as_str(), "." | "?") { "body" } else { &path },
+                e.inner().to_string(),
+            )
         })?;
         reader.end().map_err(|e| Invalid::new("body", e.to_string()))?;
         let by = read.by.ok_or_else(|| Invalid::new("by", "missing: who asks for the window"))?;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -140,9 +140,12 @@
     /// Clock rates differ from true time by this part at most.
     #[serde(default = "Voting::drift")]
     pub drift: f64,
-    /// The share of each kind's and each zone's capacity below which no window drains.
+    /// The share of each kind's capacity below which no window drains.
     #[serde(default = "Voting::floor")]
     pub floor: f64,
+    /// The same of each zone; without it `floor`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub zone_floor: Option<f64>,
 }
 
 impl Voting {
@@ -175,8 +178,10 @@
         if self.lease_ms < Voting::LEAST_LEASE_MS {
             return Err(format!("lease_ms: expected at least {}", Voting::LEAST_LEASE_MS));
         }
-        if !(0.0..=1.0).contains(&self.floor) {
-            return Err("floor: expected from 0 to 1".into());
+        for (key, floor) in [("floor", Some(self.floor)), ("zone_floor", self.zone_floor)] {
+            if floor.is_some_and(|floor| !(0.0..=1.0).contains(&floor)) {
+                return Err(format!("{key}: expected from 0 to 1"));
+            }
         }
         self.leases().map(drop).map_err(|e| e.to_string())
     }
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -92,7 +92,7 @@
         let incarnation = RandomState::new().build_hasher().finish();
         let (effects, told) = mpsc::channel(EFFECTS);
         let calendar = Calendar::new(Rules {
-            budget: Budget { kind: rules.floor, zone: rules.floor },
+            budget: Budget { kind: rules.floor, zone: rules.zone_floor.unwrap_or(rules.floor) },
             ramp,
             max_age: peers.max_age(),
         });
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -119,6 +119,7 @@
         (peers, format!(r#"{voters},"lease_ms":10"#), "duties: lease_ms"),
         (peers, format!(r#"{voters},"drift":0.5"#), "duties: drift"),
         (peers, format!(r#"{voters},"floor":1.5"#), "duties: floor"),
+        (peers, format!(r#"{voters},"zone_floor":-0.1"#), "duties: zone_floor"),
         (peers, format!(r#"{voters},"flor":0.5"#), "unknown field `flor`"),
     ] {
         let (code, text) = check(peers, &duties);
