--- a/benches/peers.rs
+++ b/benches/peers.rs
@@ -1,6 +1,6 @@
 //! What shared state costs: datagrams and bytes per proxy and second over fleets of 3 to 100 real processes on loopback,
-//! in a quiet fleet and while every proxy meets dead backends. Run by `cargo bench --bench peers`, with fleet sizes behind `--` if others are wanted (300 takes `ulimit -n 8192`);
-//! never by the tests.
+//! in a quiet fleet and while every proxy meets dead backends. Run by `cargo bench --bench peers`, with fleet sizes behind
+//! `--` where others are wanted; never by the tests.
 
 #[path = "../tests/rig/mod.rs"]
 mod rig;
