--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -311,6 +311,9 @@
     candidate.release(now, &mut out);
     assert_eq!((candidate.next(), candidate.changes()), (None, vec![Change::Lost(token, Loss::Released)]));
     talk(now, &mut candidate, &mut voters, out);
+    // A proposal that comes behind its release grants nothing.
+    let late = voters[1].handle(now, Message::Propose { ballot: token, round: 1 });
+    assert!(matches!(late, Some(Message::Refused { .. })), "{late:?}");
     assert!(tick(other.next().unwrap(), &mut other, &mut voters) > Some(token));
 }
 
