--- a/src/net/duties/wire.rs
+++ b/src/net/duties/wire.rs
@@ -145,9 +145,13 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::door::{answer, Call};
     use super::super::message::tests::message;
     use super::super::tables::Windows;
+    use super::super::Effect;
     use super::*;
+    use bytes::Bytes;
+    use hyper::{Method, StatusCode};
     use proptest::prelude::*;
     use shaletide::fleet::calendar::{Put, Spec, Stamp};
     use std::collections::BTreeSet;
@@ -169,6 +173,9 @@
                 let _ = take(&tables, SocketAddr::from(([127, 0, 0, 1], port)), message, &mut mail);
                 mail.iter().for_each(|(_, answer)| drop(message::decode(&message::encode(answer)).unwrap()));
                 tables.leases.lock().tick(&mut mail);
+                tables.derive();
+                let call = Call { method: Method::GET, path: vec!["duties".into()], body: Bytes::new() };
+                prop_assert_eq!(answer(&tables, &call).0, StatusCode::OK);
                 let token = tables.leases.lock().words().first().map(|word| word.token);
                 prop_assert!(token >= highest, "{token:?} after {highest:?}");
                 highest = token;
@@ -196,4 +203,18 @@
             !covers(&[(0, 5), (7, u64::MAX)]) && !covers(&[(1, u64::MAX)]) && !covers(&[(0, u64::MAX - 1)])
         );
     }
+    /// Who starts takes part on the word of one that does, and not of another that has just started.
+    #[test]
+    fn newcomers_do_not_confirm_each_other() {
+        let (tables, mut told) = Tables::example();
+        let mut hear = |new| {
+            let digest = Digest { from: 0, to: u64::MAX, rows: Vec::new() };
+            let said = Duties::Digest { words: Vec::new(), digest, new, ask: false };
+            take(&tables, SocketAddr::from(([127, 0, 0, 1], 10)), said, &mut Mail::new()).unwrap();
+            matches!(told.try_recv(), Ok(Effect::Ready))
+        };
+        assert!(!hear(true));
+        assert!(hear(false));
+        assert!(!hear(false), "once");
+    }
 }
