Judge quotas and the crowd by a proxy's part of the traffic; repeats take no quota

In storms clients' repeats took the quotas' tokens, so that first tries came to lie beyond them. Lines at fault: request() and crowded() in rules.rs. Change: first tries against an even part of the quotas' sum tell a proxy's part; quotas grow by it, what it holds is divided by it, and repeats take no token.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,6 +21,8 @@
 /// Memory of the arrival rate, of a tenant's quota and, where a proxy alone has no room to count, of what it
 /// holds, s: short beside a ramp or a failure.
 const RATE_MEMORY: f64 = 2.0;
+/// Memory of this proxy's part of all traffic, s: the front moves it slowly, and a crowd comes faster.
+const PART_MEMORY: f64 = 10.0;
 /// Samples in a kind's or class's mean: its error is then about a tenth of the spread.
 const KIND_SAMPLES: f64 = 100.0;
 /// Proxies that share a backend, where there are more: each keeps connections to a slice of the fleet
@@ -163,6 +165,8 @@
     blocked: f64,
     attempts: BTreeMap<(RequestId, AttemptNo), (BackendId, usize, Time)>,
     rate: Rate,
+    /// First tries that came: clients' repeats swell in a crowd, what the front sends here does not.
+    firsts: Rate,
     /// Seconds that this proxy's attempts were out, for each second: its own part of all that is held.
     crowd: Rate,
     extra: f64,
@@ -198,6 +202,7 @@
             blocked: 0.0,
             attempts: BTreeMap::new(),
             rate: Rate::new(RATE_MEMORY),
+            firsts: Rate::new(PART_MEMORY),
             crowd: Rate::new(RATE_MEMORY),
             extra: 0.0,
             solve_at: Time(0),
@@ -386,9 +391,15 @@
         }
         self.rate.add(now, 1.0);
         self.extra = (self.extra + RETRY_RATIO).min(RETRY_RATIO * KIND_SAMPLES);
+        if !new.repeat {
+            self.firsts.add(now, 1.0);
+        }
+        let busy = self.busy();
         let tenant = new.tenant.and_then(|t| self.cfg.tenants.get(t.0).zip(self.buckets.get_mut(t.0)));
-        let part = |t: &Tenant| t.quota_per_s / f64::from(self.cfg.proxies);
-        let over_quota = tenant.is_some_and(|(t, bucket)| !bucket.take(now, part(t)));
+        // More traffic than others get is more of each quota; a repeat belongs to its first try, which took
+        // its part.
+        let part = |t: &Tenant| t.quota_per_s / f64::from(self.cfg.proxies) * busy;
+        let over_quota = !new.repeat && tenant.is_some_and(|(t, bucket)| !bucket.take(now, part(t)));
         let aim = c.aim.0 + new.work_hint.unwrap_or_default().times(c.aim_stretch).0;
         let (aim, deadline) = (now + Micros(aim).min(new.time_left), now + new.time_left);
         // A client that comes again waited for its first try: what is left to earn is mostly the late worth,
@@ -881,11 +892,18 @@
         self.dice.pick(&inside)
     }
 
+    /// How many times an even part of all traffic comes here, one at least: the front spreads it unevenly.
+    /// What the fleet is meant to carry, the quotas' sum, is the one figure on all of it that it is told.
+    fn busy(&self) -> f64 {
+        let even = self.cfg.tenants.iter().map(|t| t.quota_per_s).sum::<f64>() / f64::from(self.cfg.proxies);
+        self.firsts.per_s().filter(|_| even > 0.0).map_or(1.0, |here| (here / even).max(1.0))
+    }
+
     /// Whether all proxies together hold too much, as far as one tells that has no room to count: it takes
-    /// the others to be like itself. With load / (1 - load) held, twice the hold is a load of eight ninths,
-    /// half of it two thirds. That is one core; on many a lower load holds as much, and while every class is
-    /// well inside its aim nobody waits for what is worth little. Turned away at once does no harm; waiting
-    /// here would make no room.
+    /// the others to be like itself, but for its part of the traffic. With load / (1 - load) held, twice the
+    /// hold is a load of eight ninths, half of it two thirds. That is one core; on many a lower load holds as
+    /// much, and while every class is well inside its aim nobody waits for what is worth little. Turned away
+    /// at once does no harm; waiting here would make no room.
     fn crowded(&self, value: f64) -> bool {
         let proxies = f64::from(self.cfg.proxies);
         let ready: f64 = self.kinds.values().map(|k| k.ready).sum();
@@ -895,7 +913,7 @@
             true => HOLD / 2.0,
             false => HOLD * 2.0,
         };
-        let held = self.crowd.per_s().unwrap_or(0.0) * proxies;
+        let held = self.crowd.per_s().unwrap_or(0.0) * proxies / self.busy();
         proxies > HOLD && self.crowd.seen() > CROWD_KNOWN && held > limit * ready
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -213,6 +213,28 @@
     assert_eq!(answer(600_000, 0), None, "3 held on each backend, within quota");
 }
 
+/// Found on join+mass: in a storm of repeats those took their tenants' quotas, and first tries were refused as beyond them.
+#[test]
+fn repeats_take_nothing_of_the_quota_that_first_tries_need() {
+    let cfg = Config { proxies: 100, tenants: vec![Tenant { quota_per_s: 1_000.0 }], ..Config::example() };
+    let mut host = host(cfg, fleet(20));
+    let tenant = Some(TenantId(0));
+    let second = |host: &mut Host, repeats: usize| {
+        host.repeat = true;
+        for _ in 0..repeats {
+            host.arrive_for(0, 990_000, tenant);
+        }
+        host.repeat = false;
+        let id = host.arrive_for(0, 990_000, tenant);
+        host.serve_all(600_000); // held by all hundred: three on each backend
+        host.advance(400_000);
+        host.requests[&id].answer
+    };
+    (0..10).for_each(|_| assert_eq!(second(&mut host, 0), Some("served")));
+    let answers: Vec<_> = (0..20).map(|_| second(&mut host, 30)).collect();
+    assert!(answers.iter().all(|a| *a == Some("served")), "{answers:?}");
+}
+
 #[test]
 fn a_full_backend_is_drawn_again_and_the_rest_waits() {
     let mut host = host(Config { proxies: 1, ..Config::example() }, fleet(2));
