--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -21,7 +21,8 @@
     let change = [entry("b0", old.address, "DRAINING"), entry("b1", new.address, "SERVING")];
     let whole = target == "GET /api/targets HTTP/1.1";
     assert!(whole || target.contains("&wait_ms=0 "), "it is to be answered at once: {target}");
-    answer.send((200, list(9, whole, &change))).unwrap();
+    let told = list(9, whole, &change).replace(',', ",\n  "); // lists may come indented
+    answer.send((200, told)).unwrap();
     let (target, _hold) = at.call(); // by now the change is taken in
     assert!(target.contains("after=9&") && !target.contains("wait_ms=0 "), "{target}");
     let before = old.count();
