--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -5,7 +5,6 @@
 mod report;
 mod state;
 
-#[allow(unused_imports)] // until the calendar reads it
 pub use backends::RosterRow;
 pub use state::{Answer, Why};
 
