--- a/benches/duties.rs
+++ b/benches/duties.rs
@@ -1,11 +1,11 @@
 //! What duties and the calendar cost and how quick they are, with real processes on loopback: a dead holder's successor,
 //! the way from a decision to the last proxy's stop, datagrams, and clients' times beside a busy calendar. Run by
-//! `cargo bench --bench duties [deaths|stop|cost|times]`; never by the tests.
+//! `cargo bench --bench duties [deaths|stop|cost|times|soak]`; never by the tests.
 
 #[path = "../tests/rig/mod.rs"]
 mod rig;
 
-use rig::fleet::{mono_us, Asked, Fleet, Load, Recorder, Shape, Status};
+use rig::fleet::{check, mono_us, Asked, Fleet, Load, Recorder, Shape, Status};
 use rig::holdings;
 use std::time::{Duration, Instant};
 
@@ -43,7 +43,9 @@
     for n in 0..DEATHS {
         let (holder, token) = fleet.holder(&[]);
         // A voter that has just started is silent for a grant's life, and has to vote again before the next dies.
-        std::thread::sleep(Duration::from_millis(lease_ms * 5 / 4 + 500));
+        // The deaths are spread over the time between two renewals.
+        let phase = lease_ms * n as u64 / (3 * DEATHS as u64);
+        std::thread::sleep(Duration::from_millis(lease_ms * 5 / 4 + 500 + phase));
         let died = mono_us();
         fleet.kill(&[holder]);
         let at = (holder + 1) % 5;
@@ -92,8 +94,7 @@
     format!("{:.1} | {:.0}", (after[0] - before[0]) / share, (after[1] - before[1]) / share)
 }
 
-/// So many windows, each of one backend, that open and close one after the other within the span; three in eight are
-/// on at once.
+/// So many windows, each of one backend, that begin one after the other within the span, and last a second.
 fn busy(fleet: &Fleet, prefix: &str, windows: usize, span: f64) {
     for n in 0..windows {
         let begin = 2.0 + n as f64 * span / windows as f64;
@@ -116,8 +117,8 @@
     println!("| {size} | 40 windows in 14 s | {} |", sent(&on, span));
 }
 
-/// Clients' times at two fleets side by side: one without duties, one whose calendar holds 250 windows, of which
-/// about nine take a step each second, with calls at the door besides.
+/// Clients' times at two fleets side by side: one without duties, one whose calendar holds 250 windows that begin in
+/// 125 s, with the whole list asked of every door five times a second.
 fn times() {
     let (_a, known_off) = Recorder::several(BACKENDS);
     let (_b, known_on) = Recorder::several(BACKENDS);
@@ -126,12 +127,15 @@
     on.holder(&[]);
     let loads = [Load::start(&off, Duration::from_millis(1)), Load::start(&on, Duration::from_millis(1))];
     let begun = mono_us() + 2_000_000;
-    busy(&on, "t", 250, 55.0);
+    busy(&on, "t", 250, 125.0);
     let end = Instant::now() + Duration::from_secs(30);
     while Instant::now() < end {
         (0..5).for_each(|n| drop(on.json(n, "/windows")));
         std::thread::sleep(Duration::from_millis(200));
     }
+    let stepped = |l: &holdings::Life| holdings::events(&l.log, "window").count();
+    let steps: usize = on.lives().iter().map(stepped).sum();
+    println!("{steps} steps of windows in {:.0} s", (mono_us() - begun) as f64 / 1e6 + 2.0);
     for (name, load) in ["off", "busy"].into_iter().zip(loads) {
         let asked: Vec<Asked> = load.end().into_iter().filter(|a| a.begun > begun).collect();
         let failed = asked.iter().filter(|a| a.status != 200).count();
@@ -143,6 +147,72 @@
     }
 }
 
+/// Random faults and random windows by a seed, with datagrams lost, doubled, late, spoiled and replayed throughout:
+/// every window ends, what lived through it took its backend out and back once and not early, and all of `check` holds.
+fn soak(seed: u64) {
+    let (backends, known) = Recorder::several(BACKENDS);
+    let mut fleet = joined(Shape { seed, known, floor: 0.4, max_age_s: 3.0, ..shape(5, 800) }).0;
+    let load = Load::start(&fleet, Duration::from_millis(20));
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut draw = move |below: u64| {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        (state >> 20) % below
+    };
+    let pause = |ms: u64| std::thread::sleep(Duration::from_millis(ms));
+    let mut shut = Vec::new();
+    for round in 0..4u64 {
+        {
+            let mut rules = fleet.faults.rules.lock().expect("no panic in the relays");
+            (rules.drop, rules.double, rules.spoil, rules.replay) = (0.1, 0.1, 0.03, 0.05);
+            rules.late = Duration::from_millis(40);
+        }
+        let (holder, _) = fleet.holder(&[]);
+        let mut put = |k: u64| {
+            let (begin, lasts) = (8.0 + draw(10) as f64 / 5.0, 4.0 + draw(10) as f64 / 4.0);
+            let backend = format!("b{}", round * 2 + k);
+            fleet.put(draw(5) as usize, &format!("s{round}-{k}"), &[&backend], begin, lasts, 4)
+        };
+        let windows = [put(0), put(1)];
+        fleet.know(&[0, 1, 2, 3, 4], &[&windows[0], &windows[1]]);
+        pause(draw(9000));
+        let others: Vec<usize> = (0..5).filter(|n| *n != holder).collect();
+        let fate = draw(7);
+        if fate < 3 {
+            load.away(&[holder]);
+        }
+        match fate {
+            0 => fleet.kill(&[holder]),
+            1 => drop(fleet.end(holder)),
+            2 => fleet.proxies[holder].signal("-STOP"),
+            3 => fleet.faults.split(&[&[holder], &others]),
+            4 => fleet.faults.split(&[&[3, 4]]),
+            5 => fleet.faults.split(&[&[holder, others[0]], &others[1..]]),
+            _ => fleet.faults.rules.lock().expect("no panic in the relays").drop = 0.6,
+        }
+        pause(1000 + draw(6000));
+        match fate {
+            0 | 1 => fleet.restart(holder),
+            2 => fleet.proxies[holder].signal("-CONT"),
+            _ => {}
+        }
+        fleet.faults.heal();
+        if fate < 3 {
+            pause(1000); // what was stopped hears again what it missed
+            load.back(&fleet, &[holder]);
+        }
+        for window in &windows {
+            let over = |to: &str| ["done", "refused"].contains(&to);
+            let ended = |f: &Fleet| f.steps(&window.id).iter().any(|d| over(&d.to)).then_some(());
+            fleet.wait("a window's end", ended);
+            fleet.out_and_back_once(if fate < 3 { &others } else { &[0, 1, 2, 3, 4] }, window);
+            shut.extend(window.shut(window.begin));
+        }
+    }
+    check(&format!("soak {seed}"), &fleet, &backends, &load.end(), &shut);
+}
+
 fn main() {
     let wanted: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
     let want = |name: &str| wanted.is_empty() || wanted.iter().any(|w| w == name);
@@ -162,6 +232,10 @@
         println!("| --- | --- | --- | --- |");
         [3, 10, 30, 100].into_iter().for_each(cost);
     }
+    if wanted.iter().any(|w| w == "soak") {
+        let runs = [1, 2, 3, 4].map(|seed| std::thread::spawn(move || soak(seed)));
+        runs.into_iter().for_each(|run| run.join().expect("a whole run"));
+    }
     if want("times") {
         println!("| calendar | requests | failed | median | p99 | p99.9 (ms) |");
         println!("| --- | --- | --- | --- | --- | --- |");
