Listen on to calls that were given up, and wait longer where discovery has a line

Lines at fault: the time-out in watch(), which dropped the call. Change: a call that is given up is listened to for 10 s, its answer taken if it is news; a call that waits for no news has 1.8 s. Ruled out: the reload itself (the module's grace is kept from each list that came).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,11 +11,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use shaletide::{Discovery, ListUpdate};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
+use tokio::task::JoinHandle;
 use tracing::{info, warn};
 
 /// Calls a second that a quiet fleet may cost discovery: what it handles in the time of a few whole lists.
@@ -28,11 +30,15 @@
 const SPREAD: f64 = 0.75;
 /// What an answer may take beyond its wait before discovery counts as silent.
 const PROMPT: Duration = Duration::from_secs(1);
+/// ... and one that waits for no news: it may stand in a line, where each call given up and made again makes it longer.
+const IN_LINE: Duration = Duration::from_millis(1800);
 /// Where lists are pushed a connection to the agent comes up at once or not at all: what it has counts from the moment
 /// it is back, when a call that began before would still wait to be repeated.
 const DIAL: Duration = Duration::from_millis(250);
 /// Pause after the first failed call in a row; it doubles, once at most, as an agent's calls cost nothing.
 const BACKOFF: Duration = Duration::from_millis(50);
+/// A call that was given up is listened to for so long: what discovery writes to it counts as told all the same.
+const OVERDUE: Duration = Duration::from_secs(10);
 /// A list may be longer than a request's body, but not without bound.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -87,9 +93,45 @@
     conn: http1::Connection<Stream, Empty<Bytes>>,
 }
 
-/// Keeps the list up to date for as long as the program runs. When discovery moves, the call that is out is
-/// dropped with its connection and the whole list is asked for at the new address at once.
-pub async fn watch(host: Rc<Host>, mut at: watch::Receiver<SocketAddr>, mut index: u64, mut pace: Pace) {
+/// What a call came to, and its connection where that can be used again.
+type Fetched = (Option<Link>, Result<List, WatchError>);
+
+/// How far the list is known, by the calls that are waited for and by those that were given up.
+struct Known {
+    host: Rc<Host>,
+    index: Cell<u64>,
+    /// A call that was given up has answered.
+    late: Notify,
+}
+
+impl Known {
+    fn take(&self, list: &List) {
+        let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
+        self.host.members(update, list);
+        self.index.set(list.index);
+    }
+
+    /// Listens on for the answer to a call that was given up, and takes it if it is news.
+    fn listen(self: &Rc<Self>, mut call: JoinHandle<Fetched>) {
+        let known = self.clone();
+        tokio::task::spawn_local(async move {
+            let answer = tokio::time::timeout(OVERDUE, &mut call).await;
+            call.abort(); // unanswered, it would hold its connection
+            if let Ok(Ok((_, Ok(list)))) = answer {
+                if list.index > known.index.get() {
+                    info!("discovery answered a call late, with {}", list.index);
+                    known.take(&list);
+                    known.late.notify_one();
+                }
+            }
+        });
+    }
+}
+
+/// Keeps the list up to date for as long as the program runs. When discovery moves, the whole list is asked for at the
+/// new address at once; a call that is given up, then or as it stays silent, is still listened to.
+pub async fn watch(host: Rc<Host>, mut at: watch::Receiver<SocketAddr>, index: u64, mut pace: Pace) {
+    let known = Rc::new(Known { host: host.clone(), index: Cell::new(index), late: Notify::new() });
     let asked = pace.mode != Discovery::Push;
     let dial = if asked { PROMPT } else { DIAL };
     let mut whole = !asked; // an agent's answers cost nothing: begin with the truth
@@ -100,19 +142,33 @@
         host.followed().await;
     }
     loop {
+        let after = known.index.get();
         let (uri, patience) = match whole {
-            true => ("/api/targets".to_string(), PROMPT),
-            false => (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait + PROMPT),
+            true => ("/api/targets".to_string(), IN_LINE),
+            false if wait.is_zero() => (format!("/api/targets?after={after}&wait_ms=0"), IN_LINE),
+            false => (format!("/api/targets?after={after}&wait_ms={}", wait.as_millis()), wait + PROMPT),
         };
         let address = *at.borrow_and_update();
-        let call = tokio::time::timeout(patience, fetch(&mut link, address, dial, &uri));
+        let mut call = tokio::task::spawn_local(fetch(link.take(), address, dial, uri));
         let answer = tokio::select! {
-            answer = call => answer.unwrap_or(Err(WatchError::Silent)),
+            answer = tokio::time::timeout(patience, &mut call) => answer,
             Ok(()) = at.changed() => {
-                (link, whole, wait) = (None, true, Duration::ZERO);
+                known.listen(call);
+                (whole, wait) = (true, Duration::ZERO);
                 continue;
             }
         };
+        let answer = match answer {
+            Ok(Ok((kept, answer))) => {
+                link = kept;
+                answer
+            }
+            Ok(Err(_)) => Err(WatchError::Ended),
+            Err(_) => {
+                known.listen(call);
+                Err(WatchError::Silent)
+            }
+        };
         match answer {
             Ok(list) => {
                 if failures > 0 {
@@ -120,11 +176,9 @@
                 }
                 (failures, wait) = (0, pace.wait());
                 // Changes against a newer list than the answer's: discovery began anew, so take it whole.
-                let gap = !list.snapshot && (whole || list.index < index);
-                if !gap {
-                    let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
-                    host.members(update, &list);
-                    index = list.index;
+                let gap = !list.snapshot && (whole || list.index < after);
+                if !gap && (list.snapshot || list.index >= known.index.get()) {
+                    known.take(&list);
                 }
                 if gap && whole {
                     warn!("discovery answered with changes to a call for the whole list");
@@ -133,8 +187,7 @@
                 whole = gap;
             }
             Err(e) => {
-                // The next call is answered at once, by what this one missed.
-                (link, wait) = (None, Duration::ZERO);
+                wait = Duration::ZERO; // the next call is answered at once, by what this one missed
                 failures += 1;
                 if failures == 1 {
                     warn!("discovery failed: {e}");
@@ -143,6 +196,7 @@
                     host.members(ListUpdate::Lost, &List::default());
                     tokio::select! {
                         () = host.followed() => {} // when to ask again is the module's to say
+                        () = known.late.notified() => {} // and it heard that the list goes on
                         Ok(()) = at.changed() => whole = true,
                     }
                 } else {
@@ -156,20 +210,30 @@
     }
 }
 
-async fn fetch(
-    link: &mut Option<Link>, at: SocketAddr, dial: Duration, uri: &str,
-) -> Result<List, WatchError> {
-    let mut live = match link.take() {
-        Some(live) if !live.sender.is_closed() => live,
-        _ => {
-            let tcp = tokio::time::timeout(dial, TcpStream::connect(at)).await;
-            let tcp = tcp.unwrap_or(Err(std::io::ErrorKind::TimedOut.into())).map_err(WatchError::Connect)?;
-            let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
-            Link { sender, conn }
-        }
+async fn fetch(link: Option<Link>, at: SocketAddr, dial: Duration, uri: String) -> Fetched {
+    let live = match link.filter(|live| !live.sender.is_closed()) {
+        Some(live) => Ok(live),
+        None => open(at, dial).await,
     };
+    match live {
+        Ok(mut live) => match ask(&mut live, at, &uri).await {
+            Ok(list) => (Some(live), Ok(list)),
+            Err(e) => (None, Err(e)),
+        },
+        Err(e) => (None, Err(e)),
+    }
+}
+
+async fn open(at: SocketAddr, dial: Duration) -> Result<Link, WatchError> {
+    let tcp = tokio::time::timeout(dial, TcpStream::connect(at)).await;
+    let tcp = tcp.unwrap_or(Err(std::io::ErrorKind::TimedOut.into())).map_err(WatchError::Connect)?;
+    let (sender, conn) = http1::handshake(Stream::new(tcp)).await.map_err(boxed)?;
+    Ok(Link { sender, conn })
+}
+
+async fn ask(live: &mut Link, at: SocketAddr, uri: &str) -> Result<List, WatchError> {
     let request = Request::get(uri).header("host", at.to_string()).body(Empty::new()).map_err(boxed)?;
-    let Link { sender, conn } = &mut live;
+    let Link { sender, conn } = live;
     let answer = async {
         sender.ready().await.map_err(boxed)?;
         let answer = sender.send_request(request).await.map_err(boxed)?;
@@ -178,7 +242,6 @@
         Ok((status, body.to_bytes()))
     };
     let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
-    *link = Some(live);
     if status != 200 {
         return Err(WatchError::Status(status));
     }
@@ -204,7 +267,7 @@
             let told = f64::max(6.0, most + 2.0);
             let found = most + PROMPT.as_secs_f64();
             // The module's first pause is 0.15 s at most where lists are asked for.
-            assert!(found + 0.15 + PROMPT.as_secs_f64() < told, "{proxies}: {most}");
+            assert!(found + 0.15 + IN_LINE.as_secs_f64() < told, "{proxies}: {most}");
             let mean = waits.iter().sum::<f64>() / waits.len() as f64;
             assert!(f64::from(proxies) / mean <= CALLS / SPREAD, "{proxies}: every {mean} s");
             let distinct: std::collections::BTreeSet<u64> = waits.iter().map(|w| (w * 1e3) as u64).collect();
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -88,3 +88,30 @@
         mended(&proxy, &proxy.discovery, Instant::now(), &old, &new);
     }
 }
+
+/// What discovery writes counts as told, also to a call that was given up: an answer that comes late is taken, while the
+/// next call is still unanswered, and the watch goes on from there.
+#[test]
+fn an_answer_to_a_call_that_was_given_up_is_taken() {
+    for settings in modes() {
+        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+        let (_, answer) = proxy.discovery.call();
+        answer.send((200, list(5, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
+        let (_, late) = proxy.discovery.call();
+        let (_, next) = proxy.discovery.call(); // the one before was given up
+        let change = [entry("b0", old.address, "DRAINING"), entry("b1", new.address, "SERVING")];
+        late.send((200, list(9, false, &change))).unwrap();
+        let taken = (0..200).any(|_| {
+            proxy.logged("answered a call late") > 0 || {
+                std::thread::sleep(Duration::from_millis(50));
+                false
+            }
+        });
+        assert!(taken, "the late answer was dropped");
+        (0..8).for_each(|_| assert_eq!(proxy.ask(&pay(3.0)).body, b"new", "nothing new for one that drains"));
+        next.send((503, String::new())).unwrap();
+        let (target, _hold) = proxy.discovery.call();
+        assert!(target.contains("after=9&"), "{target}");
+    }
+}
