Set the discovery tests' proxies up in one place

Reason: five tests repeated the same loop over both kinds of discovery with the same backends and proxy. Change: in_each_mode holds it; every assertion is as it was. Measured: tests/discovery.rs, 5 of 5.

--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -8,8 +8,14 @@
 /// Whether or not it arrived, what a silent call missed counts as told so long after the silence began.
 const TOLD: Duration = Duration::from_secs(6);
 
-fn modes() -> [String; 2] {
-    ["automatic", "subscribe"].map(|mode| SETTINGS.replace("\"automatic\"", &format!("{mode:?}")))
+/// For lists that are pushed and lists that are asked for: a proxy that knows the old backend, beside a new one.
+fn in_each_mode(case: impl Fn(&Proxy, &BackendServer, &BackendServer)) {
+    for mode in ["automatic", "subscribe"] {
+        let settings = SETTINGS.replace("\"automatic\"", &format!("{mode:?}"));
+        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+        case(&proxy, &old, &new);
+    }
 }
 
 /// From the moment the silence began: asked again in time for one more failure before the bound, and what the answer
@@ -32,32 +38,26 @@
 
 #[test]
 fn a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts_as_told() {
-    for settings in modes() {
-        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
-        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    in_each_mode(|proxy, old, new| {
         let (_, answer) = proxy.discovery.call();
         answer.send((200, list(5, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
         let (_, _silent) = proxy.discovery.call();
-        mended(&proxy, &proxy.discovery, Instant::now(), &old, &new);
-    }
+        mended(proxy, &proxy.discovery, Instant::now(), old, new);
+    });
 }
 
 #[test]
 fn a_first_call_that_is_never_answered_is_made_again() {
-    for settings in modes() {
-        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
-        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    in_each_mode(|proxy, old, new| {
         let (_, _silent) = proxy.discovery.call();
-        mended(&proxy, &proxy.discovery, Instant::now(), &old, &new);
-    }
+        mended(proxy, &proxy.discovery, Instant::now(), old, new);
+    });
 }
 
 /// After SIGHUP all that the new address has to tell counts, whether or not its first answer came.
 #[test]
 fn a_discovery_that_is_silent_right_after_a_reload_is_asked_again() {
-    for settings in modes() {
-        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
-        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    in_each_mode(|proxy, old, new| {
         let (_, answer) = proxy.discovery.call();
         answer.send((200, list(5, true, &[]))).unwrap();
         let (_, _watch) = proxy.discovery.call();
@@ -67,17 +67,15 @@
         std::fs::write(&proxy.config, text).unwrap();
         proxy.signal("-HUP");
         let (_, _silent) = moved.call();
-        mended(&proxy, &moved, Instant::now(), &old, &new);
-    }
+        mended(proxy, &moved, Instant::now(), old, new);
+    });
 }
 
 /// An outage of several failed calls: the first that gets through is answered at once, not held for news; where lists
 /// are pushed the agent is tried without end at short pauses, as what it has counts from its return.
 #[test]
 fn the_first_call_after_an_outage_is_answered_at_once() {
-    for settings in modes() {
-        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
-        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    in_each_mode(|proxy, old, new| {
         let (_, answer) = proxy.discovery.call();
         answer.send((200, list(5, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
         let (_, answer) = proxy.discovery.call();
@@ -85,17 +83,15 @@
         for _ in 0..4 {
             proxy.discovery.call().1.send((503, String::new())).unwrap();
         }
-        mended(&proxy, &proxy.discovery, Instant::now(), &old, &new);
-    }
+        mended(proxy, &proxy.discovery, Instant::now(), old, new);
+    });
 }
 
 /// What discovery writes counts as told, also to a call that was given up: an answer that comes late is taken, while the
 /// next call is still unanswered, and the watch goes on from there.
 #[test]
 fn an_answer_to_a_call_that_was_given_up_is_taken() {
-    for settings in modes() {
-        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
-        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    in_each_mode(|proxy, old, new| {
         let (_, answer) = proxy.discovery.call();
         answer.send((200, list(5, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
         let (_, late) = proxy.discovery.call();
@@ -113,5 +109,5 @@
         next.send((503, String::new())).unwrap();
         let (target, _hold) = proxy.discovery.call();
         assert!(target.contains("after=9&"), "{target}");
-    }
+    });
 }
