Build the host's test request in one place

Reason: two unit tests wrote the same call and arrival. Change: Host::example_request, for tests only.

--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -155,7 +155,6 @@
 #[cfg(test)]
 mod tests {
     use super::super::super::list::List;
-    use super::super::super::upstream::Call;
     use super::*;
 
     /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
@@ -171,21 +170,7 @@
         scope
             .run_until(async {
                 host.members(ListUpdate::Changes, &news(1, "SERVING"));
-                let arrival = Arrival {
-                    request: RequestId(0),
-                    class: ClassId(0),
-                    tenant: None,
-                    time_left: Micros(60_000_000),
-                    work_hint: None,
-                    repeat: false,
-                };
-                let call = Call {
-                    method: hyper::Method::GET,
-                    uri: hyper::Uri::from_static("/read/k"),
-                    headers: hyper::HeaderMap::new(),
-                    body: Payload::Whole(bytes::Bytes::new()),
-                };
-                let (id, _wait) = host.request(arrival, &Rc::new(call), Effect::Free);
+                let (id, _wait) = host.example_request();
                 let (now, b) = (host.clock.now(), BackendId(0));
                 assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
                 assert!(!host.may_send(id, b, Some(now)), "the window is over");
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -60,6 +60,26 @@
         Host::new(balancer, Names::default(), Clock::new(), Rc::new(Pool::new(&network, 4)))
     }
 
+    /// A request of the example's first class with a minute left, as a client's `GET`.
+    #[cfg(test)]
+    pub fn example_request(self: &Rc<Self>) -> (RequestId, oneshot::Receiver<Answer>) {
+        let call = Call {
+            method: hyper::Method::GET,
+            uri: hyper::Uri::from_static("/read/k"),
+            headers: hyper::HeaderMap::new(),
+            body: Payload::Whole(bytes::Bytes::new()),
+        };
+        let arrival = Arrival {
+            request: RequestId(0),
+            class: ClassId(0),
+            tenant: None,
+            time_left: Micros(60_000_000),
+            work_hint: None,
+            repeat: false,
+        };
+        self.request(arrival, &Rc::new(call), Effect::Free)
+    }
+
     pub fn class(&self, name: &str) -> Option<ClassId> {
         self.state.borrow().names.class(name)
     }
--- a/src/net/host/report.rs
+++ b/src/net/host/report.rs
@@ -58,30 +58,13 @@
 mod tests {
     use super::*;
     use crate::net::figures::Figures;
-    use crate::net::upstream::{Call, Payload};
-    use shaletide::{Arrival, ClassId, Effect, RequestId};
-    use std::rc::Rc;
 
     /// A line tells what is new since the last, the figures tell of all.
     #[test]
     fn figures_go_on_over_the_lines() {
         let (host, figures) = (Host::example(), Figures::default());
-        let call = Rc::new(Call {
-            method: hyper::Method::GET,
-            uri: hyper::Uri::from_static("/read/k"),
-            headers: hyper::HeaderMap::new(),
-            body: Payload::Whole(bytes::Bytes::new()),
-        });
-        let arrival = Arrival {
-            request: RequestId(0),
-            class: ClassId(0),
-            tenant: None,
-            time_left: Micros(60_000_000),
-            work_hint: None,
-            repeat: false,
-        };
         for n in 1..4 {
-            let (id, _wait) = host.request(arrival.clone(), &call, Effect::Free);
+            let (id, _wait) = host.example_request();
             host.client_gone(id);
             for _ in 0..2 {
                 metrics::with_local_recorder(&figures, || host.figures(n));
