--- a/src/main.rs
+++ b/src/main.rs
@@ -11,10 +11,11 @@
 use net::discovery::Pace;
 use net::duties::Duties;
 use net::figures::Figures;
-use net::handover::{self, Held, Presence};
+use net::handover::{self, Presence};
 use net::host::Host;
 use net::maintenance::Maintenance;
 use net::peers::Peers;
+use net::room::{room, share};
 use net::server::{Rules, Server};
 use net::upstream::Pool;
 use net::{discovery, server, snapshot, Clock};
@@ -33,17 +34,6 @@
 use tokio::task::AbortHandle;
 use tracing::{info, warn};
 
-/// Descriptors that are kept for all but clients and upstreams.
-const RESERVE: usize = 64;
-/// How often a process looks for another one.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
-const LOOK_BESIDE: Duration = Duration::from_millis(20);
-/// Clients, and as many upstreams, that a process may have whatever the other one holds; out of the reserve.
-const LEAST_PART: usize = 8;
-/// What a second process needs for all else, and for clients over its bound.
-const BOTH: usize = 40;
-/// Upstreams that a process may open between two looks.
-const MORE_UPSTREAMS: usize = 16;
 /// A new process beside a running one waits so long for its first list.
 const FIRST_LIST: Duration = Duration::from_secs(2);
 const REPORT_EVERY: Duration = Duration::from_secs(5);
@@ -307,41 +297,6 @@
     made.map(Rc::new).inspect_err(|e| warn!("TMPDIR: no other process of this proxy sees this one: {e}")).ok()
 }
 
-/// While two processes are this proxy they share its descriptors and what cold backends may get. What one holds
-/// the other may not: the clients of the old one come over one by one, and each side's part follows them.
-async fn share(presence: Rc<Presence>, host: Rc<Host>, server: Rc<Server>, sockets: Rc<Cell<usize>>) {
-    let mut shared = false;
-    loop {
-        let (room, others) = (room(sockets.get()), presence.others());
-        presence.tell(Held { clients: server.clients(), upstreams: host.pool.open() });
-        let beside = others.older || others.younger;
-        let (clients, upstreams) =
-            if beside { parts(room, host.pool.open(), others.held) } else { (room - room / 2, room / 2) };
-        host.pool.limit(upstreams);
-        server.limit(clients);
-        if shared != beside {
-            shared = !shared;
-            info!("{}", if shared { "beside another process" } else { "alone again" });
-            host.beside(if shared { 2 } else { 1 });
-        }
-        tokio::time::sleep(if shared { LOOK_BESIDE } else { LOOK_EVERY }).await;
-    }
-}
-
-/// What a process may have of the room beside one that holds so much: upstreams a little above those it has, and
-/// clients out of all else, as those of the old one are still waiting when the new one's come.
-fn parts(room: usize, upstreams: usize, held: Held) -> (usize, usize) {
-    let room = room.saturating_sub(BOTH);
-    let upstreams = (upstreams + MORE_UPSTREAMS).min(room / 2);
-    let clients = room.saturating_sub(held.clients + held.upstreams + upstreams);
-    (clients.max(LEAST_PART), upstreams.max(LEAST_PART))
-}
-
-/// Descriptors for clients and upstreams, of so many.
-fn room(sockets: usize) -> usize {
-    sockets.saturating_sub(RESERVE).max(2)
-}
-
 /// The operators' door, which the configuration may move.
 struct Door {
     at: Option<SocketAddr>,
@@ -436,24 +391,3 @@
         Ok(told)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// With the clients of the old process still waiting there is room for as many at the new one, where the
-    /// descriptors allow it, and both together never have more than those.
-    #[test]
-    fn two_processes_share_the_room_by_what_each_holds() {
-        let room = room(384);
-        let held = Held { clients: 128, upstreams: 40 };
-        let (clients, upstreams) = parts(room, 0, held);
-        assert!(clients >= 90 && upstreams >= 16, "{clients} {upstreams}");
-        for open in [0, 20, 60, 200] {
-            let (clients, upstreams) = parts(room, open, held);
-            assert!(clients + upstreams + held.clients + held.upstreams <= room, "{open}");
-        }
-        let (clients, upstreams) = parts(room, 0, Held { clients: 300, upstreams: 300 });
-        assert!(clients > 0 && upstreams > 0, "never shut out");
-    }
-}
--- /dev/null
+++ b/src/net/handover/tests.rs
@@ -0,0 +1,27 @@
+//! Two processes in one folder.
+
+use super::*;
+
+/// Age decides who is whose successor; one that has not published or is gone counts for nothing.
+#[test]
+fn processes_see_each_other_while_they_live() {
+    let dir = std::env::temp_dir().join(format!("shaletide-presence-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let old = Presence::new(&dir).unwrap();
+    old.publish().unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(2));
+    let young = Presence::new(&dir).unwrap();
+    assert_eq!(old.others(), Others::default(), "not before it takes clients");
+    assert_eq!(young.others(), Others { older: true, ..Others::default() });
+    young.publish().unwrap();
+    assert_eq!(old.others(), Others { younger: true, ..Others::default() });
+    let held = Held { clients: 128, upstreams: 7 };
+    young.tell(held);
+    assert_eq!(old.others().held, held);
+    std::fs::write(dir.join(format!("{PREFIX}00000000000000000001-9")), "").unwrap();
+    assert!(!old.others().older, "nobody holds its lock");
+    drop(old);
+    assert_eq!(young.others(), Others::default());
+    drop(young);
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod list;
 pub mod maintenance;
 pub mod peers;
+pub mod room;
 pub mod server;
 pub mod snapshot;
 pub mod stream;
--- /dev/null
+++ b/src/net/snapshot/tests.rs
@@ -0,0 +1,65 @@
+//! What is written reads back, and nothing else does.
+
+use super::*;
+use proptest::prelude::*;
+
+fn sampled() -> impl Strategy<Value = Sampled> {
+    (any::<f64>(), any::<f64>()).prop_map(|(value, count)| Sampled { value, count })
+}
+
+fn snapshot() -> impl Strategy<Value = Snapshot> {
+    let kind = (sampled(), sampled(), any::<f64>(), any::<f64>()).prop_map(|k| KindMemory {
+        latency: k.0,
+        quick: k.1,
+        alone: k.2,
+        hold: k.3,
+    });
+    let micros = proptest::option::of(any::<u64>().prop_map(Micros));
+    let backend = (micros.clone(), any::<i32>(), micros).prop_map(|b| BackendMemory {
+        ejected_for: b.0,
+        strikes: b.1,
+        back_ago: b.2,
+    });
+    let saved = (
+        proptest::collection::vec((".{0,12}", kind), 0..4),
+        proptest::collection::vec((".{0,12}", sampled()), 0..4),
+        proptest::collection::vec((".{0,12}", backend), 0..6),
+        proptest::collection::vec(".{0,12}", 0..3),
+        sampled(),
+    )
+        .prop_map(|s| Saved { kinds: s.0, classes: s.1, backends: s.2, withdrawn: s.3, overall: s.4 });
+    let header = (".{0,8}", any::<u64>(), any::<[u8; 32]>()).prop_map(|h| Header {
+        program: h.0,
+        written_us: h.1,
+        settings: h.2,
+    });
+    (header, saved).prop_map(|(header, saved)| Snapshot { header, saved })
+}
+
+/// Bits compare, as NaN is not equal to itself.
+fn same(a: &Snapshot, b: &Snapshot) -> bool {
+    format!("{a:?}") == format!("{b:?}")
+}
+
+proptest! {
+    #[test]
+    fn what_is_encoded_decodes_the_same(s in snapshot()) {
+        let back = decode(&encode(&s).unwrap()).unwrap();
+        prop_assert!(same(&s, &back));
+    }
+
+    /// Any change of any byte, a cut anywhere, or bytes added, are refused or decode to some snapshot: never
+    /// a panic. Inside the body the checksum catches every change of one byte.
+    #[test]
+    fn mutated_bytes_never_panic(s in snapshot(), at in any::<prop::sample::Index>(), flip in 1u8..,
+                                 cut in any::<prop::sample::Index>(), junk in proptest::collection::vec(any::<u8>(), 0..64)) {
+        let bytes = encode(&s).unwrap();
+        let mut changed = bytes.clone();
+        let i = at.index(changed.len());
+        changed[i] ^= flip;
+        prop_assert!(decode(&changed).is_err(), "a change at byte {} was taken", i);
+        let _ = decode(&bytes[..cut.index(bytes.len())]);
+        let _ = decode(&junk);
+        prop_assert!(decode(&[bytes.clone(), junk.clone()].concat()).is_err() || junk.is_empty());
+    }
+}
