Take no client at the bound before one that was told to go has gone

Need: at the bound a queue of connections was accepted in one turn of the event loop, each against one that was told to go and had not had its turn yet: 129 clients where 120 are allowed. With all connections to backends in use, that took the descriptors kept for discovery, and accepts failed (EMFILE, 4 to 8 lines in 13 s at 256 descriptors).

Change: `accept` waits until the number of clients is under the bound again.

Measured: tests/descriptors.rs; before, "accept: Too many open files; 129 clients, 96 upstreams", 256 of 256 open; after, 253 at most and no failed accept.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -192,7 +192,9 @@
     }
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        while self.clients() >= self.max.get() + OVER_BOUND && !self.close_quietest(JUST_NOW) {
+        while self.clients() >= self.max.get() + OVER_BOUND {
+            // Until it has gone, who was told to go still holds a descriptor, and a queue of others would take the rest.
+            self.close_quietest(JUST_NOW);
             let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
         }
         match listener.accept().await {
