--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -185,6 +185,11 @@
     pub fn address(&self) -> SocketAddr {
         self.0.local_addr().unwrap().as_socket().unwrap()
     }
+    /// From now on somebody listens there.
+    pub fn listen(self) -> TcpListener {
+        self.0.listen(128).unwrap();
+        self.0.into()
+    }
 }
 
 /// An entry of the list.
@@ -206,7 +211,10 @@
 
 impl DiscoveryServer {
     pub fn start() -> DiscoveryServer {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        DiscoveryServer::on(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    pub fn on(listener: TcpListener) -> DiscoveryServer {
         let address = listener.local_addr().unwrap();
         let (tell, calls) = mpsc::channel();
         std::thread::spawn(move || {
@@ -232,6 +240,11 @@
         DiscoveryServer { address, calls }
     }
 
+    /// The call that waits, if one does.
+    pub fn waiting(&self) -> Option<(String, mpsc::Sender<(u16, String)>)> {
+        self.calls.try_recv().ok()
+    }
+
     /// The next call, and where its answer goes.
     pub fn call(&self) -> (String, mpsc::Sender<(u16, String)>) {
         self.calls.recv_timeout(PATIENCE).expect("a call to discovery")
@@ -278,15 +291,19 @@
     /// With a limit on descriptors that need not be the one it is told.
     pub fn launched(known: &[String], sockets: u32, settings: &str, descriptors: u32) -> Proxy {
         let discovery = DiscoveryServer::start();
-        let at = discovery.address;
-        let known = list(4, true, known);
-        let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{at}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
-        );
+        let config = told("127.0.0.1:0", discovery.address, sockets, known, settings);
         Proxy::run(limited(Some(&config), descriptors), discovery)
     }
 
+    /// Told to listen there and to ask there; the discovery that it has by itself stands idle.
+    pub fn placed(
+        listen: &str, at: SocketAddr, known: &[String], sockets: u32, settings: &str, more: &[(&str, String)],
+    ) -> Proxy {
+        let mut command = limited(Some(&told(listen, at, sockets, known, settings)), sockets);
+        command.envs(more.iter().map(|(name, value)| (*name, value)));
+        Proxy::run(command, DiscoveryServer::start())
+    }
+
     /// With an operators' door and further variables in its environment.
     pub fn operated(known: &[String], settings: &str, variables: &[(&str, String)]) -> Proxy {
         Proxy::configured(known, settings, "", variables)
@@ -391,6 +408,15 @@
     }
 }
 
+/// A configuration as the platform writes it.
+pub fn told(listen: &str, at: SocketAddr, sockets: u32, known: &[String], settings: &str) -> String {
+    let known = list(4, true, known);
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{at}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
 /// A folder of its own, as `TMPDIR` for the processes of one proxy.
 pub fn folder() -> PathBuf {
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
