Try again for a while where a starting process finds its address in use

Need: a process started while the one before it still listened, as in the half second after SIGTERM, ended with EADDRINUSE: a crash. The same held for the operators' door and the peers' socket, which the old process keeps to its end. SIGHUP before the handlers were set, as while the configuration is read, ended the program; at a reload a pipe in the configuration's place held up the event loop for ever, and a file of any length was read whole.

Change: an address in use is tried for 8 s with one line, then the start ends as before; SIGHUP is heard from the first moment; a reload takes a plain file only, and a configuration has 8 MiB at most.

--- a/src/main.rs
+++ b/src/main.rs
@@ -25,11 +25,12 @@
 use shaletide::{Balancer, Config, ListUpdate};
 use std::cell::Cell;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
@@ -38,6 +39,9 @@
 
 /// A new process beside a running one waits so long for its first list.
 const FIRST_LIST: Duration = Duration::from_secs(2);
+/// A start tries so long for an address that is in use: two seconds less than a restart may take.
+const CLAIM: Duration = Duration::from_secs(8);
+const CLAIM_EVERY: Duration = Duration::from_millis(50);
 const REPORT_EVERY: Duration = Duration::from_secs(5);
 /// How often the holds are told at debug level: several times in the second or two that they take to settle.
 const HOLDS_EVERY: Duration = Duration::from_millis(250);
@@ -88,19 +92,21 @@
 }
 
 fn serve(source: Source) -> Result<(), String> {
-    let node = Node::read(&source).map_err(|e| e.to_string())?;
     let passed = handover::inherited()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime.map_err(|e| format!("no event loop: {e}"))?, run(node, source, passed))
+    let runtime = runtime.map_err(|e| format!("no event loop: {e}"))?;
+    // Unheard, this one ends the program: it is heard before anything takes time, and answered once all runs.
+    let hangup = runtime.block_on(async { signal(SignalKind::hangup()) });
+    let hangup = hangup.map_err(|e| format!("no signals: {e}"))?;
+    let node = Node::read(&source).map_err(|e| e.to_string())?;
+    tokio::task::LocalSet::new().block_on(&runtime, run(node, source, passed, hangup))
 }
 
-async fn run(node: Node, source: Source, passed: Option<std::net::TcpListener>) -> Result<(), String> {
+async fn run(
+    node: Node, source: Source, passed: Option<std::net::TcpListener>, hangup: Signal,
+) -> Result<(), String> {
     let clock = Clock::new();
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
-    // Unheard, this one ends the program.
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
+    let mut stop = Stop::new().map_err(|e| format!("no signals: {e}"))?;
     let sockets = Rc::new(Cell::new(node.sockets));
     let room = room(node.sockets);
     let pool = Rc::new(Pool::new(&node.network, room / 2));
@@ -130,7 +136,10 @@
     tokio::task::spawn_local(maintenance.clone().follow());
     let listener = match passed {
         Some(socket) => TcpListener::from_std(socket).map_err(|e| format!("the passed socket: {e}"))?,
-        None => server::listen(node.listen).map_err(|e| format!("cannot listen on {}: {e}", node.listen))?,
+        None => tokio::select! {
+            claimed = claimed("", node.listen, server::listen) => claimed?,
+            () = stop.told() => return Ok(()),
+        },
     };
     let bound = listener.local_addr().unwrap_or(node.listen);
     tokio::task::spawn_local(host.clone().timers());
@@ -144,9 +153,10 @@
     let server = Server::new(host.clone(), rules, room - room / 2);
     let peers = match node.peers {
         Some(rules) => {
-            let (at, fleet) = (rules.listen, node.config.proxies);
-            let peers = Peers::start(host.clone(), rules, in_force.clone(), fleet, node.seed, cold).await;
-            Some(peers.map_err(|e| format!("peers: cannot listen on {at}: {e}"))?)
+            let socket = claimed("peers: ", rules.listen, UdpSocket::bind).await?;
+            let fleet = node.config.proxies;
+            let peers = Peers::start(host.clone(), socket, rules, in_force.clone(), fleet, node.seed, cold);
+            Some(peers.map_err(|e| format!("peers: {e}"))?)
         }
         None => None,
     };
@@ -167,7 +177,7 @@
     };
     let mut door = Door { at: None, running: None, keepers };
     if let Some(at) = node.control {
-        door.open(at)?;
+        door.answer(at, claimed("control: ", at, server::listen).await?);
     }
     info!("{} listens on {bound}, {} backends known", node.name, node.known.endpoints.len());
     if tracing::enabled!(tracing::Level::DEBUG) {
@@ -203,11 +213,7 @@
     };
     tokio::task::spawn_local(reload.run(hangup));
     let stop = async {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        info!("stopping");
+        stop.told().await;
         duties.iter().for_each(|d| d.leave());
     };
     if node.discovery.is_some() && presence.as_ref().is_some_and(|p| p.others().older) {
@@ -232,6 +238,45 @@
     Ok(())
 }
 
+/// What ends the program. Once heard, a second one changes nothing: what was taken is answered first.
+struct Stop {
+    term: Signal,
+    interrupt: Signal,
+}
+
+impl Stop {
+    fn new() -> io::Result<Stop> {
+        Ok(Stop { term: signal(SignalKind::terminate())?, interrupt: signal(SignalKind::interrupt())? })
+    }
+
+    async fn told(&mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+        info!("stopping");
+    }
+}
+
+/// Binds an address, and tries again for a while where another process has it, as one that is about to end does.
+async fn claimed<T>(
+    what: &str, at: SocketAddr, bind: impl Fn(SocketAddr) -> io::Result<T>,
+) -> Result<T, String> {
+    let (begun, mut told) = (Instant::now(), false);
+    loop {
+        match bind(at) {
+            Ok(bound) => return Ok(bound),
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && begun.elapsed() < CLAIM => {
+                if !std::mem::replace(&mut told, true) {
+                    warn!(event = "address_in_use", "{what}{at} is another process's, trying on: {e}");
+                }
+            }
+            Err(e) => return Err(format!("{what}cannot listen on {at}: {e}")),
+        }
+        tokio::time::sleep(CLAIM_EVERY).await;
+    }
+}
+
 /// Where processes of this proxy find what they share.
 fn folder(owner: &Owner) -> Option<PathBuf> {
     let made = match std::env::var_os("TMPDIR") {
@@ -260,12 +305,16 @@
     /// Opens it there; where that cannot be, it stays where it was.
     fn open(&mut self, at: SocketAddr) -> Result<(), String> {
         let listener = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
+        self.answer(at, listener);
+        Ok(())
+    }
+
+    fn answer(&mut self, at: SocketAddr, listener: TcpListener) {
         info!("control on {}", listener.local_addr().unwrap_or(at));
         let control = Control::new(self.keepers.clone());
         self.close();
         self.at = Some(at);
         self.running = Some(tokio::task::spawn_local(control.run(listener)).abort_handle());
-        Ok(())
     }
 
     fn close(&mut self) {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -8,10 +8,14 @@
 use shaletide::{Config, Micros};
 use std::collections::BTreeSet;
 use std::fmt;
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
+/// A longer file is refused unread: the longest list that discovery may tell, twice.
+const MOST: u64 = 8 * 1024 * 1024;
+
 /// Where the configuration comes from.
 #[derive(Clone, Debug, Default)]
 pub struct Source {
@@ -314,9 +318,19 @@
     path.extension().is_some_and(|e| e == "toml")
 }
 
+/// The file's text, and never more of it than a configuration may be long.
+fn text(path: &Path) -> io::Result<String> {
+    let mut text = String::new();
+    std::fs::File::open(path)?.take(MOST + 1).read_to_string(&mut text)?;
+    match text.len() as u64 <= MOST {
+        true => Ok(text),
+        false => Err(io::Error::other(format!("over {MOST} bytes"))),
+    }
+}
+
 fn parse(source: &Source) -> Result<Parsed, NodeError> {
     let path = source.file.as_ref().ok_or(NodeError::Unset)?;
-    let text = std::fs::read_to_string(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
+    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
     let malformed = |e: String| NodeError::Malformed(path.clone(), e);
     let mut whole: Value = match is_toml(path) {
         true => toml::from_str(&text).map_err(|e| malformed(e.to_string()))?,
@@ -375,6 +389,10 @@
 impl Node {
     /// Reads the file again. One that lacks what stood in it before is not whole.
     pub fn read_again(source: &Source, keys: &BTreeSet<String>) -> Result<Node, NodeError> {
+        if let Some(path) = source.file.as_ref().filter(|path| path.exists() && !path.is_file()) {
+            // A pipe would hold up all that runs until somebody writes to it.
+            return Err(NodeError::Unreadable(path.clone(), io::Error::other("not a file")));
+        }
         let node = Node::read(source)?;
         match keys.difference(&node.keys).next() {
             Some(key) => Err(NodeError::Settings(format!("{key}: missing"))),
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -132,10 +132,10 @@
 impl Peers {
     /// Takes its socket and joins through the seeds for as long as the program runs. `fleet`: proxies expected;
     /// `cold`: no memory was taken, so that one is asked for.
-    pub async fn start(
-        host: Rc<Host>, rules: Sharing, settings: Rc<Cell<[u8; 32]>>, fleet: u32, seed: u64, cold: bool,
+    pub fn start(
+        host: Rc<Host>, sending: std::net::UdpSocket, rules: Sharing, settings: Rc<Cell<[u8; 32]>>,
+        fleet: u32, seed: u64, cold: bool,
     ) -> io::Result<Rc<Peers>> {
-        let sending = std::net::UdpSocket::bind(rules.listen)?;
         sending.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(sending.try_clone()?)?;
         let own = rules.advertise.unwrap_or(socket.local_addr()?);
