Force signals across starts, reloads and shutdowns

Need: SIGHUP in the start, many in a row, in a shutdown, over files that are no configuration; SIGTERM a second time; settings that shrink under open requests.

Change: tests/reloads.rs. The order is forced by a pipe that the program reads its configuration from, by log lines and by gated answers.

--- /dev/null
+++ b/tests/reloads.rs
@@ -0,0 +1,188 @@
+//! SIGHUP and SIGTERM at moments where they cross something else.
+
+mod rig;
+
+use rig::*;
+use std::io::Write;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn pipe(at: &Path) {
+    assert!(std::process::Command::new("mkfifo").arg(at).status().unwrap().success());
+}
+
+fn log(left: f64) -> String {
+    read(left).replace("GET /read", "GET /log")
+}
+
+/// With one more class, or with a number in its place.
+fn with_class(text: &str, name: &str) -> String {
+    let class = format!(
+        r#"{{"name":"{name}","aim_us":900000,"deadline_us":3000000,"effect":"free","gain":1.0,"late_worth":0.5}},"#
+    );
+    text.replacen(r#"{"name":"read""#, &format!(r#"{class}{{"name":"read""#), 1)
+}
+
+/// The program still reads its configuration, from a pipe that nobody wrote to yet, when SIGHUP comes: it starts, answers
+/// the signal once it runs, and does not wait for a pipe again.
+#[test]
+fn a_signal_before_the_configuration_is_read_does_not_end_the_start() {
+    let at = folder().join("config.json");
+    pipe(&at);
+    let mut child = launch(None).env("NODE_CONFIG", &at).spawn().unwrap();
+    // Opening for writing waits until the program has opened it for reading.
+    let mut file = std::fs::OpenOptions::new().write(true).open(&at).unwrap();
+    let kill = std::process::Command::new("kill").args(["-HUP", &child.id().to_string()]).status();
+    assert!(kill.unwrap().success());
+    let config = rig::told("127.0.0.1:0", "127.0.0.1:9".parse().unwrap(), 1024, &[], SETTINGS);
+    file.write_all(config.as_bytes()).expect("the program is still there");
+    drop(file);
+    let mut lines = std::io::BufRead::lines(std::io::BufReader::new(child.stderr.take().unwrap()));
+    let mut next = |words: &str| lines.by_ref().map_while(Result::ok).find(|line| line.contains(words));
+    let line = next("listens on").expect("it ended before it listened");
+    let address = line.split("listens on ").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    let line = next("configuration not taken").expect("it ended before it answered the signal");
+    assert!(line.contains("not a file"), "{line}");
+    assert_eq!(Client::connect(address).ask("GET /-/ready HTTP/1.1\r\nHost: f\r\n\r\n").status(), 200);
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
+
+/// Whatever stands in the place of the configuration: one line that says why, and all stays as it was.
+#[test]
+fn what_is_no_configuration_is_told_once_and_changes_nothing() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    let (at, sound) = (&proxy.config, std::fs::read(&proxy.config).unwrap());
+    let deny = |at: &Path| {
+        std::fs::write(at, &sound).unwrap();
+        std::fs::set_permissions(at, std::os::unix::fs::PermissionsExt::from_mode(0)).unwrap();
+    };
+    // Who may read everything reads this one, too: then it is cut.
+    let denied = |at: &Path| {
+        deny(at);
+        if std::fs::read(at).is_ok() {
+            std::fs::write(at, &sound[..sound.len() / 2]).unwrap();
+        }
+    };
+    let huge = |at: &Path| std::fs::File::create(at).unwrap().set_len(1 << 40).unwrap();
+    let long = |at: &Path| std::fs::write(at, [&sound[..], &vec![b' '; 9 << 20]].concat()).unwrap();
+    let dir = |at: &Path| std::fs::create_dir(at).unwrap();
+    let bytes = |at: &Path| std::fs::write(at, [0xff, 0xfe, 0]).unwrap();
+    let deep = |at: &Path| std::fs::write(at, vec![b'['; 1 << 20]).unwrap();
+    let cases: [(&str, &dyn Fn(&Path)); 9] = [
+        ("cannot read", &|_| {}),
+        ("", &denied),
+        ("over 8388608 bytes", &long),
+        ("", &huge),
+        ("not a file", &dir),
+        ("not a file", &pipe),
+        ("cannot read", &bytes),
+        ("", &deep),
+        ("", &|at| std::fs::write(at, &sound[..sound.len() - 1]).unwrap()),
+    ];
+    for (n, (cause, put)) in cases.iter().enumerate() {
+        let _ = std::fs::remove_file(at);
+        let _ = std::fs::remove_dir(at);
+        put(at);
+        proxy.signal("-HUP");
+        until("no answer to the signal", || proxy.logged("configuration not taken") == n + 1);
+        let line = proxy.lines("configuration not taken").pop().unwrap();
+        assert!(line.contains(cause), "{cause}: {line}");
+        assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+    }
+    let _ = std::fs::remove_file(at);
+    std::fs::write(at, &sound).unwrap();
+    proxy.signal("-HUP");
+    until("a sound one was not taken", || proxy.logged("configuration taken") == 1);
+    assert_eq!(proxy.logged("configuration not taken"), cases.len());
+}
+
+/// A file that is replaced again and again, in place, with a signal each time: whatever a signal found half written, the
+/// last one counts, and requests that were open keep the class that they came under.
+#[test]
+fn of_many_reloads_in_a_row_the_last_counts() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |n| if n == 0 { Reply::Gate(wait.clone()) } else { ok("x") });
+    let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    let text = std::fs::read_to_string(&proxy.config).unwrap();
+    let mut open = proxy.client();
+    open.send(&pay(3.0));
+    backend.request();
+    for n in 0..12 {
+        std::fs::write(&proxy.config, with_class(&text, &format!("c{n}"))).unwrap();
+        proxy.signal("-HUP");
+    }
+    std::fs::write(&proxy.config, with_class(&text, "log").replace(r#""name":"pay""#, r#""name":"owe""#))
+        .unwrap();
+    proxy.signal("-HUP");
+    until("the last was not taken", || proxy.ask(&log(3.0)).status() == 200);
+    assert_eq!(proxy.ask(&pay(3.0)).status(), 404);
+    assert_eq!(proxy.ask(&read(3.0).replace("GET /read", "GET /c11")).status(), 404);
+    gate.open();
+    assert_eq!(open.answer().expect("an answer").body, b"gated");
+}
+
+/// Signals that come while the program ends: neither a second SIGTERM, nor SIGINT, nor a new configuration, sound or
+/// broken, takes the answer that is owed.
+#[test]
+fn signals_during_the_shutdown_change_nothing() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |_| Reply::Gate(wait.clone()));
+    let mut proxy = Proxy::operated(&[entry("b0", backend.address, "SERVING")], SETTINGS, &[]);
+    let mut open = proxy.client();
+    open.send(&pay(3.0));
+    backend.request();
+    proxy.terminate();
+    until("it does not end", || proxy.logged("stopping") == 1);
+    let text = std::fs::read_to_string(&proxy.config).unwrap();
+    let shorter = text.replace("\"deadline_us\":3000000", "\"deadline_us\":950000");
+    for (n, text) in [&text[..text.len() / 2], &shorter, "", &text].iter().enumerate() {
+        std::fs::write(&proxy.config, text).unwrap();
+        proxy.signal("-HUP");
+        until("no answer to the signal", || proxy.logged("configuration") == n + 1);
+        proxy.signal("-TERM");
+        proxy.signal("-INT");
+    }
+    assert_eq!(proxy.logged("configuration taken"), 2);
+    gate.open();
+    assert_eq!(open.answer().expect("the answer that was owed").body, b"gated");
+    assert!(proxy.child.wait().unwrap().success());
+    assert_eq!(proxy.logged("stopping"), 1);
+}
+
+/// Limits that shrink under open requests: they end as they came, and those that rest make way.
+#[test]
+fn limits_that_shrink_take_no_open_request() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |_| Reply::Gate(wait.clone()));
+    let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    let mut open: Vec<Client> = (0..4).map(|_| proxy.client()).collect();
+    open.iter_mut().for_each(|client| client.send(&pay(3.0)));
+    (0..4).for_each(|_| drop(backend.request()));
+    let text = std::fs::read_to_string(&proxy.config).unwrap();
+    let text = text
+        .replace("\"sockets\":1024", "\"sockets\":68")
+        .replace(r#"{"name":"north","quota_rps":500.0}"#, "");
+    std::fs::write(&proxy.config, text.replace("\"max_attempts\":4", "\"max_attempts\":1")).unwrap();
+    proxy.signal("-HUP");
+    until("not taken", || proxy.logged("configuration taken") == 1);
+    gate.open();
+    for client in &mut open {
+        assert_eq!(client.answer().expect("an answer").body, b"gated");
+    }
+    let named = read(3.0).replace("\r\n\r\n", "\r\nX-Account: north\r\n\r\n");
+    assert_eq!(proxy.ask(&named).status(), 200, "a tenant that is no more is a stranger");
+}
