--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -7,7 +7,7 @@
 
 use super::config::Sharing;
 use super::host::Host;
-use super::snapshot::{self, wall_us, Header, Snapshot};
+use super::snapshot::{self, wall_us, Header, Snapshot, Stands};
 use facts::{Board, Fact, Facts};
 use foca::{AccumulatingRuntime, Foca, Identity, OwnedNotification, PeriodicParams, Timer};
 use post::Post;
@@ -132,10 +132,10 @@
 impl Peers {
     /// Takes its socket and joins through the seeds for as long as the program runs. `fleet`: proxies expected;
     /// `cold`: no memory was taken, so that one is asked for.
-    pub async fn start(
-        host: Rc<Host>, rules: Sharing, settings: Rc<Cell<[u8; 32]>>, fleet: u32, seed: u64, cold: bool,
+    pub fn start(
+        host: Rc<Host>, sending: std::net::UdpSocket, rules: Sharing, settings: Rc<Cell<[u8; 32]>>,
+        fleet: u32, seed: u64, cold: bool,
     ) -> io::Result<Rc<Peers>> {
-        let sending = std::net::UdpSocket::bind(rules.listen)?;
         sending.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(sending.try_clone()?)?;
         let own = rules.advertise.unwrap_or(socket.local_addr()?);
@@ -373,7 +373,7 @@
         if saved.overall.count == 0.0 {
             return Ok(());
         }
-        let header = Header::now(self.settings.get());
+        let header = Header::now(Stands::fleet(self.settings.get()));
         let Ok(bytes) = snapshot::encode(&Snapshot { header, saved }) else { return Ok(()) };
         let parts: Vec<&[u8]> = bytes.chunks(PART).collect();
         if parts.len() > PARTS {
@@ -405,7 +405,7 @@
             parts.concat()
         };
         let most = Micros::from_secs(self.rules.max_age_s);
-        match snapshot::decode(&whole).and_then(|s| s.checked(&self.settings.get(), most)) {
+        match snapshot::decode(&whole).and_then(|s| s.checked(&Stands::fleet(self.settings.get()), most)) {
             Ok((s, age)) => {
                 info!(
                     event = "peer_snapshot_taken",
