See a client's end at its socket, also behind bytes that are not read

hyper reads nothing more while a pipelined request or a body that nobody takes stands in its buffer or the kernel's, so an end behind them stayed unseen and the request was sent on. Now each request waits for the end of its client's sending as well: the event loop reports it (EPOLLRDHUP) whatever stands unread.

tests/client_gone.rs holds the process still, lets a client leave (FIN or RST, with and without bytes before it) and releases it.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -45,6 +45,9 @@
 /// Lines about a failing listener come no faster.
 const ACCEPT_LOG: Micros = Micros(1_000_000);
 
+/// Heard by nobody, but for one who closed only its own side.
+const LEFT: (StatusCode, &str) = (StatusCode::BAD_REQUEST, "the client closed the connection\n");
+
 /// What goes out to a client.
 type Outward = Either<Full<Bytes>, Flow>;
 
@@ -256,7 +259,7 @@
             client.busy.set(true);
             let from = if client.fresh.replace(false) { client.since.get() } else { self.host.clock.now() };
             let old = request.version() < Version::HTTP_11;
-            let mut answer = self.answer(request, self.host.clock.instant(from)).await;
+            let mut answer = self.answer(request, client, self.host.clock.instant(from)).await;
             match answer.body_mut() {
                 Either::Left(_) => self.idle(client),
                 Either::Right(flow) => {
@@ -316,12 +319,23 @@
     }
 
     /// `from`: since when the patience with its body counts.
-    async fn answer(self: &Rc<Self>, request: Request<Incoming>, from: Instant) -> Response<Outward> {
-        let mut answer = match request.uri().path() {
-            "/-/ready" => plain(StatusCode::OK, "ready\n"),
-            _ => self.proxy(request, from).await.unwrap_or_else(|(status, text)| plain(status, text)),
+    async fn answer(
+        self: &Rc<Self>, request: Request<Incoming>, client: &Client, from: Instant,
+    ) -> Response<Outward> {
+        let answer = match request.uri().path() {
+            "/-/ready" => Ok(plain(StatusCode::OK, "ready\n")),
+            // hyper reads nothing more, and sees no end, while bytes that it cannot use yet stand before that.
+            _ => tokio::select! {
+                biased;
+                answer = self.proxy(request, from) => answer,
+                () = client.stream.left() => Err(LEFT),
+            },
+        };
+        let (mut answer, left) = match answer {
+            Ok(answer) => (answer, false),
+            Err((status, text)) => (plain(status, text), client.stream.peer().has_left()),
         };
-        if self.stopping.get() || self.clients() > self.max.get() {
+        if left || self.stopping.get() || self.clients() > self.max.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
@@ -415,7 +429,7 @@
     }
 }
 
-/// Tells the host when hyper drops an unanswered request because its client is gone.
+/// Tells the host when an unanswered request is dropped because its client is gone.
 struct Owed<'a> {
     host: &'a Rc<Host>,
     id: RequestId,
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -2,11 +2,13 @@
 //! and whether the other side has closed or sent anything.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -14,6 +16,16 @@
 #[derive(Clone)]
 pub struct Stream(Rc<Inner>);
 
+/// The other side of a stream, seen by whoever must not keep that stream open.
+pub struct Peer(Weak<Inner>);
+
+impl Peer {
+    /// It ended its sending or the connection, or this side did.
+    pub fn has_left(&self) -> bool {
+        self.0.upgrade().is_none_or(|inner| inner.has_left())
+    }
+}
+
 struct Inner {
     tcp: TcpStream,
     /// Bytes of the head's end (CRLF CRLF) matched so far in what was written; 4: the head is out.
@@ -26,6 +38,15 @@
     at: Cell<Instant>,
 }
 
+impl Inner {
+    /// Asks the kernel itself, as the event loop may not have come round to it yet. A peek would not see an end
+    /// behind bytes that nobody has read.
+    fn has_left(&self) -> bool {
+        let mut end = [PollFd::new(&self.tcp, PollFlags::RDHUP)];
+        poll(&mut end, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+    }
+}
+
 impl Stream {
     pub fn new(tcp: TcpStream) -> Stream {
         let _ = tcp.set_nodelay(true); // small writes are whole messages here
@@ -34,6 +55,16 @@
         Stream(Rc::new(Inner { tcp, matched, body_left, heard, at }))
     }
 
+    pub fn peer(&self) -> Peer {
+        Peer(Rc::downgrade(&self.0))
+    }
+
+    /// Until the other side ends its sending or the connection, even behind bytes that nobody reads. Urgent data
+    /// is not asked for: of what this waits for only the end of the reading side ever comes.
+    pub async fn left(&self) {
+        let _ = self.0.tcp.ready(Interest::PRIORITY).await;
+    }
+
     /// From now on counts the bytes of a new request with a body of that size.
     pub fn begin_request(&self, body: usize) {
         self.0.matched.set(0);
--- a/src/net/stream/tests.rs
+++ b/src/net/stream/tests.rs
@@ -46,3 +46,23 @@
     drop(peer);
     assert!(stream.stirred());
 }
+
+/// An end behind bytes that nobody has read, by a close or a reset: the kernel tells it at once, the event loop soon.
+#[tokio::test]
+async fn an_end_is_seen_behind_unread_bytes() {
+    for linger in [None, Some(std::time::Duration::ZERO)] {
+        let (stream, mut peer) = pair().await;
+        peer.write_all(b"more").unwrap();
+        assert!(!stream.peer().has_left(), "bytes are no end");
+        socket2::SockRef::from(&peer).set_linger(linger).unwrap();
+        drop(peer);
+        assert!(stream.peer().has_left(), "{linger:?}");
+        stream.left().await;
+    }
+    let (stream, peer) = pair().await;
+    let seen = stream.peer();
+    assert!(!seen.has_left());
+    drop(stream);
+    assert!(seen.has_left(), "it keeps nothing open");
+    drop(peer);
+}
--- /dev/null
+++ b/tests/client_gone.rs
@@ -0,0 +1,257 @@
+//! Clients that leave before their answer: from then on nothing is sent on for them, wherever their request stands and
+//! however they leave.
+
+mod rig;
+
+use rig::*;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::{mpsc, Arc};
+use std::time::{Duration, Instant};
+
+/// How a client ends its connection, and whether bytes stand before the end that the proxy has no use for yet.
+#[derive(Clone, Copy, Debug)]
+struct Leave {
+    reset: bool,
+    bytes: bool,
+}
+
+const WAYS: [Leave; 4] = [
+    Leave { reset: false, bytes: true },
+    Leave { reset: true, bytes: true },
+    Leave { reset: false, bytes: false },
+    Leave { reset: true, bytes: false },
+];
+
+impl Leave {
+    /// Asks on a connection of its own.
+    fn ask(self, proxy: &Proxy, request: &str) -> Client {
+        let mut client = proxy.client();
+        client.send(&if self.bytes { request.to_string() + &read(3.0) } else { request.into() });
+        client
+    }
+
+    fn go(self, client: Client) {
+        let socket = socket2::SockRef::from(client.0.get_ref());
+        socket.set_linger(self.reset.then_some(Duration::ZERO)).unwrap();
+    }
+}
+
+/// Whatever the test does until `go_on` meets the proxy at once.
+fn hold(proxy: &Proxy) {
+    proxy.signal("-STOP");
+    let stat = format!("/proc/{}/stat", proxy.child.id());
+    until(|| std::fs::read_to_string(&stat).unwrap().contains(") T "), "it never stood still");
+}
+
+fn go_on(proxy: &Proxy) {
+    proxy.signal("-CONT");
+}
+
+fn until(done: impl Fn() -> bool, otherwise: &str) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "{otherwise}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// All that came before this was read by the proxy.
+fn in_hand(proxy: &Proxy) {
+    assert_eq!(proxy.ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+}
+
+fn figure(proxy: &Proxy, name: &str) -> u32 {
+    let text = String::from_utf8(proxy.call("GET /metrics").body).unwrap();
+    let value = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse::<f64>().ok());
+    value.unwrap_or_else(|| panic!("no {name} in {text}")) as u32
+}
+
+/// Stands for whatever reached the backend before it.
+fn served(proxy: &Proxy) {
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200);
+}
+
+fn upload(length: usize) -> String {
+    pay(3.0).replace("Length: 4", &format!("Length: {length}")).replace("cash", &"x".repeat(length))
+}
+
+/// No backend serves; the list that brings one and the clients' ends meet, in either order.
+#[test]
+fn a_request_that_waits_for_a_backend_is_dropped_with_its_client() {
+    for list_first in [false, true] {
+        let backend = BackendServer::start(|_| ok("x"));
+        let proxy = Proxy::start(&[]);
+        let (_, answer) = proxy.discovery.call();
+        let left = WAYS.map(|way| (way, way.ask(&proxy, &read(3.0))));
+        // Of a body this long the most part stays in the kernel for as long as no backend takes it.
+        let bodies = WAYS.map(|way| (way, way.ask(&proxy, &upload(150_000))));
+        in_hand(&proxy);
+        hold(&proxy);
+        let news = list(5, true, &[entry("b0", backend.address, "SERVING")]);
+        if list_first {
+            answer.send((200, news.clone())).unwrap();
+        }
+        left.into_iter().chain(bodies).for_each(|(way, client)| way.go(client));
+        if !list_first {
+            answer.send((200, news)).unwrap();
+        }
+        go_on(&proxy);
+        served(&proxy);
+        assert_eq!(backend.count(), 1, "list first: {list_first}");
+    }
+}
+
+/// All slots of the only backend are taken, and become free in the moment in which those that wait for one leave.
+#[test]
+fn a_request_that_waits_for_a_slot_is_dropped_with_its_client() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |_| Reply::Gate(wait.clone()));
+    let proxy = Proxy::operated(&[entry("b0", backend.address, "SERVING")], SETTINGS, &[]);
+    let mut clients: Vec<_> = (0..20).map(|_| proxy.client()).collect();
+    clients.iter_mut().for_each(|c| c.send(&read(3.0)));
+    let out = || figure(&proxy, "shaletide_attempts_total");
+    until(|| figure(&proxy, "shaletide_requests_total") == 20 && out() == backend.count(), "never all out");
+    let before = backend.count();
+    assert!(before < 20, "none waits");
+    let late = WAYS.map(|way| (way, way.ask(&proxy, &read(3.0))));
+    in_hand(&proxy);
+    hold(&proxy);
+    late.into_iter().for_each(|(way, client)| way.go(client));
+    gate.open();
+    go_on(&proxy);
+    assert!(clients.iter_mut().all(|c| c.answer().is_some_and(|a| a.status() == 200)));
+    served(&proxy);
+    assert_eq!(backend.count(), 21);
+}
+
+/// A backend whose queue of connections is full comes up only when it accepts.
+struct Late {
+    listener: TcpListener,
+    _queue: Vec<socket2::Socket>,
+}
+
+impl Late {
+    const QUEUE: usize = 8;
+
+    fn new() -> Late {
+        let new = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let socket = new();
+        socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(Late::QUEUE as i32 - 1).unwrap();
+        let to = socket.local_addr().unwrap();
+        let connected = |_| {
+            let client = new();
+            client.connect(&to).unwrap();
+            client
+        };
+        Late { _queue: (0..Late::QUEUE).map(connected).collect(), listener: socket.into() }
+    }
+
+    /// Takes those who filled the queue: whoever tries now comes up.
+    fn open(&self) {
+        (0..Late::QUEUE).for_each(|_| drop(self.listener.accept().unwrap()));
+    }
+}
+
+/// Connections to the backend come up in the moment in which their clients leave.
+#[test]
+fn a_connection_that_comes_up_after_the_client_left_is_sent_nothing() {
+    let late = Late::new();
+    let slow = SETTINGS.replace("\"dial_timeout_us\":300000", "\"dial_timeout_us\":9000000");
+    let known = [entry("b0", late.listener.local_addr().unwrap(), "SERVING")];
+    let proxy = Proxy::operated(&known, &slow, &[]);
+    let left = WAYS.map(|way| (way, way.ask(&proxy, &read(9.0))));
+    until(|| figure(&proxy, "shaletide_attempts_total") == 4, "not all were dispatched");
+    hold(&proxy);
+    late.open();
+    let came: Vec<_> = (0..4).map(|_| late.listener.accept().unwrap().0).collect(); // up, as the proxy will find
+    left.into_iter().for_each(|(way, client)| way.go(client));
+    go_on(&proxy);
+    // The next one's attempt comes after whatever was sent for those.
+    let mut stays = proxy.client();
+    stays.send(&read(9.0));
+    let (tell, heard) = mpsc::channel();
+    for tcp in came {
+        answer_each(tcp, tell.clone());
+    }
+    let listener = late.listener.try_clone().unwrap();
+    std::thread::spawn(move || listener.incoming().flatten().for_each(|tcp| answer_each(tcp, tell.clone())));
+    assert_eq!(stays.answer().expect("an answer").status(), 200);
+    assert_eq!(heard.try_iter().count(), 1);
+}
+
+fn answer_each(tcp: std::net::TcpStream, tell: mpsc::Sender<()>) {
+    std::thread::spawn(move || {
+        let mut reader = std::io::BufReader::new(tcp.try_clone().unwrap());
+        while Message::read(&mut reader).is_some() {
+            tell.send(()).unwrap();
+            use std::io::Write;
+            let _ = (&tcp).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+        }
+    });
+}
+
+/// The attempt fails in the moment in which the client leaves: there is no next one.
+#[test]
+fn no_further_attempt_begins_for_a_client_that_left() {
+    for way in WAYS {
+        let (failing, gate) = (Arc::new(AtomicBool::new(false)), Arc::new(Gate::default()));
+        let start = || {
+            let (failing, gate) = (failing.clone(), gate.clone());
+            BackendServer::start(move |_| match failing.swap(false, SeqCst) {
+                true => {
+                    gate.wait();
+                    Reply::AnswerAndClose(500, "x".into())
+                }
+                false => ok("x"),
+            })
+        };
+        let (a, b) = (start(), start());
+        let proxy = Proxy::start(&[entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")]);
+        (0..25).for_each(|_| served(&proxy)); // each saves up for a further attempt
+        let count = || a.count() + b.count();
+        failing.store(true, SeqCst);
+        let client = way.ask(&proxy, &read(3.0));
+        until(|| count() == 26, "it was never sent");
+        until(|| !failing.load(SeqCst), "it was answered"); // one fails, and all others serve
+        hold(&proxy);
+        way.go(client);
+        gate.open();
+        until(|| [&a, &b].iter().any(|s| s.seen.try_iter().any(|s| matches!(s, Seen::Closed))), "no failure");
+        go_on(&proxy);
+        served(&proxy);
+        assert_eq!(count(), 27, "{way:?}");
+    }
+}
+
+/// What was sent by one who has left before it is read is not sent on: neither the first request nor one behind it.
+#[test]
+fn a_request_of_one_who_has_left_already_is_not_sent_on() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    hold(&proxy);
+    WAYS.iter().for_each(|way| way.go(way.ask(&proxy, &read(3.0))));
+    WAYS.iter().for_each(|way| way.go(way.ask(&proxy, &upload(100_000))));
+    go_on(&proxy);
+    served(&proxy);
+    assert_eq!(backend.count(), 1);
+}
+
+/// The first of two requests is answered in the moment in which the client leaves: the second is not sent on.
+#[test]
+fn a_pipelined_request_is_not_sent_on_once_its_client_left() {
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |n| if n < 4 { Reply::Gate(wait.clone()) } else { ok("x") });
+    let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    let left = WAYS.map(|way| (way, way.ask(&proxy, &read(3.0))));
+    left.iter().for_each(|_| drop(backend.request()));
+    hold(&proxy);
+    left.into_iter().for_each(|(way, client)| way.go(client));
+    gate.open();
+    go_on(&proxy);
+    served(&proxy);
+    assert_eq!(backend.count(), 5);
+}
