Ask for the client at its socket when the first byte is about to go out

The event loop learns of a client's end once it comes round. `may_send`, asked at the moment of the first byte, looked at the request table only. The call now carries a weak handle of its client's stream, of which the kernel is asked (poll for POLLRDHUP); for one that has left nothing more is attempted.

--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -1,7 +1,8 @@
 //! Attempts at backends, from their dispatch to their end.
 
+use super::super::stream::Peer;
 use super::super::upstream::{Ended, Payload, Progress, Served};
-use super::state::{Answer, Flight, Known, State, UNKNOWN};
+use super::state::{Answer, Flight, Known, Live, State, UNKNOWN};
 use super::Host;
 use shaletide::*;
 use std::rc::Rc;
@@ -36,9 +37,15 @@
         s.attempts.insert((request, attempt), flight);
     }
 
-    /// At the moment of the first byte: the list still allows it, the request still waits for it, and a repeat
-    /// is still one that is dropped.
-    pub(super) fn may_send(&self, request: RequestId, backend: BackendId, send_by: Option<Time>) -> bool {
+    /// At the moment of the first byte: the list still allows it, the request and its client still wait for it,
+    /// and a repeat is still one that is dropped.
+    pub(super) fn may_send(
+        self: &Rc<Self>, request: RequestId, backend: BackendId, send_by: Option<Time>,
+    ) -> bool {
+        let client = |live: &Live| live.call.client.as_ref().is_some_and(Peer::has_left);
+        if self.state.borrow().requests.get(&request).is_some_and(client) {
+            self.client_gone(request);
+        }
         let s = self.state.borrow();
         s.backends.get(backend.0 as usize).is_some_and(Known::open)
             && s.requests.contains_key(&request)
--- /dev/null
+++ b/src/net/host/gone_tests.rs
@@ -0,0 +1,43 @@
+//! Clients that leave between two looks of the event loop.
+
+use super::super::stream::Stream;
+use super::super::upstream::{Call, Payload};
+use super::*;
+
+/// The client leaves as the first byte is about to go out: the kernel knows, the event loop has not come round.
+#[tokio::test]
+async fn the_first_byte_does_not_go_out_for_a_client_that_has_just_left() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let tcp = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (client, peer) = (Stream::new(tcp), listener.accept().unwrap().0);
+    let host = Host::example();
+    let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": "SERVING"});
+    let list = super::super::list::List { index: 1, snapshot: true, endpoints: vec![entry] };
+    let call = Call {
+        method: hyper::Method::GET,
+        uri: hyper::Uri::from_static("/read/k"),
+        headers: hyper::HeaderMap::new(),
+        body: Payload::Whole(bytes::Bytes::new()),
+        client: Some(client.peer()),
+    };
+    let arrival = Arrival {
+        request: RequestId(0),
+        class: ClassId(0),
+        tenant: None,
+        time_left: Micros(60_000_000),
+        work_hint: None,
+        repeat: false,
+    };
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            host.members(ListUpdate::Full, &list);
+            let (id, _wait) = host.request(arrival, &Rc::new(call), Effect::Free);
+            assert!(host.may_send(id, BackendId(0), None));
+            drop(peer);
+            assert!(!host.may_send(id, BackendId(0), None));
+            let s = host.state.borrow();
+            assert!(s.requests.is_empty() && s.attempts.is_empty(), "no other attempt follows");
+        })
+        .await;
+}
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -2,6 +2,8 @@
 
 mod attempts;
 mod backends;
+#[cfg(test)]
+mod gone_tests;
 mod report;
 mod state;
 
@@ -68,6 +70,7 @@
             uri: hyper::Uri::from_static("/read/k"),
             headers: hyper::HeaderMap::new(),
             body: Payload::Whole(bytes::Bytes::new()),
+            client: None,
         };
         let arrival = Arrival {
             request: RequestId(0),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -327,7 +327,7 @@
             // hyper reads nothing more, and sees no end, while bytes that it cannot use yet stand before that.
             _ => tokio::select! {
                 biased;
-                answer = self.proxy(request, from) => answer,
+                answer = self.proxy(request, &client.stream, from) => answer,
                 () = client.stream.left() => Err(LEFT),
             },
         };
@@ -342,7 +342,7 @@
     }
 
     async fn proxy(
-        self: &Rc<Self>, request: Request<Incoming>, from: Instant,
+        self: &Rc<Self>, request: Request<Incoming>, client: &Stream, from: Instant,
     ) -> Result<Response<Outward>, (StatusCode, &'static str)> {
         let rules = self.rules.borrow().clone(); // a request keeps those it came under
         let (head, body) = request.into_parts();
@@ -383,7 +383,8 @@
         strip_hop_by_hop(&mut headers);
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
         let uri = origin.and_then(Result::ok).ok_or(bad("the target has no path\n"))?;
-        let call = Rc::new(Call { method: head.method, uri, headers, body });
+        let client = Some(client.peer());
+        let call = Rc::new(Call { method: head.method, uri, headers, body, client });
         let (id, answer) = self.host.request(arrival, &call, rules.effects[class.0]);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,7 +1,7 @@
 //! Attempts: one request to one backend, and the pool of connections that they use.
 
 use super::body::{Flow, Piece, Upload};
-use super::stream::Stream;
+use super::stream::{Peer, Stream};
 use super::{span, strip_hop_by_hop, MAX_BODY};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Either, Full};
@@ -41,6 +41,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Payload,
+    /// Who asked, where there is someone who may leave.
+    pub client: Option<Peer>,
 }
 
 /// A request's body.
@@ -502,6 +504,7 @@
             uri,
             headers: HeaderMap::new(),
             body: Payload::Whole(Bytes::from_static(b"cash")),
+            client: None,
         }
     }
 
