End client connections by a lingering close, so that no reset takes an answer

A close over unread bytes resets the connection, and the reset takes with it what the client has not read yet: an error to a malformed head with more behind it, or the last answer where a request crosses the end. Every connection that this side ends (shutdown, first head overdue, room needed, cut, over the bound, errors) now ends its sending first; what still comes is read and dropped, never sent on, for 0.4 s and 1 MiB at most, until the client has ended too. Where room is needed these go first. What must end with a reset still does.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -77,9 +77,29 @@
     since: Cell<Time>,
     /// It was chosen to make room.
     leaving: Cell<bool>,
+    /// All that is left of it is a lingering close.
+    parting: Cell<bool>,
     close: Notify,
 }
 
+impl Client {
+    /// Ends the connection, on which nothing is owed any more, and gives way at once where room is needed.
+    async fn part(&self) {
+        self.parting.set(true);
+        self.busy.set(false);
+        self.leaving.set(false);
+        let room_needed = async {
+            while !self.leaving.get() {
+                self.close.notified().await; // a shutdown notifies as well
+            }
+        };
+        tokio::select! {
+            () = self.stream.end() => {}
+            () = room_needed => {}
+        }
+    }
+}
+
 pub struct Server {
     host: Rc<Host>,
     rules: RefCell<Rc<Rules>>,
@@ -215,12 +235,13 @@
         }
     }
 
-    /// The one that was quiet longest leaves: between requests, before its first and that for `least` at
-    /// least, or stopped half way in a head.
+    /// One that has ended but for its other side leaves, else the one that was quiet longest: between requests,
+    /// before its first and that for `least` at least, or stopped half way in a head.
     fn close_quietest(&self, least: Duration) -> bool {
         let now = Instant::now();
         let clients = self.clients.borrow();
         let quiet = |c: &&Rc<Client>| match c.stream.stopped_since() {
+            _ if c.parting.get() => Some(self.host.clock.instant(c.since.get())),
             Some(at) => (now - at >= HEAD_PAUSE).then_some(at),
             None => {
                 let since = self.host.clock.instant(c.since.get());
@@ -229,8 +250,8 @@
             }
         };
         let free = clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
-        let quietest = free.filter_map(|c| quiet(&c).map(|at| (at, c))).min_by_key(|(at, _)| *at);
-        let Some((_, client)) = quietest else { return false };
+        let quietest = free.filter_map(|c| quiet(&c).map(|at| ((!c.parting.get(), at), c)));
+        let Some((_, client)) = quietest.min_by_key(|(order, _)| *order) else { return false };
         client.leaving.set(true); // another call at the same moment chooses another
         client.close.notify_one();
         true
@@ -244,11 +265,13 @@
         self.next.set(key + 1);
         let (stream, since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
         let (busy, fresh, leaving) = (Cell::new(false), Cell::new(true), Cell::new(false));
-        let client = Rc::new(Client { stream, busy, fresh, since, leaving, close: Notify::new() });
+        let (parting, close) = (Cell::new(false), Notify::new());
+        let client = Rc::new(Client { stream, busy, fresh, since, leaving, parting, close });
         self.clients.borrow_mut().insert(key, client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
             server.serve(&client).await;
+            client.part().await;
             server.clients.borrow_mut().remove(&key);
             server.left.notify_one();
         });
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -8,10 +8,15 @@
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// So long, and for so many bytes, an end waits for the other side's.
+const LINGER: Duration = Duration::from_millis(400);
+const LINGER_BYTES: usize = 1 << 20;
+
 /// Shared by hyper's side of the stream and the proxy's.
 #[derive(Clone)]
 pub struct Stream(Rc<Inner>);
@@ -36,6 +41,8 @@
     heard: Cell<bool>,
     /// When something was last read.
     at: Cell<Instant>,
+    /// It is to end with a reset.
+    cut: Cell<bool>,
 }
 
 impl Inner {
@@ -51,8 +58,8 @@
     pub fn new(tcp: TcpStream) -> Stream {
         let _ = tcp.set_nodelay(true); // small writes are whole messages here
         let (matched, body_left, heard) = (Cell::new(4), Cell::new(0), Cell::new(false));
-        let at = Cell::new(Instant::now());
-        Stream(Rc::new(Inner { tcp, matched, body_left, heard, at }))
+        let (at, cut) = (Cell::new(Instant::now()), Cell::new(false));
+        Stream(Rc::new(Inner { tcp, matched, body_left, heard, at, cut }))
     }
 
     pub fn peer(&self) -> Peer {
@@ -94,7 +101,30 @@
     /// Ends the connection with a reset: the other side can tell that it was not served whole even where only
     /// the end of the connection ends the answer.
     pub fn reset_on_close(&self) {
-        let _ = socket2::SockRef::from(&self.0.tcp).set_linger(Some(std::time::Duration::ZERO));
+        let _ = socket2::SockRef::from(&self.0.tcp).set_linger(Some(Duration::ZERO));
+        self.0.cut.set(true);
+    }
+
+    /// Lingering close: a close over unread bytes is a reset, which takes away what the other side has not read
+    /// yet. So this side ends its sending only, and reads and drops what still comes until the other has ended too.
+    pub async fn end(&self) {
+        if self.0.cut.get() {
+            return;
+        }
+        let _ = socket2::SockRef::from(&self.0.tcp).shutdown(std::net::Shutdown::Write);
+        let _ = tokio::time::timeout(LINGER, self.drain()).await;
+    }
+
+    async fn drain(&self) {
+        let mut left = LINGER_BYTES;
+        while left > 0 && self.0.tcp.readable().await.is_ok() {
+            match self.0.tcp.try_read(&mut [0; 8192]) {
+                Ok(0) => return,
+                Ok(n) => left = left.saturating_sub(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
     }
 
     pub fn mark_idle(&self) {
--- a/src/net/stream/tests.rs
+++ b/src/net/stream/tests.rs
@@ -66,3 +66,50 @@
     assert!(seen.has_left(), "it keeps nothing open");
     drop(peer);
 }
+
+fn read_to_end(peer: &mut std::net::TcpStream) -> io::Result<Vec<u8>> {
+    let mut got = Vec::new();
+    peer.read_to_end(&mut got).map(|_| got)
+}
+
+/// Bytes that nobody will read stand before the end, and more come behind it: the other side sees what was written
+/// and an end, and no reset.
+#[tokio::test]
+async fn an_end_over_unread_bytes_takes_nothing_away() {
+    let (mut stream, mut peer) = pair().await;
+    peer.write_all(&[b'x'; 50_000]).unwrap();
+    write(&mut stream, b"the last answer").await;
+    let other = std::thread::spawn(move || {
+        let got = read_to_end(&mut peer);
+        peer.write_all(b"a request that crosses the end").unwrap();
+        got
+    });
+    stream.end().await;
+    drop(stream);
+    assert_eq!(other.join().unwrap().unwrap(), b"the last answer");
+}
+
+/// One that never ends its side is not waited for, and neither is one that never stops sending.
+#[tokio::test]
+async fn an_end_is_bounded_by_time_and_bytes() {
+    let (stream, mut peer) = pair().await;
+    stream.end().await;
+    drop(stream);
+    assert_eq!(read_to_end(&mut peer).unwrap(), b"");
+    let (stream, mut peer) = pair().await;
+    let flood = std::thread::spawn(move || while peer.write_all(&[0; 1 << 16]).is_ok() {});
+    stream.end().await;
+    drop(stream);
+    flood.join().unwrap();
+}
+
+/// What has to end with a reset does, whatever stands unread.
+#[tokio::test]
+async fn an_answer_that_broke_off_ends_with_a_reset() {
+    let (mut stream, mut peer) = pair().await;
+    write(&mut stream, b"half").await;
+    stream.reset_on_close();
+    stream.end().await;
+    drop(stream);
+    assert!(read_to_end(&mut peer).is_err());
+}
