Empty the listener's queue at a shutdown though descriptors run out

The last accepts before the listener's close ended at the first error, so where the process was out of descriptors all that still stood in the queue was reset unanswered. They now go on, with room made by those that were answered, until the queue is empty, for as long again as new connections are expected.

tests/shutdown.rs holds the process still over the end of that wait with eighty connections in the queue and forty descriptors: before some got no answer, now all do.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -18,6 +18,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -191,10 +192,20 @@
             }
         }
         // What the kernel has accepted is owed an answer: the backlog is emptied before it is closed.
-        if let Ok(listener) = listener.into_std() {
-            while let Ok((stream, _)) = listener.accept() {
-                let tcp = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                tcp.into_iter().for_each(|tcp| self.take_in(tcp));
+        let Ok(listener) = listener.into_std() else { return };
+        let end = Instant::now() + LINGER;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let tcp = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    tcp.into_iter().for_each(|tcp| self.take_in(tcp));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock || Instant::now() >= end => return,
+                Err(_) => {
+                    // Out of descriptors: whoever is answered makes room.
+                    let _ = self.close_quietest(Duration::ZERO) || self.host.pool.close_oldest();
+                    let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
+                }
             }
         }
     }
@@ -228,7 +239,7 @@
                     self.told.set(now);
                     warn!("accept: {e}; {} clients, {} upstreams", self.clients(), self.host.pool.open());
                 }
-                if !made_room || e.kind() != std::io::ErrorKind::ConnectionAborted {
+                if !made_room || e.kind() != ErrorKind::ConnectionAborted {
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
             }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -107,6 +107,24 @@
     assert!(proxy.child.wait().unwrap().success());
 }
 
+/// More connections stand in the kernel's queue at the listener's end than there are descriptors: none is dropped.
+#[test]
+fn what_stands_in_the_queue_at_the_end_is_answered_though_descriptors_run_out() {
+    let mut proxy = Proxy::launched(&[], 1024, SETTINGS, 40);
+    proxy.terminate();
+    stopping(&proxy);
+    hold(&proxy);
+    std::thread::sleep(RESTING);
+    let mut queued: Vec<Client> = (0..80).map(|_| proxy.client()).collect();
+    queued.iter_mut().for_each(|c| c.send(READY));
+    go_on(&proxy);
+    for (n, client) in queued.iter_mut().enumerate() {
+        assert_eq!(client.answer().unwrap_or_else(|| panic!("no answer to {n}")).status(), 200);
+    }
+    drop(queued);
+    assert!(proxy.child.wait().unwrap().success());
+}
+
 /// A second SIGTERM, SIGINT and SIGHUP (with a file that is sound, broken or gone) change nothing of a shutdown.
 #[test]
 fn further_signals_do_not_disturb_a_shutdown() {
