--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -18,6 +18,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -45,6 +46,9 @@
 /// Lines about a failing listener come no faster.
 const ACCEPT_LOG: Micros = Micros(1_000_000);
 
+/// Heard by nobody, but for one who closed only its own side.
+const LEFT: (StatusCode, &str) = (StatusCode::BAD_REQUEST, "the client closed the connection\n");
+
 /// What goes out to a client.
 type Outward = Either<Full<Bytes>, Flow>;
 
@@ -74,9 +78,29 @@
     since: Cell<Time>,
     /// It was chosen to make room.
     leaving: Cell<bool>,
+    /// All that is left of it is a lingering close.
+    parting: Cell<bool>,
     close: Notify,
 }
 
+impl Client {
+    /// Ends the connection, on which nothing is owed any more, and gives way at once where room is needed.
+    async fn part(&self) {
+        self.parting.set(true);
+        self.busy.set(false);
+        self.leaving.set(false);
+        let room_needed = async {
+            while !self.leaving.get() {
+                self.close.notified().await; // a shutdown notifies as well
+            }
+        };
+        tokio::select! {
+            () = self.stream.end() => {}
+            () = room_needed => {}
+        }
+    }
+}
+
 pub struct Server {
     host: Rc<Host>,
     rules: RefCell<Rc<Rules>>,
@@ -168,10 +192,20 @@
             }
         }
         // What the kernel has accepted is owed an answer: the backlog is emptied before it is closed.
-        if let Ok(listener) = listener.into_std() {
-            while let Ok((stream, _)) = listener.accept() {
-                let tcp = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                tcp.into_iter().for_each(|tcp| self.take_in(tcp));
+        let Ok(listener) = listener.into_std() else { return };
+        let end = Instant::now() + LINGER;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let tcp = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    tcp.into_iter().for_each(|tcp| self.take_in(tcp));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock || Instant::now() >= end => return,
+                Err(_) => {
+                    // Out of descriptors: whoever is answered makes room.
+                    let _ = self.close_quietest(Duration::ZERO) || self.host.pool.close_oldest();
+                    let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
+                }
             }
         }
     }
@@ -207,19 +241,20 @@
                     self.told.set(now);
                     warn!("accept: {e}; {} clients, {} upstreams", self.clients(), self.host.pool.open());
                 }
-                if !made_room || e.kind() != std::io::ErrorKind::ConnectionAborted {
+                if !made_room || e.kind() != ErrorKind::ConnectionAborted {
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
             }
         }
     }
 
-    /// The one that was quiet longest leaves: between requests, before its first and that for `least` at
-    /// least, or stopped half way in a head.
+    /// One that has ended but for its other side leaves, else the one that was quiet longest: between requests,
+    /// before its first and that for `least` at least, or stopped half way in a head.
     fn close_quietest(&self, least: Duration) -> bool {
         let now = Instant::now();
         let clients = self.clients.borrow();
         let quiet = |c: &&Rc<Client>| match c.stream.stopped_since() {
+            _ if c.parting.get() => Some(self.host.clock.instant(c.since.get())),
             Some(at) => (now - at >= HEAD_PAUSE).then_some(at),
             None => {
                 let since = self.host.clock.instant(c.since.get());
@@ -228,8 +263,8 @@
             }
         };
         let free = clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
-        let quietest = free.filter_map(|c| quiet(&c).map(|at| (at, c))).min_by_key(|(at, _)| *at);
-        let Some((_, client)) = quietest else { return false };
+        let quietest = free.filter_map(|c| quiet(&c).map(|at| ((!c.parting.get(), at), c)));
+        let Some((_, client)) = quietest.min_by_key(|(order, _)| *order) else { return false };
         client.leaving.set(true); // another call at the same moment chooses another
         client.close.notify_one();
         true
@@ -243,11 +278,13 @@
         self.next.set(key + 1);
         let (stream, since) = (Stream::new(tcp), Cell::new(self.host.clock.now()));
         let (busy, fresh, leaving) = (Cell::new(false), Cell::new(true), Cell::new(false));
-        let client = Rc::new(Client { stream, busy, fresh, since, leaving, close: Notify::new() });
+        let (parting, close) = (Cell::new(false), Notify::new());
+        let client = Rc::new(Client { stream, busy, fresh, since, leaving, parting, close });
         self.clients.borrow_mut().insert(key, client.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
             server.serve(&client).await;
+            client.part().await;
             server.clients.borrow_mut().remove(&key);
             server.left.notify_one();
         });
@@ -258,7 +295,7 @@
             client.busy.set(true);
             let from = if client.fresh.replace(false) { client.since.get() } else { self.host.clock.now() };
             let old = request.version() < Version::HTTP_11;
-            let mut answer = self.answer(request, self.host.clock.instant(from)).await;
+            let mut answer = self.answer(request, client, self.host.clock.instant(from)).await;
             match answer.body_mut() {
                 Either::Left(_) => self.idle(client),
                 Either::Right(flow) => {
@@ -318,19 +355,30 @@
     }
 
     /// `from`: since when the patience with its body counts.
-    async fn answer(self: &Rc<Self>, request: Request<Incoming>, from: Instant) -> Response<Outward> {
-        let mut answer = match request.uri().path() {
-            "/-/ready" => plain(StatusCode::OK, "ready\n"),
-            _ => self.proxy(request, from).await.unwrap_or_else(|(status, text)| plain(status, text)),
+    async fn answer(
+        self: &Rc<Self>, request: Request<Incoming>, client: &Client, from: Instant,
+    ) -> Response<Outward> {
+        let answer = match request.uri().path() {
+            "/-/ready" => Ok(plain(StatusCode::OK, "ready\n")),
+            // hyper reads nothing more, and sees no end, while bytes that it cannot use yet stand before that.
+            _ => tokio::select! {
+                biased;
+                answer = self.proxy(request, &client.stream, from) => answer,
+                () = client.stream.left() => Err(LEFT),
+            },
+        };
+        let (mut answer, left) = match answer {
+            Ok(answer) => (answer, false),
+            Err((status, text)) => (plain(status, text), client.stream.peer().has_left()),
         };
-        if self.stopping.get() || self.clients() > self.max.get() {
+        if left || self.stopping.get() || self.clients() > self.max.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
     }
 
     async fn proxy(
-        self: &Rc<Self>, request: Request<Incoming>, from: Instant,
+        self: &Rc<Self>, request: Request<Incoming>, client: &Stream, from: Instant,
     ) -> Result<Response<Outward>, (StatusCode, &'static str)> {
         let rules = self.rules.borrow().clone(); // a request keeps those it came under
         let (head, body) = request.into_parts();
@@ -371,7 +419,8 @@
         strip_hop_by_hop(&mut headers);
         let origin = head.uri.path_and_query().map(|p| p.as_str().parse());
         let uri = origin.and_then(Result::ok).ok_or(bad("the target has no path\n"))?;
-        let call = Rc::new(Call { method: head.method, uri, headers, body });
+        let client = Some(client.peer());
+        let call = Rc::new(Call { method: head.method, uri, headers, body, client });
         let (id, answer) = self.host.request(arrival, &call, rules.effects[class.0]);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
@@ -417,7 +466,7 @@
     }
 }
 
-/// Tells the host when hyper drops an unanswered request because its client is gone.
+/// Tells the host when an unanswered request is dropped because its client is gone.
 struct Owed<'a> {
     host: &'a Rc<Host>,
     id: RequestId,
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -2,18 +2,35 @@
 //! and whether the other side has closed or sent anything.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// So long, and for so many bytes, an end waits for the other side's.
+const LINGER: Duration = Duration::from_millis(400);
+const LINGER_BYTES: usize = 1 << 20;
+
 /// Shared by hyper's side of the stream and the proxy's.
 #[derive(Clone)]
 pub struct Stream(Rc<Inner>);
 
+/// The other side of a stream, seen by whoever must not keep that stream open.
+pub struct Peer(Weak<Inner>);
+
+impl Peer {
+    /// It ended its sending or the connection, or this side did.
+    pub fn has_left(&self) -> bool {
+        self.0.upgrade().is_none_or(|inner| inner.has_left())
+    }
+}
+
 struct Inner {
     tcp: TcpStream,
     /// Bytes of the head's end (CRLF CRLF) matched so far in what was written; 4: the head is out.
@@ -24,14 +41,35 @@
     heard: Cell<bool>,
     /// When something was last read.
     at: Cell<Instant>,
+    /// It is to end with a reset.
+    cut: Cell<bool>,
+}
+
+impl Inner {
+    /// Asks the kernel itself, as the event loop may not have come round to it yet. A peek would not see an end
+    /// behind bytes that nobody has read.
+    fn has_left(&self) -> bool {
+        let mut end = [PollFd::new(&self.tcp, PollFlags::RDHUP)];
+        poll(&mut end, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+    }
 }
 
 impl Stream {
     pub fn new(tcp: TcpStream) -> Stream {
         let _ = tcp.set_nodelay(true); // small writes are whole messages here
         let (matched, body_left, heard) = (Cell::new(4), Cell::new(0), Cell::new(false));
-        let at = Cell::new(Instant::now());
-        Stream(Rc::new(Inner { tcp, matched, body_left, heard, at }))
+        let (at, cut) = (Cell::new(Instant::now()), Cell::new(false));
+        Stream(Rc::new(Inner { tcp, matched, body_left, heard, at, cut }))
+    }
+
+    pub fn peer(&self) -> Peer {
+        Peer(Rc::downgrade(&self.0))
+    }
+
+    /// Until the other side ends its sending or the connection, even behind bytes that nobody reads. Urgent data
+    /// is not asked for: of what this waits for only the end of the reading side ever comes.
+    pub async fn left(&self) {
+        let _ = self.0.tcp.ready(Interest::PRIORITY).await;
     }
 
     /// From now on counts the bytes of a new request with a body of that size.
@@ -63,7 +101,30 @@
     /// Ends the connection with a reset: the other side can tell that it was not served whole even where only
     /// the end of the connection ends the answer.
     pub fn reset_on_close(&self) {
-        let _ = socket2::SockRef::from(&self.0.tcp).set_linger(Some(std::time::Duration::ZERO));
+        let _ = socket2::SockRef::from(&self.0.tcp).set_linger(Some(Duration::ZERO));
+        self.0.cut.set(true);
+    }
+
+    /// Lingering close: a close over unread bytes is a reset, which takes away what the other side has not read
+    /// yet. So this side ends its sending only, and reads and drops what still comes until the other has ended too.
+    pub async fn end(&self) {
+        if self.0.cut.get() {
+            return;
+        }
+        let _ = socket2::SockRef::from(&self.0.tcp).shutdown(std::net::Shutdown::Write);
+        let _ = tokio::time::timeout(LINGER, self.drain()).await;
+    }
+
+    async fn drain(&self) {
+        let mut left = LINGER_BYTES;
+        while left > 0 && self.0.tcp.readable().await.is_ok() {
+            match self.0.tcp.try_read(&mut [0; 8192]) {
+                Ok(0) => return,
+                Ok(n) => left = left.saturating_sub(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
     }
 
     pub fn mark_idle(&self) {
@@ -135,54 +196,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::{Read as _, Write as _};
-
-    async fn pair() -> (Stream, std::net::TcpStream) {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let tcp = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-        (Stream::new(tcp), listener.accept().unwrap().0)
-    }
-
-    async fn write(stream: &mut Stream, bytes: &[u8]) {
-        let mut left = bytes;
-        while !left.is_empty() {
-            let n = std::future::poll_fn(|cx| Pin::new(&mut *stream).poll_write(cx, left)).await.unwrap();
-            left = &left[n..];
-        }
-    }
-
-    /// Before the last byte a request has not run, from it on it may have: one byte decides.
-    #[tokio::test]
-    async fn a_request_counts_as_written_with_its_last_byte() {
-        let (mut stream, mut peer) = pair().await;
-        for parts in [["POST / HTTP/1.1\r\nA: 1\r", "\n\r\nbod", "y"], ["GET / HTTP/1.1\r\n", "\r\nbo", "dy"]]
-        {
-            stream.begin_request(4);
-            for part in parts {
-                assert!(!stream.request_written(), "before {part:?}");
-                write(&mut stream, part.as_bytes()).await;
-            }
-            assert!(stream.request_written());
-            peer.read_exact(&mut vec![0; parts.concat().len()]).unwrap();
-        }
-        stream.begin_request(0);
-        write(&mut stream, b"GET / HTTP/1.1\r\n\r").await;
-        assert!(!stream.request_written());
-        write(&mut stream, b"\n").await;
-        assert!(stream.request_written());
-    }
-
-    /// The kernel is asked, not the event loop, which has had no chance to hear of it here.
-    #[tokio::test]
-    async fn what_the_other_side_does_is_seen_at_once() {
-        let (stream, mut peer) = pair().await;
-        assert!(!stream.stirred());
-        peer.write_all(b"x").unwrap();
-        assert!(stream.stirred());
-        let (stream, peer) = pair().await;
-        drop(peer);
-        assert!(stream.stirred());
-    }
-}
+mod tests;
