Keep the gap between calls to a failing discovery inside the 6 s that count

Need: a change counts as told 6 s after discovery had it and could be reached, whatever came before. The pause grew with the fleet and with must_ask_in_us: up to half of that, drawn up to one and a half times.

Change: the gap runs from the beginning of a call to that of the next, doubles from 0.1 s and ends at 0.05 s a proxy, from 1 to 3.9 s; with one more call's patience of 1.8 s that is 5.7 s. Drawn widely while it grows, so that a fleet that lost its watches together is spread in the first cycle. The longest wait for news goes from 3 to 2.8 s for the same 0.3 s to spare. The gap's arithmetic is in src/ask.rs, as rules.rs had it inline.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod ask;
 pub mod fleet;
 mod interface;
 mod rules;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -25,7 +25,7 @@
 /// One call waits so long for news: the least that the fleet can afford, between these. With the longest, a silence
 /// is found and mended by a second call inside the 6 s after which what it missed counts as told (docs/design.md).
 const LEAST_WAIT: f64 = 1.5;
-const MOST_WAIT: f64 = 3.0;
+const MOST_WAIT: f64 = 2.8;
 /// The least part of that wait that is drawn: proxies that were answered together do not call together again.
 const SPREAD: f64 = 0.75;
 /// What an answer may take beyond its wait before discovery counts as silent.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,7 @@
 //! Ordinary path: `solve` turns the arrival rate and the learned speeds into a share per kind (HALB),
 //! `draw` picks a kind by share and a backend inside it at random. All else is a departure for trouble.
 
+use crate::ask::Ask;
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,8 +15,6 @@
 const FEW: f64 = 5.0;
 /// What a proxy holds tells it nothing of the others before it has watched for so long, s.
 const CROWD_KNOWN: f64 = 0.25;
-/// While discovery fails, the gap that all proxies together leave in the end between two calls on average, s.
-const ASK_TURN: f64 = 0.05;
 /// An idle proxy looks about so often, s.
 const IDLE_LOOK: f64 = 5.0;
 /// Memory of the arrival rate, of a tenant's quota and, where a proxy alone has no room to count, of what it
@@ -177,7 +176,7 @@
     /// When time alone may next call for something, and the timer set for that.
     look_at: Time,
     timer: (u64, Time),
-    ask: (Option<Time>, f64),
+    ask: Ask,
     /// Processes that are this proxy, and that were until then: what one more had sent still weighs.
     beside: (u32, u32, Time),
     log_at: Time,
@@ -211,7 +210,7 @@
             solved_at: Time(0),
             look_at: Time(0),
             timer: (0, Time(u64::MAX)),
-            ask: ((cfg.discovery != Discovery::Push).then_some(Time(0)), 0.0),
+            ask: Ask::new(cfg.discovery != Discovery::Push),
             beside: (1, 1, Time(0)),
             log_at: Time(0),
             actions: Vec::new(),
@@ -339,16 +338,13 @@
 
     fn members(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) {
         match (update, self.cfg.discovery) {
-            // A lost subscription is asked for again, later each time and not in step with others: discovery
-            // serves all proxies in turn, and calls that come faster than it can answer make each other fail.
+            // Asked for again, later each time and not in step with others: discovery serves all in turn, and
+            // calls that come faster than it can answer make each other fail.
             (ListUpdate::Lost, Discovery::Subscribe(within)) => {
-                let most =
-                    (f64::from(self.cfg.proxies) * ASK_TURN).clamp(within.secs() / 8.0, within.secs() / 2.0);
-                let wait = (self.ask.1 * 2.0).clamp(0.1, most.max(0.1));
-                self.ask = (Some(now + Micros::from_secs(wait * (0.5 + self.dice.unit()))), wait);
+                self.ask.failed(now, self.cfg.proxies, within, self.dice.unit());
                 self.log(now, "discovery lost, asking again".into());
             }
-            (ListUpdate::Changes | ListUpdate::Full, _) => self.ask = (None, 0.0),
+            (ListUpdate::Changes | ListUpdate::Full, _) => self.ask.answered(),
             _ => {}
         }
         if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
@@ -591,13 +587,12 @@
     /// What time alone brings about, and when to look again.
     fn look_after(&mut self, now: Time) {
         let mut next = now + Micros::from_secs(IDLE_LOOK); // nothing else may be due
-        if let (Some(at), Discovery::Subscribe(within)) = (self.ask.0, self.cfg.discovery) {
-            if now >= at {
-                self.ask.0 = Some(now + within.times(0.5)); // unanswered so long, the call itself was lost
+        if let Discovery::Subscribe(within) = self.cfg.discovery {
+            if self.ask.take_due(now, within) {
                 self.actions.push(Action::Follow);
             }
         }
-        next = self.ask.0.map_or(next, |at| next.min(at));
+        next = self.ask.next().map_or(next, |at| next.min(at));
         self.peers.values_mut().for_each(|p| p.silent = false);
         for &(backend, class, sent) in self.attempts.values() {
             let quiet = sent + self.usual(class).times(SILENT_AFTER); // far off for what is still uploaded
