Take an answer of discovery by which call it answers, not as it arrives

Need: a whole list was taken whatever its version, so one that a newer late answer had overtaken brought a draining backend back; a late answer was taken by its version alone, also where discovery had begun anew or moved since and counts another way; and a move heard in the same turn as the end of a pause was marked as seen and lost: the next call, to the new address, spoke the old one's versions.

Change: each call remembers what was held as it began, and whose versions that was (an era begins with each move and each beginning of discovery). Of answers whose calls crossed the higher version is the newer; a version may only go back in the answer to a call that began after the list in force came. Whether discovery has moved is read at the top of the loop, whatever woke it. Changes to a call for the whole list are a failed call, paced as others, instead of a pause of their own.

Result, on the code before: a_whole_list_that_was_overtaken, an_answer_from_before_discovery_began_anew, the_old_address_never_ undoes, changes_to_a_call_for_the_whole_list and a_move_that_crosses_the_end_of_a_pause failed, now they hold. Held already: two late answers in the wrong order, a new beginning after a late answer, the new address after a late answer of the old one.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -48,6 +48,8 @@
     Http(Box<dyn std::error::Error + Send + Sync>),
     Status(u16),
     Json(serde_json::Error),
+    /// Only changes, to a call for the whole list.
+    Part,
     Ended,
     Silent,
 }
@@ -59,6 +61,7 @@
             WatchError::Http(e) => write!(f, "call broken: {e}"),
             WatchError::Status(code) => write!(f, "answered {code}"),
             WatchError::Json(e) => write!(f, "answer not understood: {e}"),
+            WatchError::Part => write!(f, "changes in answer to a call for the whole list"),
             WatchError::Ended => write!(f, "connection ended"),
             WatchError::Silent => write!(f, "silent"),
         }
@@ -96,95 +99,163 @@
 /// What a call came to, and its connection where that can be used again.
 type Fetched = (Option<Link>, Result<List, WatchError>);
 
+/// A call, by what was known as it began.
+struct Asked {
+    /// Whose numbers its answer will speak in.
+    era: u64,
+    /// How many lists had been taken.
+    taken: u64,
+    index: u64,
+    whole: bool,
+}
+
+/// What an answer is beside the list in force.
+#[derive(Debug, PartialEq)]
+enum News {
+    Taken,
+    /// It crossed with a newer one.
+    Old,
+    /// It cannot be applied to the list in force: the whole one is needed.
+    Gap,
+}
+
 /// How far the list is known, by the calls that are waited for and by those that were given up.
 struct Known {
     host: Rc<Host>,
     index: Cell<u64>,
-    /// A call that was given up has answered.
+    /// Lists taken so far.
+    taken: Cell<u64>,
+    /// Versions are counted anew at each address and with each beginning of discovery: the era of the list in force, ...
+    era: Cell<u64>,
+    /// ... and that of calls that begin now.
+    latest: Cell<u64>,
+    /// A call that was given up has answered with news.
     late: Notify,
 }
 
 impl Known {
-    fn take(&self, list: &List) {
-        let update = if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes };
-        self.host.members(update, list);
+    fn new(host: Rc<Host>, index: u64) -> Known {
+        let (taken, era, latest) = Default::default();
+        Known { host, index: Cell::new(index), taken, era, latest, late: Notify::new() }
+    }
+
+    /// A call that begins now: for the whole list where that has to be, or where none of this era is held.
+    fn asked(&self, whole: bool) -> Asked {
+        let (era, taken, index) = (self.latest.get(), self.taken.get(), self.index.get());
+        Asked { era, taken, index, whole: whole || era != self.era.get() }
+    }
+
+    /// From now on versions are counted anew.
+    fn begin_era(&self) {
+        self.latest.set(self.latest.get() + 1);
+    }
+
+    /// Takes an answer if it is newer than the list in force. Of two answers whose calls were out at the same time the
+    /// higher index is the newer; an index may only go back in the answer to a call that began after the list in
+    /// force came: then discovery has begun anew.
+    fn take(&self, call: &Asked, list: &List) -> News {
+        let (era, index) = (self.era.get(), self.index.get());
+        let crossed = call.taken != self.taken.get() && list.index <= index;
+        if call.era < era || (call.era == era && crossed) {
+            return News::Old;
+        }
+        if !list.snapshot && (call.whole || list.index < call.index) {
+            return News::Gap;
+        }
+        if call.era == era && list.index < index && era == self.latest.get() {
+            self.begin_era();
+            self.era.set(self.latest.get());
+        } else {
+            self.era.set(call.era);
+        }
+        self.taken.set(self.taken.get() + 1);
         self.index.set(list.index);
+        self.host.members(if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes }, list);
+        News::Taken
+    }
+
+    /// What came of a call in time.
+    fn answered(&self, call: &Asked, list: &List) -> Result<News, WatchError> {
+        match self.take(call, list) {
+            News::Gap if call.whole => Err(WatchError::Part),
+            news => Ok(news),
+        }
     }
 
     /// Listens on for the answer to a call that was given up, and takes it if it is news.
-    fn listen(self: &Rc<Self>, mut call: JoinHandle<Fetched>) {
+    fn listen(self: &Rc<Self>, asked: Asked, call: JoinHandle<Fetched>) {
         let known = self.clone();
-        tokio::task::spawn_local(async move {
-            let answer = tokio::time::timeout(OVERDUE, &mut call).await;
-            call.abort(); // unanswered, it would hold its connection
-            if let Ok(Ok((_, Ok(list)))) = answer {
-                if list.index > known.index.get() {
-                    info!("discovery answered a call late, with {}", list.index);
-                    known.take(&list);
-                    known.late.notify_one();
-                }
-            }
-        });
+        tokio::task::spawn_local(known.hear(asked, call));
+    }
+
+    async fn hear(self: Rc<Self>, asked: Asked, mut call: JoinHandle<Fetched>) {
+        let answer = tokio::time::timeout(OVERDUE, &mut call).await;
+        call.abort(); // unanswered, it would hold its connection
+        let Ok(Ok((_, Ok(list)))) = answer else { return };
+        let same = asked.era == self.era.get() && list.index == self.index.get();
+        if !same && self.take(&asked, &list) == News::Taken {
+            info!("discovery answered a call late, with {}", list.index);
+            self.late.notify_one();
+        }
     }
 }
 
 /// Keeps the list up to date for as long as the program runs. When discovery moves, the whole list is asked for at the
 /// new address at once; a call that is given up, then or as it stays silent, is still listened to.
 pub async fn watch(host: Rc<Host>, mut at: watch::Receiver<SocketAddr>, index: u64, mut pace: Pace) {
-    let known = Rc::new(Known { host: host.clone(), index: Cell::new(index), late: Notify::new() });
+    let known = Rc::new(Known::new(host.clone(), index));
     let asked = pace.mode != Discovery::Push;
     let dial = if asked { PROMPT } else { DIAL };
-    let mut whole = !asked; // an agent's answers cost nothing: begin with the truth
-    let (mut link, mut failures) = (None, 0u32);
+    // An agent's answers cost nothing: begin with the truth.
+    let (mut whole, mut link, mut failures) = (!asked, None, 0u32);
     // A call of the module's is answered once, by what it missed; only what follows waits for news.
     let mut wait = Duration::ZERO;
+    let mut address = *at.borrow_and_update();
     if asked {
         host.followed().await;
     }
     loop {
-        let after = known.index.get();
-        let (uri, patience) = match whole {
+        let to = *at.borrow_and_update();
+        if to != address {
+            // Whichever came first, this or an answer, or the end of a pause.
+            known.begin_era();
+            (address, link, wait) = (to, None, Duration::ZERO);
+        }
+        let call = known.asked(whole);
+        let (uri, patience) = match call.whole {
             true => ("/api/targets".to_string(), IN_LINE),
-            false if wait.is_zero() => (format!("/api/targets?after={after}&wait_ms=0"), IN_LINE),
-            false => (format!("/api/targets?after={after}&wait_ms={}", wait.as_millis()), wait + PROMPT),
+            false if wait.is_zero() => (format!("/api/targets?after={}&wait_ms=0", call.index), IN_LINE),
+            false => {
+                let uri = format!("/api/targets?after={}&wait_ms={}", call.index, wait.as_millis());
+                (uri, wait + PROMPT)
+            }
         };
-        let address = *at.borrow_and_update();
-        let mut call = tokio::task::spawn_local(fetch(link.take(), address, dial, uri));
+        let mut fetched = tokio::task::spawn_local(fetch(link.take(), address, dial, uri));
         let answer = tokio::select! {
-            answer = tokio::time::timeout(patience, &mut call) => answer,
+            answer = tokio::time::timeout(patience, &mut fetched) => answer,
             Ok(()) = at.changed() => {
-                known.listen(call);
-                (whole, wait) = (true, Duration::ZERO);
+                known.listen(call, fetched);
                 continue;
             }
         };
-        let answer = match answer {
+        let news = match answer {
             Ok(Ok((kept, answer))) => {
                 link = kept;
-                answer
+                answer.and_then(|list| known.answered(&call, &list))
             }
             Ok(Err(_)) => Err(WatchError::Ended),
             Err(_) => {
-                known.listen(call);
+                known.listen(call, fetched);
                 Err(WatchError::Silent)
             }
         };
-        match answer {
-            Ok(list) => {
+        match news {
+            Ok(news) => {
                 if failures > 0 {
-                    info!("discovery is back at {}", list.index);
+                    info!("discovery is back at {}", known.index.get());
                 }
                 (failures, wait) = (0, pace.wait());
-                // Changes against a newer list than the answer's: discovery began anew, so take it whole.
-                let gap = !list.snapshot && (whole || list.index < after);
-                if !gap && (list.snapshot || list.index >= known.index.get()) {
-                    known.take(&list);
-                }
-                if gap && whole {
-                    warn!("discovery answered with changes to a call for the whole list");
-                    tokio::time::sleep(BACKOFF).await;
-                }
-                whole = gap;
+                whole = news == News::Gap;
             }
             Err(e) => {
                 wait = Duration::ZERO; // the next call is answered at once, by what this one missed
@@ -194,16 +265,14 @@
                 }
                 if asked {
                     host.members(ListUpdate::Lost, &List::default());
-                    tokio::select! {
-                        () = host.followed() => {} // when to ask again is the module's to say
-                        () = known.late.notified() => {} // and it heard that the list goes on
-                        Ok(()) = at.changed() => whole = true,
-                    }
-                } else {
-                    tokio::select! {
-                        () = tokio::time::sleep(BACKOFF * failures.min(2)) => {}
-                        Ok(()) = at.changed() => whole = true,
-                    }
+                }
+                // When to ask again is the module's to say.
+                let again = if asked { Duration::MAX } else { BACKOFF * failures.min(2) };
+                tokio::select! {
+                    () = host.followed() => {}
+                    () = known.late.notified() => {} // the list goes on
+                    () = tokio::time::sleep(again) => {}
+                    Ok(()) = at.changed() => {}
                 }
             }
         }
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -150,3 +150,72 @@
         "an agent that is back is heard within the grace"
     );
 }
+
+/// Discovery that answers each call with a status, and hands its target on.
+fn discovery(status: u16) -> (SocketAddr, std::sync::mpsc::Receiver<String>) {
+    use std::io::{BufRead, BufReader, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, calls) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for mut tcp in listener.incoming().flatten() {
+            let mut head = BufReader::new(tcp.try_clone().unwrap()).lines().map_while(Result::ok);
+            let first = head.next().unwrap_or_default();
+            head.take_while(|line| !line.is_empty()).for_each(drop);
+            let _ = tcp.write_all(format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n").as_bytes());
+            if tell.send(first).is_err() {
+                return;
+            }
+        }
+    });
+    (address, calls)
+}
+
+fn asking(discovery: Discovery) -> Rc<Host> {
+    let second = Micros(SECOND);
+    let network = shaletide::settings::Network {
+        connect_timeout: second,
+        conn_idle: second,
+        max_retry_after: second,
+        deadlines: vec![second],
+    };
+    let balancer = Balancer::new(Config { discovery, ..Config::example() }, 1).unwrap();
+    let (names, clock) = (shaletide::settings::Names::default(), crate::net::Clock::new());
+    Host::new(balancer, names, clock, Rc::new(crate::net::upstream::Pool::new(&network, 4)))
+}
+
+/// SIGHUP and the end of a pause in one turn of the loop: whichever the watch hears first, its next call is for the whole
+/// list. It hears either at random, so the crossing is played a dozen times.
+#[tokio::test]
+async fn a_move_that_crosses_the_end_of_a_pause_is_not_missed() {
+    let calls = async |from: &std::sync::mpsc::Receiver<String>| loop {
+        match from.try_recv() {
+            Ok(first) => return first,
+            Err(_) => tokio::time::sleep(Duration::from_millis(2)).await,
+        }
+    };
+    let play = async || {
+        let mode = Discovery::Subscribe(Micros(10 * SECOND));
+        let host = asking(mode);
+        let (old, failed) = discovery(503);
+        let (new, asked) = discovery(503);
+        let (moves, at) = watch::channel(old);
+        host.members(ListUpdate::Cached, &List::default()); // calls at once
+        let task = tokio::task::spawn_local(watch(host.clone(), at, 7, Pace::new(mode, 3, 1)));
+        calls(&failed).await;
+        tokio::time::sleep(Duration::from_millis(30)).await; // the module hears of it
+        std::thread::sleep(Duration::from_millis(150)); // the pause is over, and nothing runs meanwhile
+        host.members(ListUpdate::Cached, &List::default()); // which has the module look
+        moves.send(new).unwrap();
+        let first = calls(&asked).await;
+        task.abort();
+        first
+    };
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            for _ in 0..12 {
+                assert_eq!(play().await, "GET /api/targets HTTP/1.1");
+            }
+        })
+        .await;
+}
--- /dev/null
+++ b/tests/discovery_order.rs
@@ -0,0 +1,213 @@
+//! Answers of discovery that cross: with one another, with a beginning of its anew, with a move of its address, and with
+//! what the module said before. The stand-in answers when the test says, so each order is forced.
+
+mod rig;
+
+use rig::*;
+use std::time::{Duration, Instant};
+
+/// Where a call's answer goes.
+type Answer = std::sync::mpsc::Sender<(u16, String)>;
+
+struct Case<'a> {
+    proxy: &'a Proxy,
+    old: &'a BackendServer,
+    new: &'a BackendServer,
+}
+
+/// For lists that are pushed and lists that are asked for: a proxy that knows the old backend, beside a new one.
+fn in_each_mode(case: impl Fn(Case)) {
+    for mode in ["automatic", "subscribe"] {
+        let settings = SETTINGS.replace("\"automatic\"", &format!("{mode:?}"));
+        let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+        let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+        case(Case { proxy: &proxy, old: &old, new: &new });
+    }
+}
+
+impl Case<'_> {
+    /// The old backend as it was, and alone.
+    fn before(&self) -> Vec<String> {
+        vec![entry("b0", self.old.address, "SERVING")]
+    }
+
+    /// The old backend drains, the new one serves.
+    fn after(&self) -> Vec<String> {
+        vec![entry("b0", self.old.address, "DRAINING"), entry("b1", self.new.address, "SERVING")]
+    }
+
+    /// Answers the first call with that version.
+    fn begin(&self, index: u64) {
+        self.proxy.discovery.call().1.send((200, list(index, true, &self.before()))).unwrap();
+    }
+
+    /// A call after that version that is given up: its answer may come late.
+    fn given_up(&self, index: u64) -> Answer {
+        let (target, answer) = self.proxy.discovery.call();
+        assert!(target.contains(&format!("after={index}&")), "{target}");
+        answer
+    }
+
+    /// Waits until so many late answers were taken.
+    fn late(&self, count: usize) {
+        let end = Instant::now() + PATIENCE;
+        while self.proxy.logged("answered a call late") < count {
+            assert!(Instant::now() < end, "the late answer was dropped");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// What was sent to the proxy before these requests has been read when they are answered.
+    fn only_new(&self) {
+        let before = self.old.count();
+        (0..8).for_each(|_| {
+            assert_eq!(self.proxy.ask(&pay(3.0)).body, b"new", "nothing new for one that drains")
+        });
+        assert_eq!(self.old.count(), before);
+    }
+
+    /// SIGHUP to another address.
+    fn moved(&self) -> DiscoveryServer {
+        let moved = DiscoveryServer::start();
+        let text = std::fs::read_to_string(&self.proxy.config).unwrap();
+        let text = text.replace(&self.proxy.discovery.address.to_string(), &moved.address.to_string());
+        std::fs::write(&self.proxy.config, text).unwrap();
+        self.proxy.signal("-HUP");
+        moved
+    }
+}
+
+fn goes_on(at: &DiscoveryServer, index: u64) -> Answer {
+    let (target, answer) = at.call();
+    assert!(target.contains(&format!("after={index}&")), "{target}");
+    answer
+}
+
+/// A call is given up and answered late, while the next one is out; that one's answer was made earlier and arrives last.
+#[test]
+fn a_whole_list_that_was_overtaken_by_a_newer_one_is_not_taken() {
+    in_each_mode(|case| {
+        case.begin(5);
+        let late = case.given_up(5);
+        let next = goes_on(&case.proxy.discovery, 5);
+        late.send((200, list(9, false, &case.after()))).unwrap();
+        case.late(1);
+        case.only_new();
+        next.send((200, list(7, true, &case.before()))).unwrap();
+        let _hold = goes_on(&case.proxy.discovery, 9);
+        case.only_new();
+    });
+}
+
+/// Two calls were given up; the later one's answer comes first.
+#[test]
+fn two_late_answers_in_the_wrong_order_leave_the_newer_list() {
+    in_each_mode(|case| {
+        case.begin(5);
+        let first = case.given_up(5);
+        let second = case.given_up(5);
+        let third = goes_on(&case.proxy.discovery, 5);
+        second.send((200, list(9, false, &case.after()))).unwrap();
+        case.late(1);
+        first.send((200, list(8, true, &case.before()))).unwrap();
+        case.only_new();
+        // The one that is waited for has changes since 5 as well, up to more than is held: they follow on.
+        third.send((200, list(12, false, &[entry("b2", case.new.address, "SERVING")]))).unwrap();
+        let _hold = goes_on(&case.proxy.discovery, 12);
+        case.only_new();
+    });
+}
+
+/// Discovery begins anew, with lower versions; what its earlier self wrote comes later.
+#[test]
+fn an_answer_from_before_discovery_began_anew_is_not_taken() {
+    in_each_mode(|case| {
+        case.begin(50);
+        let late = case.given_up(50);
+        goes_on(&case.proxy.discovery, 50).send((200, list(2, false, &[]))).unwrap();
+        let (target, whole) = case.proxy.discovery.call();
+        assert_eq!(target, "GET /api/targets HTTP/1.1", "changes to a list that is not held");
+        whole.send((200, list(3, true, &case.after()))).unwrap();
+        let next = goes_on(&case.proxy.discovery, 3);
+        case.only_new();
+        late.send((200, list(51, false, &case.before()))).unwrap();
+        case.only_new();
+        next.send((200, list(4, false, &[]))).unwrap();
+        let _hold = goes_on(&case.proxy.discovery, 4);
+        case.only_new();
+    });
+}
+
+/// ... and its whole list, lower, is taken though a late answer has made the held version higher meanwhile.
+#[test]
+fn a_discovery_that_began_anew_is_believed_after_a_late_answer() {
+    in_each_mode(|case| {
+        case.begin(50);
+        let late = case.given_up(50);
+        let next = goes_on(&case.proxy.discovery, 50);
+        late.send((200, list(60, false, &case.before()))).unwrap();
+        case.late(1);
+        next.send((503, String::new())).unwrap(); // it goes down here
+        goes_on(&case.proxy.discovery, 60).send((200, list(3, true, &case.after()))).unwrap();
+        let _hold = goes_on(&case.proxy.discovery, 3);
+        case.only_new();
+    });
+}
+
+/// The answer of the old address, in versions of its own, comes after the new address's list.
+#[test]
+fn the_old_address_never_undoes_what_the_new_one_told() {
+    in_each_mode(|case| {
+        case.begin(5);
+        let watch = case.given_up(5);
+        let moved = case.moved();
+        let (target, whole) = moved.call();
+        assert_eq!(target, "GET /api/targets HTTP/1.1");
+        whole.send((200, list(3, true, &case.after()))).unwrap();
+        let next = goes_on(&moved, 3);
+        watch.send((200, list(90, false, &case.before()))).unwrap();
+        case.only_new();
+        next.send((200, list(4, false, &[]))).unwrap();
+        let _hold = goes_on(&moved, 4);
+        case.only_new();
+    });
+}
+
+/// ... or before it: then both are taken, whatever their versions.
+#[test]
+fn the_new_address_is_believed_after_a_late_answer_of_the_old_one() {
+    in_each_mode(|case| {
+        case.begin(5);
+        let watch = case.given_up(5);
+        let moved = case.moved();
+        let (_, whole) = moved.call();
+        watch.send((200, list(90, false, &case.before()))).unwrap();
+        case.late(1);
+        whole.send((200, list(3, true, &case.after()))).unwrap();
+        let _hold = goes_on(&moved, 3);
+        case.only_new();
+    });
+}
+
+/// A discovery that has changes only, even for a call for the whole list, is one that fails: it is not called without end.
+#[test]
+fn changes_to_a_call_for_the_whole_list_count_as_a_failure() {
+    in_each_mode(|case| {
+        case.begin(50);
+        goes_on(&case.proxy.discovery, 50).send((200, list(2, false, &[]))).unwrap();
+        let begun = Instant::now();
+        for _ in 0..5 {
+            let (target, whole) = case.proxy.discovery.call();
+            assert_eq!(target, "GET /api/targets HTTP/1.1");
+            whole.send((200, list(2, false, &case.after()))).unwrap();
+        }
+        let (target, whole) = case.proxy.discovery.call();
+        assert_eq!(target, "GET /api/targets HTTP/1.1");
+        let pauses = begun.elapsed();
+        assert!(pauses >= Duration::from_millis(250), "{pauses:?} for five calls");
+        assert_eq!(case.proxy.logged("discovery failed: changes"), 1);
+        whole.send((200, list(3, true, &case.after()))).unwrap();
+        let _hold = goes_on(&case.proxy.discovery, 3);
+        case.only_new();
+    });
+}
