Let no word from before a failed call end the pause after it

Need: Notify keeps a permit. The module repeats an ask of which it hears nothing while that call is still out, and a late answer may come while the next call is out: both then ended the pause after a later failure at once.

Change: what was said before a failure is dropped as it is told to the module; the first failure at a new address is followed by a second call within 0.1 s: 1.8 + 0.1 + 1.8 s at most.

The three new tests fail without.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -89,6 +89,10 @@
         let wait = self.most * self.draw.random_range(SPREAD..=1.0);
         Duration::from_millis((wait * 1e3) as u64)
     }
+
+    fn soon(&mut self) -> Duration {
+        BACKOFF.mul_f64(self.draw.random_range(1.0..=2.0))
+    }
 }
 
 struct Link {
@@ -198,6 +202,14 @@
             self.late.notify_one();
         }
     }
+
+    /// A call failed. What was said before, of when to call again, was of earlier ones.
+    fn lost(&self, asked: bool) {
+        std::pin::pin!(self.late.notified()).as_mut().enable();
+        if asked {
+            self.host.lost();
+        }
+    }
 }
 
 /// Keeps the list up to date for as long as the program runs. When discovery moves, the whole list is asked for at the
@@ -210,7 +222,7 @@
     let (mut whole, mut link, mut failures) = (!asked, None, 0u32);
     // A call of the module's is answered once, by what it missed; only what follows waits for news.
     let mut wait = Duration::ZERO;
-    let mut address = *at.borrow_and_update();
+    let (mut address, mut moved) = (*at.borrow_and_update(), false);
     if asked {
         host.followed().await;
     }
@@ -219,7 +231,7 @@
         if to != address {
             // Whichever came first, this or an answer, or the end of a pause.
             known.begin_era();
-            (address, link, wait) = (to, None, Duration::ZERO);
+            (address, moved, link, wait) = (to, true, None, Duration::ZERO);
         }
         let call = known.asked(whole);
         let (uri, patience) = match call.whole {
@@ -254,7 +266,7 @@
                 if failures > 0 {
                     info!("discovery is back at {}", known.index.get());
                 }
-                (failures, wait) = (0, pace.wait());
+                (failures, wait, moved) = (0, pace.wait(), false);
                 whole = news == News::Gap;
             }
             Err(e) => {
@@ -263,11 +275,12 @@
                 if failures == 1 {
                     warn!("discovery failed: {e}");
                 }
-                if asked {
-                    host.members(ListUpdate::Lost, &List::default());
-                }
-                // When to ask again is the module's to say.
-                let again = if asked { Duration::MAX } else { BACKOFF * failures.min(2) };
+                known.lost(asked);
+                let again = match (asked, std::mem::take(&mut moved)) {
+                    (false, _) => BACKOFF * failures.min(2),
+                    (true, true) => pace.soon(), // what the new address tells counts soon, whatever came before
+                    (true, false) => Duration::MAX, // it is the module's to say
+                };
                 tokio::select! {
                     () = host.followed() => {}
                     () = known.late.notified() => {} // the list goes on
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -67,6 +67,12 @@
         }
     }
 
+    /// A call to discovery failed. What the module said before, of when to call again, was of earlier ones.
+    pub fn lost(self: &Rc<Self>) {
+        std::pin::pin!(self.follow.notified()).as_mut().enable();
+        self.members(ListUpdate::Lost, &List::default());
+    }
+
     /// No connection is kept to a backend that is to get nothing new.
     fn shut(&self, s: &State) {
         let shut = s.backends.iter().enumerate().filter(|(_, b)| !b.open());
--- a/tests/discovery_order.rs
+++ b/tests/discovery_order.rs
@@ -189,6 +189,66 @@
     });
 }
 
+/// What an outage grew the module's pause to is not waited for at a new address.
+#[test]
+fn a_move_in_an_outage_is_heard_in_time_though_the_first_call_there_fails() {
+    let settings = SETTINGS.replace("\"automatic\"", "\"subscribe\"");
+    let settings = settings
+        .replace("\"group_size\":1,", "\"group_size\":300,")
+        .replace("9000000,\"ramp", "600000000,\"ramp");
+    let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+    let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    let case = Case { proxy: &proxy, old: &old, new: &new };
+    (0..6).for_each(|_| proxy.discovery.call().1.send((503, String::new())).unwrap());
+    let (_, last) = proxy.discovery.call();
+    let moved = case.moved();
+    let signal = Instant::now();
+    let (_, first) = moved.call();
+    first.send((503, String::new())).unwrap();
+    moved.call().1.send((200, list(3, true, &case.after()))).unwrap();
+    let _hold = goes_on(&moved, 3);
+    let took = signal.elapsed();
+    assert!(took < Duration::from_millis(1500), "known {took:?} after the signal");
+    case.only_new();
+    drop(last);
+}
+
+/// The module repeats a call of which it hears nothing, while that call is still out. That one is not for the next failure.
+#[test]
+fn a_repeated_ask_from_before_a_failure_does_not_end_the_pause_after_it() {
+    let settings =
+        SETTINGS.replace("\"automatic\"", "\"subscribe\"").replace("9000000,\"ramp", "2000000,\"ramp");
+    let old = BackendServer::start(|_| ok("old"));
+    let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    let (_, _silent) = proxy.discovery.call(); // repeated 1 s later, given up 1.8 s later
+    let (_, answer) = proxy.discovery.call();
+    std::thread::sleep(Duration::from_millis(300)); // the module's next word, if one is due, comes meanwhile
+    let failed = Instant::now();
+    answer.send((503, String::new())).unwrap();
+    let _next = proxy.discovery.call();
+    let pause = failed.elapsed();
+    assert!(pause >= Duration::from_millis(45), "called again after {pause:?}");
+}
+
+/// A late answer that came while the next call was out has nothing to say on a failure after that.
+#[test]
+fn a_late_answer_from_before_a_failure_does_not_end_the_pause_after_it() {
+    in_each_mode(|case| {
+        case.begin(5);
+        let late = case.given_up(5);
+        let next = goes_on(&case.proxy.discovery, 5);
+        late.send((200, list(9, false, &case.after()))).unwrap();
+        case.late(1);
+        next.send((200, list(10, false, &[]))).unwrap();
+        let watch = goes_on(&case.proxy.discovery, 10);
+        let failed = Instant::now();
+        watch.send((503, String::new())).unwrap();
+        let _next = goes_on(&case.proxy.discovery, 10);
+        let pause = failed.elapsed();
+        assert!(pause >= Duration::from_millis(45), "called again after {pause:?}");
+    });
+}
+
 /// A discovery that has changes only, even for a call for the whole list, is one that fails: it is not called without end.
 #[test]
 fn changes_to_a_call_for_the_whole_list_count_as_a_failure() {
