Start without zones where the settings name none

Need: settings with an empty list of zones and no zone of the proxy's own ended the start ("my_zone: missing, expected one of zones"): a zone was assumed.

Change: without zones the proxy's own may be missing, empty or any name.

Measured: tests/settings.rs starts and reloads real processes with one class and with six of mixed effects, no tenants, no kinds, no zones, and entries that name neither; it failed at the start before.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -222,7 +222,8 @@
 
 /// `names`: the places and kinds that have numbers already.
 fn read_with(root: &Key, mut names: Names) -> (Config, Names) {
-    for zone in root.get("zones").list() {
+    let zones = root.get("zones").list();
+    for zone in &zones {
         number(&mut names.zones, zone.text());
     }
     for kind in root.get("kinds").list() {
@@ -230,7 +231,11 @@
     }
     let my_zone = root.get("my_zone");
     let zone = my_zone.value.and_then(Value::as_str);
-    let zone = zone.and_then(|name| names.zones.iter().position(|z| z == name));
+    let zone = match zones.is_empty() && !root.notes.misread("zones") {
+        // Without zones it has one to itself, whatever its name.
+        true => Some(number(&mut names.zones, zone.unwrap_or_default()) as usize),
+        false => zone.and_then(|name| names.zones.iter().position(|z| z == name)),
+    };
     if zone.is_some() || !root.notes.misread("zones") {
         my_zone.want(zone, "one of zones", 0);
     }
