Force lists that cross a shutdown or a move of discovery

Need: an answer on its way as discovery moves, and a list that comes while the program ends.

Change: two tests in tests/reloads.rs; the stand-in for discovery counts connections that the proxy ended, which shows that an answer was read.

--- a/tests/reloads.rs
+++ b/tests/reloads.rs
@@ -5,6 +5,7 @@
 use rig::*;
 use std::io::Write;
 use std::path::Path;
+use std::sync::atomic::Ordering::SeqCst;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -188,3 +189,57 @@
     let named = read(3.0).replace("\r\n\r\n", "\r\nX-Account: north\r\n\r\n");
     assert_eq!(proxy.ask(&named).status(), 200, "a tenant that is no more is a stranger");
 }
+
+/// A request waits for a backend when SIGTERM comes, and the list that then brings one, beside one that drains, still
+/// counts: the process that ends serves it there.
+#[test]
+fn a_list_that_comes_in_the_shutdown_counts() {
+    let (drained, new) = (BackendServer::start(|_| ok("drained")), BackendServer::start(|_| ok("new")));
+    let mut proxy = Proxy::start(&[]);
+    let mut open = proxy.client();
+    open.send(&pay(3.0));
+    let (_, answer) = proxy.discovery.call();
+    proxy.terminate();
+    until("it does not end", || proxy.logged("stopping") == 1);
+    let told = [entry("b0", drained.address, "DRAINING"), entry("b1", new.address, "SERVING")];
+    answer.send((200, list(9, true, &told))).unwrap();
+    assert_eq!(open.answer().expect("the answer that is owed").body, b"new");
+    assert!(proxy.child.wait().unwrap().success());
+    assert_eq!(drained.count(), 0);
+}
+
+/// Discovery moves while an answer of the old address is on its way: one that comes behind the new address's list and is
+/// older changes nothing, and one that is newer is taken; a move there and back ends at the first.
+#[test]
+fn an_answer_that_crosses_a_move_of_discovery_counts_by_its_age() {
+    let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+    let at =
+        |old_is: &str, new_is: &str| [entry("b0", old.address, old_is), entry("b1", new.address, new_is)];
+    let proxy = Proxy::start(&[entry("b0", old.address, "SERVING")]);
+    let text = std::fs::read_to_string(&proxy.config).unwrap();
+    let (first, second) = (proxy.discovery.address.to_string(), DiscoveryServer::start());
+    let move_to = |to: &str, times: usize| {
+        std::fs::write(&proxy.config, text.replace(&first, to)).unwrap();
+        proxy.signal("-HUP");
+        until("not taken", || proxy.logged("configuration taken") == times);
+    };
+    let (_, answer) = proxy.discovery.call();
+    answer.send((200, list(5, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
+    let (_, older) = proxy.discovery.call();
+    move_to(&second.address.to_string(), 1);
+    second.call().1.send((200, list(9, true, &at("DRAINING", "SERVING")))).unwrap();
+    let (target, newer) = second.call(); // by now the list is taken
+    assert!(target.contains("after=9&"), "{target}");
+    older.send((200, list(7, true, &[entry("b0", old.address, "SERVING")]))).unwrap();
+    until("the answer was not read", || proxy.discovery.ended.load(SeqCst) == 1);
+    let before = old.count();
+    let all = |body: &[u8]| (0..20).all(|_| proxy.ask(&pay(3.0)).body == body);
+    assert!(all(b"new"), "an older answer brought a draining backend back");
+    assert_eq!(old.count(), before);
+    move_to(&first, 2);
+    let (target, _silent) = proxy.discovery.call();
+    assert_eq!(target, "GET /api/targets HTTP/1.1", "the whole list, and where it is now");
+    newer.send((200, list(12, true, &at("SERVING", "DRAINING")))).unwrap();
+    until("a newer answer was dropped", || proxy.logged("answered a call late, with 12") == 1);
+    assert!(all(b"old"));
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -206,6 +206,8 @@
 /// Discovery: hands each call's target to the test, which answers it with a status and a body.
 pub struct DiscoveryServer {
     pub address: SocketAddr,
+    /// Connections that the proxy ended.
+    pub ended: Arc<AtomicU32>,
     calls: mpsc::Receiver<(String, mpsc::Sender<(u16, String)>)>,
 }
 
@@ -217,9 +219,11 @@
     pub fn on(listener: TcpListener) -> DiscoveryServer {
         let address = listener.local_addr().unwrap();
         let (tell, calls) = mpsc::channel();
+        let ended = Arc::new(AtomicU32::new(0));
+        let count = ended.clone();
         std::thread::spawn(move || {
             for mut tcp in listener.incoming().flatten() {
-                let tell: mpsc::Sender<_> = tell.clone();
+                let (tell, count): (mpsc::Sender<_>, _) = (tell.clone(), count.clone());
                 std::thread::spawn(move || {
                     let mut reader = BufReader::new(tcp.try_clone().unwrap());
                     while let Some(message) = Message::read(&mut reader) {
@@ -234,10 +238,11 @@
                             return;
                         }
                     }
+                    count.fetch_add(1, Ordering::SeqCst);
                 });
             }
         });
-        DiscoveryServer { address, calls }
+        DiscoveryServer { address, ended, calls }
     }
 
     /// The call that waits, if one does.
