Tell of a door that cannot accept once a second at most

Need: out of descriptors the operators' door wrote a line each 20 ms: 118 in 2.5 s.

Change: one line a second, as the clients' listener has it.

The clients' listener held already.

--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -21,7 +21,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 use tracing::warn;
@@ -33,6 +33,8 @@
 const MAX_HEAD: usize = 8 * 1024;
 /// The form of the figures, without which Prometheus does not take them.
 const FIGURES: &str = "text/plain; version=0.0.4";
+/// Lines about a failing listener come no faster.
+const TELL_EVERY: Duration = Duration::from_secs(1);
 /// Calls on duties and windows have so long, within [`PATIENCE`], so that their caller hears of it.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 
@@ -71,12 +73,15 @@
 
     /// Answers calls for as long as the program runs.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
-        let mut open: VecDeque<AbortHandle> = VecDeque::new();
+        let (mut open, mut told) = (VecDeque::<AbortHandle>::new(), None::<Instant>);
         loop {
             let tcp = match listener.accept().await {
                 Ok((tcp, _)) => tcp,
                 Err(e) => {
-                    warn!("control: accept: {e}");
+                    if told.is_none_or(|at| at.elapsed() >= TELL_EVERY) {
+                        told = Some(Instant::now());
+                        warn!("control: accept: {e}");
+                    }
                     tokio::time::sleep(Duration::from_millis(20)).await;
                     continue;
                 }
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -252,3 +252,40 @@
         an_outage_under_a_crowd(mode, at, move || DiscoveryServer::on(down.listen()));
     }
 }
+
+/// Fewer descriptors than the process is told of, all taken by clients that are still sending: neither listener fills the
+/// log or the processor, and operators are heard once there is room.
+#[test]
+fn listeners_that_are_out_of_descriptors_neither_spin_nor_flood_the_log() {
+    let proxy = Proxy::scarce(64);
+    let begun = Instant::now();
+    let stopped = pay(3.0).replace("Content-Length: 4", "Content-Length: 400");
+    let mut clients: Vec<Client> = (0..80).map(|_| proxy.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&stopped));
+    let until = |words: &str| {
+        while proxy.logged(words) == 0 {
+            assert!(begun.elapsed() < PATIENCE, "never: {words}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    until("server: accept: Too many open files");
+    let mut staff = Client::connect(proxy.control.unwrap());
+    staff.send("GET /status HTTP/1.1\r\nHost: d\r\n\r\n");
+    until("control: accept: Too many open files");
+    let used = ticks(proxy.child.id());
+    std::thread::sleep(Duration::from_millis(500));
+    let used = ticks(proxy.child.id()) - used;
+    assert!(staff.answer().is_some_and(|a| a.status() == 200), "never heard");
+    let most = 2 + begun.elapsed().as_secs() as usize;
+    for words in ["control: accept", "server: accept"] {
+        assert!(proxy.logged(words) <= most, "{} lines: {words}", proxy.logged(words));
+    }
+    assert!(used < 25, "{used} hundredths of a second of 50");
+}
+
+/// Processor time that a process has used, in hundredths of a second.
+fn ticks(pid: u32) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -300,6 +300,15 @@
         Proxy::run(limited(Some(&config), descriptors), discovery)
     }
 
+    /// With an operators' door and fewer descriptors than it is told.
+    pub fn scarce(descriptors: u32) -> Proxy {
+        let discovery = DiscoveryServer::start();
+        let mut command =
+            limited(Some(&told("127.0.0.1:0", discovery.address, 1024, &[], SETTINGS)), descriptors);
+        command.env("NODE_CONTROL", "127.0.0.1:0");
+        Proxy::run(command, discovery)
+    }
+
     /// Told to listen there and to ask there; the discovery that it has by itself stands idle.
     pub fn placed(
         listen: &str, at: SocketAddr, known: &[String], sockets: u32, settings: &str, more: &[(&str, String)],
