--- a/src/main.rs
+++ b/src/main.rs
@@ -132,7 +132,7 @@
         cold = !keeper.recall();
         tokio::task::spawn_local(keeper.keep());
     }
-    let maintenance = Maintenance::new(host.clone(), folder);
+    let maintenance = Maintenance::new(host.clone(), folder, keeper.clone());
     tokio::task::spawn_local(maintenance.clone().follow());
     let listener = match passed {
         Some(socket) => TcpListener::from_std(socket).map_err(|e| format!("the passed socket: {e}"))?,
--- a/src/net/control/tests.rs
+++ b/src/net/control/tests.rs
@@ -35,7 +35,7 @@
     };
     let host = Host::example();
     let server = Server::new(host.clone(), Rules::new(&Config::example(), &network), 4);
-    let maintenance = Maintenance::new(host.clone(), None);
+    let maintenance = Maintenance::new(host.clone(), None, None);
     let figures = Figures::default();
     let control = Control::new(Keepers { host, server, maintenance, peers: None, duties, figures });
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/src/net/maintenance.rs
+++ b/src/net/maintenance.rs
@@ -2,6 +2,7 @@
 //! One empty file a ban: names appear and go whole, and two processes never overwrite each other's.
 
 use super::host::{Host, Why};
+use super::keeper::Keeper;
 use shaletide::Time;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -20,6 +21,8 @@
 pub struct Maintenance {
     host: Rc<Host>,
     dir: Option<PathBuf>,
+    /// Writes with each change, so that what operators were told outlives a crash.
+    keeper: Option<Rc<Keeper>>,
     /// The bans that the folder held at the last look, or that were put there since.
     kept: RefCell<BTreeSet<String>>,
     /// What was complained of, to be told once.
@@ -34,30 +37,45 @@
 }
 
 impl Maintenance {
-    /// Carries out the bans that are kept already.
-    pub fn new(host: Rc<Host>, dir: Option<PathBuf>) -> Rc<Maintenance> {
+    /// Carries out the bans that are kept already. Of one that a snapshot brought, the folder knows better whether it
+    /// is over; what it does not know of is put there, so that the other process hears of its end.
+    pub fn new(host: Rc<Host>, dir: Option<PathBuf>, keeper: Option<Rc<Keeper>>) -> Rc<Maintenance> {
         let (kept, told) = (RefCell::default(), RefCell::default());
-        let this = Maintenance { host, dir, kept, told };
-        for (name, since) in this.look().back {
-            this.host.returned(&name, since);
+        let this = Maintenance { host, dir, keeper, kept, told };
+        let found = this.look();
+        for (name, since) in found.back.iter().filter(|(name, _)| !found.out.contains(name)) {
+            if !this.host.restore(name, Why::Hand, *since) {
+                this.host.returned(name, *since);
+            }
         }
+        let banned = this.host.recollect().withdrawn;
+        banned.iter().filter(|name| !found.out.contains(*name)).for_each(|name| this.put(name));
         this.follow_once();
         Rc::new(this)
     }
 
+    /// Puts a ban into the folder.
+    fn put(&self, name: &str) {
+        let Some(dir) = &self.dir else { return };
+        match File::create(dir.join(file(OUT, name))) {
+            Ok(_) => drop(self.kept.borrow_mut().insert(name.into())),
+            Err(e) => warn!("TMPDIR: the ban of {name} holds in this process only: {e}"),
+        }
+        let _ = std::fs::remove_file(dir.join(file(BACK, name)));
+    }
+
+    fn write(&self) {
+        self.keeper.iter().for_each(|k| k.write());
+    }
+
     /// Nothing more to that backend; false where none of that name was ever listed.
     pub fn enter(&self, name: &str) -> bool {
         if !self.host.withdraw(name, Why::Hand) {
             return false;
         }
         info!("control: {name} is out");
-        if let Some(dir) = &self.dir {
-            match File::create(dir.join(file(OUT, name))) {
-                Ok(_) => drop(self.kept.borrow_mut().insert(name.into())),
-                Err(e) => warn!("TMPDIR: the ban of {name} holds in this process only: {e}"),
-            }
-            let _ = std::fs::remove_file(dir.join(file(BACK, name)));
-        }
+        self.put(name);
+        self.write();
         true
     }
 
@@ -83,6 +101,7 @@
             self.host.returned(name, now); // the other process's ban, which was not carried out here yet
         }
         info!("control: {name} is back");
+        self.write();
         true
     }
 
@@ -110,6 +129,9 @@
             info!("{name} is back, as TMPDIR keeps it no more");
             self.host.restore(name, Why::Hand, self.host.clock.now());
         }
+        if now != before {
+            self.write();
+        }
     }
 
     fn look(&self) -> Kept {
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -172,3 +172,79 @@
     let second = start(&known, &other, &dir, "");
     assert!(second.said.contains("snapshot taken"), "{}", second.said);
 }
+
+/// The operators' yes outlives a crash right after it, with nothing but the snapshot: it is written with each ban and
+/// each end of one, not only from time to time.
+#[test]
+fn what_operators_were_told_outlives_a_crash_in_the_next_moment() {
+    let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
+    let known = [entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")];
+    let dir = snapshots();
+    let seldom = format!(r#"{DEPLOYMENT},"snapshot":{{"dir":"{}","every_ms":3600000}}"#, dir.display());
+    let start = || Proxy::configured(&known, SETTINGS, &seldom, &[tmp()]);
+    let first = start();
+    assert_eq!(first.call("PUT /maintenance/enter?who=b0").status(), 200);
+    drop(first); // SIGKILL
+    let second = start();
+    let before = a.count();
+    assert!((0..30).all(|_| status(&second) == 200) && a.count() == before, "the ban was forgotten");
+    assert_eq!(second.call("PUT /maintenance/exit?who=b0").status(), 200);
+    drop(second); // SIGKILL
+    let third = start();
+    assert!((0..60).all(|_| status(&third) == 200) && a.count() > before, "the ban came back");
+}
+
+/// The folder in `TMPDIR` is newer than a snapshot that was written before a ban ended: the ban stays over.
+#[test]
+fn a_ban_that_is_over_does_not_come_back_with_an_older_snapshot() {
+    let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
+    let known = [entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")];
+    let (dir, tmp) = (snapshots(), tmp());
+    let kept = format!(r#"{DEPLOYMENT},"snapshot":{{"dir":"{}","every_ms":3600000}}"#, dir.display());
+    let start = || Proxy::configured(&known, SETTINGS, &kept, std::slice::from_ref(&tmp));
+    let mut first = start();
+    assert_eq!(first.call("PUT /maintenance/enter?who=b0").status(), 200);
+    first.terminate(); // which writes
+    assert!(first.child.wait().unwrap().success());
+    let before = std::fs::read(file(&dir)).unwrap();
+    let second = start();
+    assert_eq!(second.call("PUT /maintenance/exit?who=b0").status(), 200);
+    drop(second); // SIGKILL
+    std::fs::write(file(&dir), before).unwrap();
+    let third = start();
+    assert!(third.said.contains("snapshot taken"), "{}", third.said);
+    assert!((0..60).all(|_| status(&third) == 200) && a.count() > 0, "the ban came back");
+}
+
+/// A ban that two processes of one proxy have from a snapshot, with a `TMPDIR` that knows nothing of it, is over at both
+/// once operators end it at one.
+#[test]
+fn a_ban_from_a_snapshot_ends_at_both_processes() {
+    let (a, b) = (BackendServer::start(|_| ok("a")), BackendServer::start(|_| ok("b")));
+    let known = [entry("b0", a.address, "SERVING"), entry("b1", b.address, "SERVING")];
+    let (dir, late) = (snapshots(), tmp());
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    socket2::SockRef::from(&socket).set_cloexec(false).unwrap();
+    let passed = ("NODE_SOCKET_FD", std::os::fd::AsRawFd::as_raw_fd(&socket).to_string());
+    let kept = format!(r#"{DEPLOYMENT},"snapshot":{{"dir":"{}","every_ms":100}}"#, dir.display());
+    let start = |tmp: &(&'static str, String)| {
+        let proxy = Proxy::configured(&known, SETTINGS, &kept, &[tmp.clone(), passed.clone()]);
+        proxy.wait_until_serving();
+        proxy
+    };
+    let mut first = start(&tmp());
+    assert_eq!(first.call("PUT /maintenance/enter?who=b0").status(), 200);
+    first.terminate();
+    assert!(first.child.wait().unwrap().success());
+    let (old, new) = (start(&late), start(&late));
+    for proxy in [&old, &new] {
+        assert!(proxy.said.contains("snapshot taken"), "{}", proxy.said);
+    }
+    assert_eq!(old.call("PUT /maintenance/exit?who=b0").status(), 200);
+    drop(old);
+    let end = std::time::Instant::now() + Duration::from_secs(5);
+    while a.count() == 0 {
+        assert!(std::time::Instant::now() < end, "the other process was not told");
+        assert_eq!(status(&new), 200);
+    }
+}
