Take a look at the folder of bans whole or not at all

Need: the folder was opened twice a look and errors on the way were skipped, so a look that broke in the middle (no descriptor left, a failing disk) would have been taken for the end of every ban that it left out.

Change: it is opened once, and an error leaves all as it was, told once.

Measured: by reading only, no test makes a directory fail half way; the tests of bans hold.

--- a/src/net/maintenance.rs
+++ b/src/net/maintenance.rs
@@ -42,7 +42,7 @@
     pub fn new(host: Rc<Host>, dir: Option<PathBuf>, keeper: Option<Rc<Keeper>>) -> Rc<Maintenance> {
         let (kept, told) = (RefCell::default(), RefCell::default());
         let this = Maintenance { host, dir, keeper, kept, told };
-        let found = this.look();
+        let found = this.look().unwrap_or_default(); // told of below
         for (name, since) in found.back.iter().filter(|(name, _)| !found.out.contains(name)) {
             if !this.host.restore(name, Why::Hand, *since) {
                 this.host.returned(name, *since);
@@ -114,12 +114,10 @@
     }
 
     fn follow_once(&self) {
-        let Some(dir) = &self.dir else { return };
-        if let Err(e) = std::fs::read_dir(dir) {
-            self.tell(format!("TMPDIR: bans kept before hold, others are not seen: {e}"));
-            return;
-        }
-        let now = self.look().out;
+        let now = match self.look() {
+            Ok(kept) => kept.out,
+            Err(e) => return self.tell(format!("TMPDIR: bans kept before hold, others are not seen: {e}")),
+        };
         let before = std::mem::replace(&mut *self.kept.borrow_mut(), now.clone());
         for name in now.difference(&before) {
             info!("{name} is out, as kept in TMPDIR");
@@ -134,10 +132,12 @@
         }
     }
 
-    fn look(&self) -> Kept {
+    /// The whole folder, or nothing of it: a ban that a broken look leaves out would be taken for one that is over.
+    fn look(&self) -> io::Result<Kept> {
         let mut kept = Kept::default();
-        let entries = self.dir.iter().filter_map(|dir| std::fs::read_dir(dir).ok()).flatten().flatten();
-        for entry in entries {
+        let Some(dir) = &self.dir else { return Ok(kept) };
+        for entry in std::fs::read_dir(dir)? {
+            let entry = entry?;
             let name = entry.file_name();
             let text = name.to_string_lossy();
             let of = |prefix| text.strip_prefix(prefix).map(decode);
@@ -152,7 +152,7 @@
                 (None, None) => {} // another part's
             }
         }
-        kept
+        Ok(kept)
     }
 
     fn tell(&self, what: String) {
