Answer requests that meet the end of a wait or the choice to make room

Two ends crossed requests that had come. A first head whose last bytes were in the kernel as the patience with it ran out was dropped: now the kernel is asked, and what it has gets one turn more, once. A resting connection chosen to make room, whose next request came before it heard of that, was answered without a word of the close and cut a second later, whatever was on it then: the answer now ends it.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -41,6 +41,8 @@
 const JUST_NOW: Duration = Duration::from_millis(200);
 /// A peer without a whole head so long after connecting is let go: within three seconds it is owed an end.
 const FIRST_HEAD: Duration = Duration::from_millis(2_500);
+/// What the kernel has is read within this time: a head that came before the end of the wait is not too late.
+const ONE_TURN: Duration = Duration::from_millis(20);
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
 /// Lines about a failing listener come no faster.
@@ -314,14 +316,17 @@
         let mut conn = pin!(builder.serve_connection(client.stream.clone(), service));
         let mut cut = pin!(tokio::time::sleep(Duration::MAX));
         let mut head = pin!(tokio::time::sleep(FIRST_HEAD));
+        let mut over = false;
         loop {
             tokio::select! {
                 _ = conn.as_mut() => return,
                 // Both looked at again when they fire: a request may have come since the wait began.
                 _ = head.as_mut(), if client.fresh.get() => {
-                    if client.fresh.get() {
+                    if client.fresh.get() && (over || !client.stream.unread()) {
                         return;
                     }
+                    over = true;
+                    head.as_mut().reset(Instant::now() + ONE_TURN);
                 }
                 _ = cut.as_mut(), if client.leaving.get() && !client.busy.get() => {
                     if !client.busy.get() {
@@ -369,7 +374,7 @@
             Ok(answer) => (answer, false),
             Err((status, text)) => (plain(status, text), client.stream.peer().has_left()),
         };
-        if left || self.stopping.get() || self.clients() > self.max.get() {
+        if left || client.leaving.get() || self.stopping.get() || self.clients() > self.max.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
@@ -521,3 +526,6 @@
     *response.status_mut() = status;
     response
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/server/tests.rs
@@ -0,0 +1,98 @@
+//! What meets between two steps of the server that no other process can part.
+
+use super::*;
+use std::io::{Read, Write};
+
+const READY: &[u8] = b"GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n";
+
+/// Runs a test beside a server with room for eight clients.
+fn with_server(test: impl AsyncFnOnce(Rc<Server>, TcpListener)) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let second = Micros(1_000_000);
+        let rules = Rules { effects: Vec::new(), deadlines: vec![second], max_retry_after: second };
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        test(Server::new(Host::example(), rules, 8), listener).await;
+    });
+}
+
+async fn client(server: &Rc<Server>, listener: &TcpListener) -> std::net::TcpStream {
+    let peer = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    peer.set_nonblocking(true).unwrap();
+    server.take_in(listener.accept().await.unwrap().0);
+    peer
+}
+
+/// What comes up to `end`, or to the connection's end; `false`: that was a reset.
+async fn heard(peer: &mut std::net::TcpStream, end: &str) -> (String, bool) {
+    let (mut got, mut byte) = (String::new(), [0]);
+    while end.is_empty() || !got.ends_with(end) {
+        match peer.read(&mut byte) {
+            Ok(0) => break,
+            Ok(_) => got.push(byte[0].into()),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => tokio::time::sleep(Duration::from_millis(1)).await,
+            Err(_) => return (got, false),
+        }
+    }
+    (got, true)
+}
+
+/// It is chosen to make room, and its next request comes before it hears of that: that one is answered, and the
+/// connection ends with the answer rather than a while later under another request.
+#[test]
+fn a_request_that_meets_the_choice_to_make_room_is_answered_and_the_last() {
+    with_server(async |server, listener| {
+        let mut peer = client(&server, &listener).await;
+        peer.write_all(READY).unwrap();
+        let (answer, _) = heard(&mut peer, "ready\n").await;
+        assert!(!answer.contains("connection: close"), "{answer}");
+        assert!(server.close_quietest(Duration::ZERO));
+        peer.write_all(READY).unwrap();
+        let (answer, plainly) = heard(&mut peer, "").await;
+        assert!(answer.contains("connection: close") && answer.ends_with("ready\n"), "{answer}");
+        assert!(plainly);
+    });
+}
+
+/// It is closed, and its next request comes before the connection's end goes out: that end is plain and no reset, and
+/// the request is not served.
+#[test]
+fn a_request_that_meets_the_close_is_neither_served_nor_answered_by_a_reset() {
+    with_server(async |server, listener| {
+        let mut peer = client(&server, &listener).await;
+        peer.write_all(READY).unwrap();
+        heard(&mut peer, "ready\n").await;
+        assert!(server.close_quietest(Duration::ZERO));
+        let (rest, plainly) = heard(&mut peer, "").await;
+        assert!(rest.is_empty() && plainly, "{rest}");
+        peer.write_all(READY).unwrap(); // it has not heard of the end yet
+        peer.shutdown(std::net::Shutdown::Write).unwrap();
+        while server.clients() > 0 {
+            server.left.notified().await;
+        }
+        assert!(peer.take_error().unwrap().is_none(), "a reset");
+        assert_eq!(heard(&mut peer, "").await, (String::new(), true));
+    });
+}
+
+/// A connection that ended but for its client's side is the first to make room, and at once.
+#[test]
+fn a_lingering_close_makes_room_first() {
+    with_server(async |server, listener| {
+        let mut resting = client(&server, &listener).await;
+        resting.write_all(READY).unwrap();
+        heard(&mut resting, "ready\n").await;
+        let mut ended = client(&server, &listener).await;
+        ended.write_all(b"what?\r\n\r\n").unwrap();
+        assert!(heard(&mut ended, "").await.0.starts_with("HTTP/1.1 400"));
+        assert_eq!(server.clients(), 2, "it lingers");
+        assert!(server.close_quietest(Duration::ZERO));
+        let before = Instant::now();
+        while server.clients() > 1 {
+            tokio::task::yield_now().await; // no timer is waited for
+        }
+        assert!(before.elapsed() < Duration::from_millis(300), "as long as it would have lingered");
+        resting.write_all(READY).unwrap();
+        assert!(heard(&mut resting, "ready\n").await.0.ends_with("ready\n"), "the other stays");
+    });
+}
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -133,16 +133,17 @@
 
     /// The other side began something and has said nothing more since that time; nothing waits in the kernel.
     pub fn stopped_since(&self) -> Option<Instant> {
-        (self.0.heard.get() && !self.pending()).then(|| self.0.at.get())
+        (self.0.heard.get() && !self.unread()).then(|| self.0.at.get())
     }
 
     /// Bytes came since `mark_idle`, or wait in the kernel, or the other side has closed. Asks the kernel
     /// itself: the event loop may not have come round to it yet.
     pub fn stirred(&self) -> bool {
-        self.0.heard.get() || self.pending()
+        self.0.heard.get() || self.unread()
     }
 
-    fn pending(&self) -> bool {
+    /// Bytes wait in the kernel, or the other side has closed.
+    pub fn unread(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
         let quiet = |e: io::Error| e.kind() == io::ErrorKind::WouldBlock;
         !socket2::SockRef::from(&self.0.tcp).peek(&mut byte).is_err_and(quiet)
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -180,6 +180,22 @@
     assert!(proxy.child.wait().unwrap().success());
 }
 
+/// The patience with a first head ends in the moment in which the head comes: it is answered.
+#[test]
+fn a_head_that_meets_the_end_of_patience_is_answered() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = one(&backend);
+    let mut clients: Vec<Client> = (0..8).map(|_| proxy.client()).collect();
+    clients[..4].iter_mut().for_each(|c| c.send("GET /-/re"));
+    assert_eq!(proxy.ask(READY).status(), 200); // all were taken in
+    hold(&proxy);
+    std::thread::sleep(Duration::from_millis(2_600));
+    clients[..4].iter_mut().for_each(|c| c.send(READY.strip_prefix("GET /-/re").unwrap()));
+    clients[4..].iter_mut().for_each(|c| c.send(READY));
+    go_on(&proxy);
+    assert!(clients.iter_mut().all(|c| c.answer().is_some_and(|a| a.status() == 200)));
+}
+
 /// What could not be understood is answered, and the answer is not taken away by a reset over what was not read.
 #[test]
 fn an_error_arrives_though_bytes_were_left_unread() {
