Listen to at most four calls to discovery that were given up

Need: each holds a descriptor, and up to 4 MiB of an answer, for 10 s; with a silent discovery five were listened to beside the one that is waited for, and each reload adds one. Idle clients may have filled all but the reserve by then.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,13 +11,14 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use shaletide::{Discovery, ListUpdate};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tracing::{info, warn};
 
 /// Calls a second that a quiet fleet may cost discovery: what it handles in the time of a few whole lists.
@@ -39,6 +40,8 @@
 const BACKOFF: Duration = Duration::from_millis(50);
 /// A call that was given up is listened to for so long: what discovery writes to it counts as told all the same.
 const OVERDUE: Duration = Duration::from_secs(10);
+/// ... and so many at once, of which the oldest makes way: each holds a descriptor, and maybe half a list.
+const LISTENED: usize = 4;
 /// A list may be longer than a request's body, but not without bound.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -135,12 +138,21 @@
     latest: Cell<u64>,
     /// A call that was given up has answered with news.
     late: Notify,
+    listened: RefCell<VecDeque<AbortHandle>>,
 }
 
 impl Known {
     fn new(host: Rc<Host>, index: u64) -> Known {
         let (taken, era, latest) = Default::default();
-        Known { host, index: Cell::new(index), taken, era, latest, late: Notify::new() }
+        Known {
+            host,
+            index: Cell::new(index),
+            taken,
+            era,
+            latest,
+            late: Notify::new(),
+            listened: RefCell::default(),
+        }
     }
 
     /// A call that begins now: for the whole list where that has to be, or where none of this era is held.
@@ -188,6 +200,12 @@
 
     /// Listens on for the answer to a call that was given up, and takes it if it is news.
     fn listen(self: &Rc<Self>, asked: Asked, call: JoinHandle<Fetched>) {
+        let mut listened = self.listened.borrow_mut();
+        listened.retain(|call| !call.is_finished());
+        listened.push_back(call.abort_handle());
+        if listened.len() > LISTENED {
+            listened.pop_front().into_iter().for_each(|oldest| oldest.abort());
+        }
         let known = self.clone();
         tokio::task::spawn_local(known.hear(asked, call));
     }
