Send nothing new to a backend whose line of the list makes no sense

Need: among changes such a line was skipped and the backend went on getting requests, whatever its new status meant; a whole list in a form that nobody knows took every backend out at once; and two lines on one backend with different start times made it start over with each list, warm in the middle of its slow start.

Change: a known backend whose line cannot be read drains until a good line comes, in a whole list as among changes; a whole list none of whose lines can be read is a failed call; of several lines the last goes to the module alone.

Held already: a new address (nothing goes over the connection to the old one), a new start time.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -53,6 +53,8 @@
     Json(serde_json::Error),
     /// Only changes, to a call for the whole list.
     Part,
+    /// A list of entries none of which makes sense.
+    Garbled,
     Ended,
     Silent,
 }
@@ -65,6 +67,7 @@
             WatchError::Status(code) => write!(f, "answered {code}"),
             WatchError::Json(e) => write!(f, "answer not understood: {e}"),
             WatchError::Part => write!(f, "changes in answer to a call for the whole list"),
+            WatchError::Garbled => write!(f, "no entry of the whole list makes sense"),
             WatchError::Ended => write!(f, "connection ended"),
             WatchError::Silent => write!(f, "silent"),
         }
@@ -345,7 +348,11 @@
     if status != 200 {
         return Err(WatchError::Status(status));
     }
-    serde_json::from_slice(&body).map_err(WatchError::Json)
+    let list: List = serde_json::from_slice(&body).map_err(WatchError::Json)?;
+    if list.garbled() {
+        return Err(WatchError::Garbled);
+    }
+    Ok(list)
 }
 
 fn boxed(e: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> WatchError {
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -1,6 +1,6 @@
 //! The backends as the list, operators and earlier processes name them.
 
-use super::super::list::List;
+use super::super::list::{Endpoint, Line, List};
 use super::super::snapshot::Saved;
 use super::state::{Known, State, Why};
 use super::Host;
@@ -29,11 +29,39 @@
     pub open: u32,
 }
 
+impl State {
+    /// Takes a line of the list.
+    fn listed(&mut self, line: Endpoint) -> Backend {
+        let next = BackendId(self.backends.len() as u32);
+        let id = *self.numbers.entry(line.name.clone()).or_insert(next);
+        let entry = self.names.entry(&line.row, id);
+        match self.backends.get_mut(id.0 as usize) {
+            Some(b) => (b.address, b.entry) = (line.address, Some(entry.clone())),
+            None => {
+                // The module's lines speak of numbers.
+                info!("backend {} is {} at {}", id.0, line.name, line.address);
+                let (name, address, reasons) = (line.name, line.address, BTreeSet::new());
+                self.backends.push(Known { name, address, entry: Some(entry.clone()), reasons });
+            }
+        }
+        entry
+    }
+
+    /// Takes one that does not make sense, where its backend is known.
+    fn unclear(&mut self, name: &str) -> Option<Backend> {
+        let id = self.numbers.get(name)?;
+        let entry = self.backends.get_mut(id.0 as usize)?.entry.as_mut()?;
+        entry.state = BackendState::Draining;
+        Some(entry.clone())
+    }
+}
+
 impl Host {
-    /// News of the list.
+    /// News of the list. Of several lines on one backend the last counts. One that is known and whose line does not
+    /// make sense gets nothing new: whatever the line means, it does not say that the backend serves.
     pub fn members(self: &Rc<Self>, update: ListUpdate, list: &List) {
-        let entries = list.entries();
-        let mut backends = Vec::with_capacity(entries.len());
+        let lines = list.lines();
+        let mut backends = BTreeMap::new();
         {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
@@ -41,26 +69,21 @@
                 let entries = s.backends.iter_mut().filter_map(|b| b.entry.as_mut());
                 entries.for_each(|e| e.state = BackendState::Gone);
             }
-            for e in entries {
-                let next = BackendId(s.backends.len() as u32);
-                let id = *s.numbers.entry(e.name.clone()).or_insert(next);
-                let entry = s.names.entry(&e.row, id);
-                backends.push(entry.clone());
-                match s.backends.get_mut(id.0 as usize) {
-                    Some(b) => (b.address, b.entry) = (e.address, Some(entry)),
-                    None => {
-                        // The module's lines speak of numbers.
-                        info!("backend {} is {} at {}", id.0, e.name, e.address);
-                        let (name, address, entry) = (e.name, e.address, Some(entry));
-                        s.backends.push(Known { name, address, entry, reasons: BTreeSet::new() });
+            for line in lines {
+                let entry = match line {
+                    Line::Entry(e) => Some(s.listed(e)),
+                    Line::Unclear(name) => s.unclear(&name),
+                };
+                if let Some(entry) = entry {
+                    if update != ListUpdate::Cached {
+                        debug!("backend {} is {:?}", entry.id.0, entry.state);
                     }
-                }
-                if update != ListUpdate::Cached {
-                    debug!("backend {} is {:?} at {}", id.0, e.state, e.address);
+                    backends.insert(entry.id, entry);
                 }
             }
             self.shut(s);
         }
+        let backends = backends.into_values().collect();
         self.tell(Event::Members { update, backends });
         if matches!(update, ListUpdate::Full | ListUpdate::Changes) {
             self.listed.send_replace(true);
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -19,7 +19,6 @@
 pub struct Endpoint {
     pub name: String,
     pub address: SocketAddr,
-    pub state: BackendState,
     pub row: Row,
 }
 
@@ -52,26 +51,41 @@
         let entry = Backend { cell: CellId(e.group), state, booted, ..Backend::default() };
         // The name is the same at every proxy; the address may not be.
         let row = Row::new(&e.name, &e.address, &e.zone, &e.kind, entry);
-        Ok(Endpoint { name: e.name, address, state, row })
+        Ok(Endpoint { name: e.name, address, row })
     }
 }
 
+/// A line of the list.
+pub enum Line {
+    Entry(Endpoint),
+    /// It speaks of the backend of that name, and more of it does not make sense.
+    Unclear(String),
+}
+
 impl List {
-    /// The entries that make sense. Of the others one is logged, with their number: a list may be long.
-    pub fn entries(&self) -> Vec<Endpoint> {
-        let (mut skipped, mut sample) = (0, None);
-        let read = |value: &Value| {
-            let got = Endpoint::read(value);
-            got.map_err(|e| {
-                skipped += 1;
+    /// The lines that say at least which backend they are of. Of those that do not make sense one is logged, with
+    /// their number: a list may be long.
+    pub fn lines(&self) -> Vec<Line> {
+        let (mut unclear, mut sample) = (0, None);
+        let read = |value: &Value| match Endpoint::read(value) {
+            Ok(entry) => Some(Line::Entry(entry)),
+            Err(e) => {
+                unclear += 1;
                 sample.get_or_insert_with(|| format!("{e}: {value:.200}"));
-            })
-            .ok()
+                value.get("name").and_then(Value::as_str).map(|name| Line::Unclear(name.into()))
+            }
         };
-        let entries = self.endpoints.iter().filter_map(read).collect();
+        let lines = self.endpoints.iter().filter_map(read).collect();
         if let Some(sample) = sample {
-            warn!("{skipped} discovery entries skipped, the first: {sample:.400}");
+            warn!("{unclear} discovery entries not understood, the first: {sample:.400}");
         }
-        entries
+        lines
+    }
+
+    /// A whole list none of whose entries makes sense is no list, rather than all backends gone at once.
+    pub fn garbled(&self) -> bool {
+        self.snapshot
+            && !self.endpoints.is_empty()
+            && !self.endpoints.iter().any(|e| Endpoint::read(e).is_ok())
     }
 }
--- a/tests/discovery_order.rs
+++ b/tests/discovery_order.rs
@@ -271,3 +271,32 @@
         case.only_new();
     });
 }
+
+/// A whole list none of whose entries makes sense is no list: what is known stays in use.
+#[test]
+fn a_list_that_makes_no_sense_takes_nothing_out_of_use() {
+    in_each_mode(|case| {
+        case.begin(5);
+        let lame = [entry("b0", case.old.address, "LAME"), entry("b1", case.new.address, "LAME")];
+        goes_on(&case.proxy.discovery, 5).send((200, list(9, true, &lame))).unwrap();
+        let next = goes_on(&case.proxy.discovery, 5);
+        assert_eq!(case.proxy.logged("discovery failed: no entry"), 1);
+        (0..4).for_each(|_| assert_eq!(case.proxy.ask(&pay(3.0)).body, b"old"));
+        next.send((200, list(10, true, &case.after()))).unwrap();
+        let _hold = goes_on(&case.proxy.discovery, 10);
+        case.only_new();
+    });
+}
+
+/// A backend moves to another address while a connection to the one before rests.
+#[test]
+fn a_backend_whose_address_changed_is_reached_there_alone() {
+    in_each_mode(|case| {
+        case.begin(5);
+        let watch = goes_on(&case.proxy.discovery, 5);
+        assert_eq!(case.proxy.ask(&pay(3.0)).body, b"old");
+        watch.send((200, list(6, false, &[entry("b0", case.new.address, "SERVING")]))).unwrap();
+        let _hold = goes_on(&case.proxy.discovery, 6);
+        case.only_new();
+    });
+}
