--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,13 +11,14 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use shaletide::{Discovery, ListUpdate};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tracing::{info, warn};
 
 /// Calls a second that a quiet fleet may cost discovery: what it handles in the time of a few whole lists.
@@ -39,6 +40,8 @@
 const BACKOFF: Duration = Duration::from_millis(50);
 /// A call that was given up is listened to for so long: what discovery writes to it counts as told all the same.
 const OVERDUE: Duration = Duration::from_secs(10);
+/// ... and so many at once, of which the oldest makes way: each holds a descriptor, and maybe half a list.
+const LISTENED: usize = 4;
 /// A list may be longer than a request's body, but not without bound.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -50,6 +53,8 @@
     Json(serde_json::Error),
     /// Only changes, to a call for the whole list.
     Part,
+    /// A list of entries none of which makes sense.
+    Garbled,
     Ended,
     Silent,
 }
@@ -62,6 +67,7 @@
             WatchError::Status(code) => write!(f, "answered {code}"),
             WatchError::Json(e) => write!(f, "answer not understood: {e}"),
             WatchError::Part => write!(f, "changes in answer to a call for the whole list"),
+            WatchError::Garbled => write!(f, "no entry of the whole list makes sense"),
             WatchError::Ended => write!(f, "connection ended"),
             WatchError::Silent => write!(f, "silent"),
         }
@@ -135,12 +141,21 @@
     latest: Cell<u64>,
     /// A call that was given up has answered with news.
     late: Notify,
+    listened: RefCell<VecDeque<AbortHandle>>,
 }
 
 impl Known {
     fn new(host: Rc<Host>, index: u64) -> Known {
         let (taken, era, latest) = Default::default();
-        Known { host, index: Cell::new(index), taken, era, latest, late: Notify::new() }
+        Known {
+            host,
+            index: Cell::new(index),
+            taken,
+            era,
+            latest,
+            late: Notify::new(),
+            listened: RefCell::default(),
+        }
     }
 
     /// A call that begins now: for the whole list where that has to be, or where none of this era is held.
@@ -188,6 +203,12 @@
 
     /// Listens on for the answer to a call that was given up, and takes it if it is news.
     fn listen(self: &Rc<Self>, asked: Asked, call: JoinHandle<Fetched>) {
+        let mut listened = self.listened.borrow_mut();
+        listened.retain(|call| !call.is_finished());
+        listened.push_back(call.abort_handle());
+        if listened.len() > LISTENED {
+            listened.pop_front().into_iter().for_each(|oldest| oldest.abort());
+        }
         let known = self.clone();
         tokio::task::spawn_local(known.hear(asked, call));
     }
@@ -327,7 +348,11 @@
     if status != 200 {
         return Err(WatchError::Status(status));
     }
-    serde_json::from_slice(&body).map_err(WatchError::Json)
+    let list: List = serde_json::from_slice(&body).map_err(WatchError::Json)?;
+    if list.garbled() {
+        return Err(WatchError::Garbled);
+    }
+    Ok(list)
 }
 
 fn boxed(e: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> WatchError {
