Play discovery cut off from new connections, and two moves in a row

Need: a machine that is cut off lets no connection come up and leaves the open ones silent, which refused and silent calls do not show together; and the first of two new addresses may answer after the second one.

Change: tests only. A full accept queue drops what comes, as a cut does; three outages asked for and two pushed.

--- a/tests/discovery_order.rs
+++ b/tests/discovery_order.rs
@@ -68,9 +68,13 @@
 
     /// SIGHUP to another address.
     fn moved(&self) -> DiscoveryServer {
+        self.moved_from(&self.proxy.discovery)
+    }
+
+    fn moved_from(&self, before: &DiscoveryServer) -> DiscoveryServer {
         let moved = DiscoveryServer::start();
         let text = std::fs::read_to_string(&self.proxy.config).unwrap();
-        let text = text.replace(&self.proxy.discovery.address.to_string(), &moved.address.to_string());
+        let text = text.replace(&before.address.to_string(), &moved.address.to_string());
         std::fs::write(&self.proxy.config, text).unwrap();
         self.proxy.signal("-HUP");
         moved
@@ -189,6 +193,27 @@
     });
 }
 
+/// Two moves in a row: the first new address answers after the second one's list.
+#[test]
+fn of_two_moves_in_a_row_the_last_address_is_believed() {
+    in_each_mode(|case| {
+        case.begin(5);
+        let _watch = case.given_up(5);
+        let first = case.moved();
+        let (_, late) = first.call();
+        let second = case.moved_from(&first);
+        let (target, whole) = second.call();
+        assert_eq!(target, "GET /api/targets HTTP/1.1");
+        whole.send((200, list(3, true, &case.after()))).unwrap();
+        let next = goes_on(&second, 3);
+        late.send((200, list(70, true, &case.before()))).unwrap();
+        case.only_new();
+        next.send((200, list(4, false, &[]))).unwrap();
+        let _hold = goes_on(&second, 4);
+        case.only_new();
+    });
+}
+
 /// What an outage grew the module's pause to is not waited for at a new address.
 #[test]
 fn a_move_in_an_outage_is_heard_in_time_though_the_first_call_there_fails() {
--- a/tests/outages.rs
+++ b/tests/outages.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Fault {
     Refused,
+    /// Connections never come up; what was open is silent.
+    Unreachable,
     Unavailable,
     Reset,
     /// Connections come up, and nothing is ever said on them, also after its return.
@@ -84,15 +86,15 @@
     }
 
     fn accept(self, socket: socket2::Socket) {
-        let (mut waiting, mut listener) = (Some(socket), None::<TcpListener>);
+        let (mut listener, mut away) = (Some(TcpListener::from(socket)), None::<Away>);
         loop {
-            if self.world.0.lock().unwrap().fault == Some(Refused) {
+            let fault = self.world.0.lock().unwrap().fault;
+            if fault == Some(Refused) || fault == Some(Unreachable) {
                 if listener.take().is_some() {
-                    waiting = Some(bound(self.address)); // nobody else gets the port
+                    away = Some(Away::at(self.address, fault == Some(Unreachable)));
                 }
-            } else if let Some(socket) = waiting.take() {
-                socket.listen(128).unwrap();
-                listener = Some(socket.into());
+            } else if let Some(away) = away.take() {
+                listener = Some(away.back());
             }
             match listener.as_ref().map(|l| l.accept()) {
                 Some(Ok((tcp, _))) => {
@@ -125,7 +127,7 @@
                     let _ = socket2::SockRef::from(&tcp).set_linger(Some(Duration::ZERO));
                     false
                 }
-                Err(Silent) => hang(&mut tcp),
+                Err(Silent | Unreachable) => hang(&mut tcp),
                 Err(Half) => {
                     let _ =
                         tcp.write_all(b"HTTP/1.1 200 X\r\nContent-Length: 900\r\n\r\n{\"index\":9,\"snap");
@@ -157,6 +159,30 @@
     }
 }
 
+/// The port while nobody answers there, so that nobody else gets it.
+struct Away(socket2::Socket, Vec<TcpStream>);
+
+impl Away {
+    /// Refusing connections, or letting none come up: a full queue drops what comes.
+    fn at(address: SocketAddr, full: bool) -> Away {
+        let (socket, mut queue) = (bound(address), Vec::new());
+        if full {
+            socket.listen(0).unwrap();
+            let more = || TcpStream::connect_timeout(&address, Duration::from_millis(50)).ok();
+            queue.extend(std::iter::from_fn(more).take(8));
+            assert!(queue.len() < 8, "the queue never fills");
+        }
+        Away(socket, queue)
+    }
+
+    fn back(self) -> TcpListener {
+        self.0.listen(128).unwrap();
+        let listener = TcpListener::from(self.0);
+        self.1.iter().for_each(|_| drop(listener.accept()));
+        listener
+    }
+}
+
 fn bound(at: SocketAddr) -> socket2::Socket {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.set_reuse_address(true).unwrap();
@@ -307,7 +333,7 @@
 /// One proxy of 300, whose settings let it go without asking for ten minutes: neither counts.
 #[test]
 fn lists_that_are_asked_for_are_known_within_six_seconds_of_the_return() {
-    let faults = [Refused, Unavailable, Reset, Silent, Half];
+    let faults = [Refused, Unreachable, Unavailable, Reset, Silent, Half];
     let lengths = [0.5, 7.0, 13.0];
     let cases = faults.iter().flat_map(|f| lengths.iter().map(|l| case(*f, *l, "subscribe", 300, 6.0)));
     let more = [Endless, Giant, Garbage].iter().map(|f| case(*f, 5.0, "subscribe", 300, 6.0));
@@ -322,5 +348,8 @@
     let quick = [Refused, Unavailable, Reset, Garbage];
     let quick = quick.iter().flat_map(|f| [0.5, 4.0].iter().map(|l| case(*f, *l, "automatic", 300, 1.0)));
     let slow = [Silent, Half, Endless].iter().map(|f| case(*f, 4.0, "automatic", 300, 6.0));
-    play_all(quick.chain(slow).collect());
+    // Until the open watch is taken for broken no new connection is tried; from then on one each 0.35 s.
+    let cut_off =
+        [case(Unreachable, 0.5, "automatic", 300, 6.0), case(Unreachable, 8.0, "automatic", 300, 1.5)];
+    play_all(quick.chain(slow).chain(cut_off).collect());
 }
