Count a cold backend's budget by what its kind carries, not by what is asked of it

Need: cold backends fall under the sum of all proxies beyond N + 2 x root of N + 2. Change: the budget's speed was 1/T + the rate that comes, at most 2/T. In a sudden flood the rate that comes is far beyond what is served, T is still that of before, and the sum ended at 2/T: twice the speed of one core. Now 1/T + the rate carried.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -827,19 +827,28 @@
         if warmth >= 1.0 {
             return f64::MAX;
         }
-        let proxies = f64::from(self.cfg.proxies);
-        let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
-        // Against few ready backends the speed formula overshoots; twice the bare 1/T is sure, and so is what
-        // the others of its kind carry.
-        let carried = |k: &Kind| k.served.per_s().unwrap_or(0.0) * proxies;
-        let sure = |k: &Kind| k.latency.get().map(|t| k.speed.min(2.0 / t).max(carried(k)));
-        let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or(fair);
+        let speed = self.sure(p.entry.kind);
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
         let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs();
         let before = if now < self.beside.2 { self.beside.1 } else { 1 };
         all * FALL_MARGIN * p.due / f64::from(self.beside.0.max(before)) - spent
     }
 
+    /// Requests of mean work a second that a warm backend of the kind surely serves. As the speed in `solve`,
+    /// but by what is carried there: in a flood what is asked of it is more than it can do.
+    fn sure(&self, kind: KindId) -> f64 {
+        let proxies = f64::from(self.cfg.proxies);
+        let known = |k: &Kind| {
+            let carried = k.served.per_s().unwrap_or(0.0) * proxies;
+            let t = k.latency.get();
+            // Against few ready backends the sum overshoots; twice the bare 1/T is sure.
+            t.map(|t| (1.0 / t + carried).min(2.0 / t).max(carried))
+        };
+        self.kinds.get(&kind).and_then(known).unwrap_or_else(|| {
+            self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64 // nothing answered yet
+        })
+    }
+
     fn may_send(&self, now: Time, r: &Request) -> bool {
         let safe = |s: &Sent| match self.cfg.classes[r.class].effect {
             Effect::Free => true,
