Do not take a flood for a backend's speed before anything has answered

A process that had no answer of a kind yet took its even part of all that comes for the speed of one backend: in a flood of four times what all can do, four times the budget. Now the slowest kind that did answer, or one core at a quarter of the shortest aim, and never more than the even part. The test fails without it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -845,7 +845,11 @@
             t.map(|t| (1.0 / t + carried).min(2.0 / t).max(carried))
         };
         self.kinds.get(&kind).and_then(known).unwrap_or_else(|| {
-            self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64 // nothing answered yet
+            // Nothing answered: as the slowest that did, or else one core at what is taken for usual.
+            let slowest = self.kinds.values().filter_map(known).reduce(f64::min);
+            let least = self.live().map(|(n, _)| self.usual(n)).min().unwrap_or_default();
+            let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
+            fair.min(slowest.unwrap_or(1.0 / least.secs()))
         })
     }
 
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -431,6 +431,18 @@
     hold(300, 6, |fleet| fleet.play(5 * SECOND));
 }
 
+/// They know neither speeds nor what was sent, and more is asked of them than all can do.
+#[test]
+fn processes_that_know_nothing_do_not_take_a_flood_for_speed() {
+    for proxies in [1, 3, 20, 30] {
+        flood(proxies, |fleet| {
+            fleet.play(SECOND / 2);
+            fleet.roll(SECOND / 10, Start::Blank);
+            fleet.play(5 * SECOND);
+        });
+    }
+}
+
 /// The budgets bound a flood and hold nothing back from a backend that could do more.
 #[test]
 fn a_restarted_backend_gets_its_fair_load_by_the_end_of_its_ramp() {
