Correct 1/T for the few samples that a proxy of a large fleet has of a kind

One over a mean of n samples lies above 1/T by one in n where answers scatter as much as they take, at every proxy the same way, so the sum over proxies does not even it out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -840,7 +840,8 @@
         let proxies = f64::from(self.cfg.proxies);
         let known = |k: &Kind| {
             let carried = k.served.per_s().unwrap_or(0.0) * proxies;
-            let t = k.latency.get();
+            // One over a mean of few samples lies above 1/T: by one in their number, scattered as work is.
+            let t = k.latency.get().map(|t| t * (1.0 + 1.0 / k.latency.count));
             // Against few ready backends the sum overshoots; twice the bare 1/T is sure.
             t.map(|t| (1.0 / t + carried).min(2.0 / t).max(carried))
         };
