Let a new process's cold budgets grow over its first window: another's sends still weigh

A process that took over from one that had spent its part of a cold backend's budget spent it anew in the same window, and with all proxies restarted at once the backend got up to 1.5 N. Its part now grows evenly over the first window, as what was sent before falls out of it. The test fails without it. Two processes beside each other held already and keep a test, which fails where Beside is not heeded.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -181,6 +181,8 @@
     /// Processes that are this proxy, and that were until then: what one more had sent still weighs.
     beside: (u32, u32, Time),
     log_at: Time,
+    /// When its first event came.
+    born: Option<Time>,
     actions: Vec<Action>,
 }
 
@@ -214,6 +216,7 @@
             ask: ((cfg.discovery != Discovery::Push).then_some(Time(0)), 0.0),
             beside: (1, 1, Time(0)),
             log_at: Time(0),
+            born: None,
             actions: Vec::new(),
             cfg,
         })
@@ -221,6 +224,7 @@
 
     /// Takes one event that happened at `now` and adds the actions it calls for.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.born.get_or_insert(now);
         if !matches!(event, Event::Request(_) | Event::Timer { .. }) {
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
@@ -831,7 +835,9 @@
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
         let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs();
         let before = if now < self.beside.2 { self.beside.1 } else { 1 };
-        all * FALL_MARGIN * p.due / f64::from(self.beside.0.max(before)) - spent
+        // What a process before this one had sent weighs still, and falls out of the window evenly.
+        let own = self.born.map_or(0.0, |born| (now - born).secs() / self.cfg.fall_window.secs().max(1e-6));
+        all * FALL_MARGIN * p.due * own.min(1.0) / f64::from(self.beside.0.max(before)) - spent
     }
 
     /// Requests of mean work a second that a warm backend of the kind surely serves. As the speed in `solve`,
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -431,6 +431,19 @@
     hold(300, 6, |fleet| fleet.play(5 * SECOND));
 }
 
+/// All proxies end and start again while their backends are cold and the budgets are spent: what the old processes
+/// had sent is unknown to the new ones, and weighs still.
+#[test]
+fn processes_that_start_again_do_not_spend_anew_what_was_spent_before_them() {
+    for proxies in [1, 3, 20, 30, 60] {
+        flood(proxies, |fleet| {
+            fleet.play(3 * SECOND / 2);
+            fleet.roll(SECOND / 10, Start::After);
+            fleet.play(3 * SECOND);
+        });
+    }
+}
+
 /// They know neither speeds nor what was sent, and more is asked of them than all can do.
 #[test]
 fn processes_that_know_nothing_do_not_take_a_flood_for_speed() {
@@ -443,6 +456,17 @@
     }
 }
 
+#[test]
+fn two_processes_of_each_proxy_together_spend_what_one_may() {
+    for proxies in [1, 3, 20, 30] {
+        flood(proxies, |fleet| {
+            fleet.play(3 * SECOND / 2);
+            fleet.roll(SECOND / 10, Start::Beside);
+            fleet.play(7 * SECOND);
+        });
+    }
+}
+
 /// The budgets bound a flood and hold nothing back from a backend that could do more.
 #[test]
 fn a_restarted_backend_gets_its_fair_load_by_the_end_of_its_ramp() {
