Keep what a cold backend was sent while a list leaves it out for a moment

A whole list without the backend dropped it with all that it had been sent in the window; the next list with it, of the same start, gave it the whole budget anew. The test fails without.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -367,7 +367,11 @@
             }
             p.entry = entry;
         }
-        self.peers.retain(|_, p| p.entry.state != BackendState::Gone || p.out > 0);
+        // What a cold one was sent weighs still if it is back within the fall window.
+        let (cfg, window) = (&self.cfg, self.cfg.fall_window);
+        let recent = |p: &Peer| p.spent.last().is_some_and(|s| now - s.0 < window);
+        let kept = |p: &Peer| p.out > 0 || recent(p) && warmth(cfg, now, p) < 1.0;
+        self.peers.retain(|_, p| p.entry.state != BackendState::Gone || kept(p));
         self.order = self.peers.keys().copied().collect();
         self.order.sort_by_key(|id| self.peers[id].entry.mark);
         (self.solve_at, self.look_at) = (now, now);
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -467,6 +467,23 @@
     }
 }
 
+/// A whole list without the backend, and the next one with it again: it is the same start.
+#[test]
+fn a_backend_that_was_off_the_list_for_a_moment_is_not_sent_its_budget_anew() {
+    for proxies in [1, 3, 30] {
+        flood(proxies, |fleet| {
+            fleet.play(3 * SECOND / 2);
+            for process in 0..fleet.processes.len() {
+                let whole = fleet.list(true);
+                let backends = whole.iter().filter(|b| b.booted.is_none()).cloned().collect();
+                fleet.tell(process, Event::Members { update: ListUpdate::Full, backends });
+                fleet.tell(process, Event::Members { update: ListUpdate::Full, backends: whole });
+            }
+            fleet.play(2 * SECOND);
+        });
+    }
+}
+
 /// The budgets bound a flood and hold nothing back from a backend that could do more.
 #[test]
 fn a_restarted_backend_gets_its_fair_load_by_the_end_of_its_ramp() {
