--- a/src/rules.rs
+++ b/src/rules.rs
@@ -180,6 +180,8 @@
     /// Processes that are this proxy, and that were until then: what one more had sent still weighs.
     beside: (u32, u32, Time),
     log_at: Time,
+    /// When its first event came.
+    born: Option<Time>,
     actions: Vec<Action>,
 }
 
@@ -213,6 +215,7 @@
             ask: Ask::new(cfg.discovery != Discovery::Push),
             beside: (1, 1, Time(0)),
             log_at: Time(0),
+            born: None,
             actions: Vec::new(),
             cfg,
         })
@@ -220,6 +223,7 @@
 
     /// Takes one event that happened at `now` and adds the actions it calls for.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.born.get_or_insert(now);
         if !matches!(event, Event::Request(_) | Event::Timer { .. }) {
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
@@ -359,7 +363,11 @@
             }
             p.entry = entry;
         }
-        self.peers.retain(|_, p| p.entry.state != BackendState::Gone || p.out > 0);
+        // What a cold one was sent weighs still if it is back within the fall window.
+        let (cfg, window) = (&self.cfg, self.cfg.fall_window);
+        let recent = |p: &Peer| p.spent.last().is_some_and(|s| now - s.0 < window);
+        let kept = |p: &Peer| p.out > 0 || recent(p) && warmth(cfg, now, p) < 1.0;
+        self.peers.retain(|_, p| p.entry.state != BackendState::Gone || kept(p));
         self.order = self.peers.keys().copied().collect();
         self.order.sort_by_key(|id| self.peers[id].entry.mark);
         (self.solve_at, self.look_at) = (now, now);
@@ -822,17 +830,33 @@
         if warmth >= 1.0 {
             return f64::MAX;
         }
-        let proxies = f64::from(self.cfg.proxies);
-        let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
-        // Against few ready backends the speed formula overshoots; twice the bare 1/T is sure, and so is what
-        // the others of its kind carry.
-        let carried = |k: &Kind| k.served.per_s().unwrap_or(0.0) * proxies;
-        let sure = |k: &Kind| k.latency.get().map(|t| k.speed.min(2.0 / t).max(carried(k)));
-        let speed = self.kinds.get(&p.entry.kind).and_then(sure).unwrap_or(fair);
+        let speed = self.sure(p.entry.kind);
         let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
         let all = self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs();
         let before = if now < self.beside.2 { self.beside.1 } else { 1 };
-        all * FALL_MARGIN * p.due / f64::from(self.beside.0.max(before)) - spent
+        // What a process before this one had sent weighs still, and falls out of the window evenly.
+        let own = self.born.map_or(0.0, |born| (now - born).secs() / self.cfg.fall_window.secs().max(1e-6));
+        all * FALL_MARGIN * p.due * own.min(1.0) / f64::from(self.beside.0.max(before)) - spent
+    }
+
+    /// Requests of mean work a second that a warm backend of the kind surely serves. As the speed in `solve`,
+    /// but by what is carried there: in a flood what is asked of it is more than it can do.
+    fn sure(&self, kind: KindId) -> f64 {
+        let proxies = f64::from(self.cfg.proxies);
+        let known = |k: &Kind| {
+            let carried = k.served.per_s().unwrap_or(0.0) * proxies;
+            // One over a mean of few samples lies above 1/T: by one in their number, scattered as work is.
+            let t = k.latency.get().map(|t| t * (1.0 + 1.0 / k.latency.count));
+            // Against few ready backends the sum overshoots; twice the bare 1/T is sure.
+            t.map(|t| (1.0 / t + carried).min(2.0 / t).max(carried))
+        };
+        self.kinds.get(&kind).and_then(known).unwrap_or_else(|| {
+            // Nothing answered: as the slowest that did, or else one core at what is taken for usual.
+            let slowest = self.kinds.values().filter_map(known).reduce(f64::min);
+            let least = self.live().map(|(n, _)| self.usual(n)).min().unwrap_or_default();
+            let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
+            fair.min(slowest.unwrap_or(1.0 / least.secs()))
+        })
     }
 
     fn may_send(&self, now: Time, r: &Request) -> bool {
