--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,14 +1,17 @@
 //! Attempts: one request to one backend, and the pool of connections that they use.
 
-use super::body::{Flow, Piece, Upload};
+mod answer;
+#[cfg(test)]
+mod tests;
+
+use super::body::{Flow, Upload};
 use super::stream::Stream;
-use super::{span, strip_hop_by_hop, MAX_BODY};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Either, Full};
-use hyper::body::{Body, Incoming};
+use super::{span, MAX_BODY};
+use answer::{cleaned, pass_on, Got, BACKEND_STALL};
+use bytes::Bytes;
+use http_body_util::{Either, Full};
 use hyper::client::conn::http1;
-use hyper::http::response::Parts;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Request, Uri};
 use shaletide::settings::Network;
 use shaletide::{BackendId, Micros, Outcome};
 use std::cell::{Cell, RefCell};
@@ -20,18 +23,12 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Part of the backends' idle limit after which a connection is no longer used: well inside it, as their
 /// clock may have started earlier than ours.
 const IDLE_PART: f64 = 0.6;
-/// An answer of unknown length is held no longer than this before its first bytes go on.
-const HOLD_BACK: Duration = Duration::from_secs(1);
-/// A backend that gives nothing of an answer it began, or takes nothing of a body, for so long is taken for dead.
-const BACKEND_STALL: Duration = Duration::from_secs(10);
-/// A client that takes nothing of its answer for so long is let go; the kernel's buffers hide shorter pauses.
-const CLIENT_STALL: Duration = Duration::from_secs(30);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -355,75 +352,6 @@
     }
 }
 
-/// An answer as far as it is held.
-enum Got {
-    /// With its body, where that came whole and is no longer than what is held.
-    Whole(Outcome, Parts, Option<Bytes>),
-    /// Served and long: its length where known, what came so far, and the rest.
-    Long(Parts, Option<u64>, Bytes, Incoming),
-}
-
-impl Got {
-    async fn read(answer: Response<Incoming>) -> Got {
-        let outcome = judge(&answer);
-        let (head, mut body) = answer.into_parts();
-        let length = body.size_hint().exact();
-        if outcome == Outcome::Ok && length.is_some_and(|n| n > MAX_BODY as u64) {
-            return Got::Long(head, length, Bytes::new(), body);
-        }
-        let mut held = BytesMut::new();
-        let mut patience = pin!(tokio::time::sleep(HOLD_BACK));
-        loop {
-            let frame = tokio::select! {
-                biased;
-                frame = body.frame() => frame,
-                () = patience.as_mut(), if outcome == Outcome::Ok && length.is_none() && !held.is_empty() => {
-                    return Got::Long(head, None, held.freeze(), body);
-                }
-            };
-            match frame {
-                None => return Got::Whole(outcome, head, Some(held.freeze())),
-                Some(Err(_)) => return Got::Whole(outcome, head, None),
-                Some(Ok(frame)) => held.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
-            }
-            if held.len() > MAX_BODY {
-                return match outcome {
-                    Outcome::Ok => Got::Long(head, None, held.freeze(), body),
-                    _ => Got::Whole(outcome, head, None),
-                };
-            }
-        }
-    }
-}
-
-/// Passes a long answer on, a piece at a time, for as long as the backend gives and the client takes.
-async fn pass_on(held: Bytes, mut body: Incoming, pieces: mpsc::Sender<Piece>) -> Outcome {
-    let mut next = held;
-    loop {
-        if !next.is_empty() {
-            let taken = tokio::time::timeout(CLIENT_STALL, pieces.send(Piece::Data(next))).await;
-            if !matches!(taken, Ok(Ok(()))) {
-                return Outcome::Cancelled;
-            }
-        }
-        next = match tokio::time::timeout(BACKEND_STALL, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Ok(None) => {
-                let _ = pieces.send(Piece::End).await; // a client that knows the length may have gone on
-                return Outcome::Ok;
-            }
-            Ok(Some(Err(_))) => return Outcome::Reset,
-            Err(_) => return Outcome::TimedOut,
-        };
-    }
-}
-
-fn cleaned(headers: &mut HeaderMap) -> HeaderMap {
-    strip_hop_by_hop(headers);
-    headers.remove("x-backend-load");
-    std::mem::take(headers)
-}
-
 /// Runs `work` to its end and drives its connection for as long as that lasts; whether it still does. Unlike
 /// in `driven`, what a connection brought before its end may take `work` long to pass on.
 async fn pumped<T>(
@@ -443,16 +371,6 @@
     .await
 }
 
-/// What an answer says. Whatever the protocol does not list may have run.
-fn judge(answer: &Response<Incoming>) -> Outcome {
-    let unprocessed = answer.headers().get("x-unprocessed").is_some_and(|v| v == "1");
-    match answer.status() {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Full,
-        _ => Outcome::Error,
-    }
-}
-
 /// Runs `work` to its end while driving the connection that it is on. `None`: the connection ended first.
 /// hyper does not tell `work` of that end by itself as long as the connection's future is kept: a wait for
 /// the sender to be ready again would last for ever after an answer with which the backend closed.
@@ -482,6 +400,3 @@
 }
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
-
-#[cfg(test)]
-mod tests;
