Let a connection rest 10 ms after an answer, and count its idle time from the backend's side

Need: a second answer that a broken backend sends some ms late was read as the next request's when that had gone out already: the client got an answer that nobody made for it. And a long answer that its client took slowly, or a connection handed back unused, set the idle clock anew though the backend had been idle since long before. Change: a connection is used again 10 ms after its last answer was read (the one that rested, or the one that has soonest) and is looked at again then. Its idle time counts from a long answer's beginning, and an unused one keeps its own. hyper's first turn on a new connection is made before the last look at what may be sent, not after it. Extra bytes behind an answer or on a resting connection, interim answers, resets of answers without a length and answers that never end held already; a scripted backend in the rig forces each.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -29,6 +29,9 @@
 /// Part of the backends' idle limit after which a connection is no longer used: well inside it, as their
 /// clock may have started earlier than ours.
 const IDLE_PART: f64 = 0.6;
+/// So long a connection rests after an answer before the next request goes out on it: what a broken backend sends
+/// late, such as a second answer, shows until then, and is not taken for the next one's.
+const REST: Duration = Duration::from_millis(10);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -110,10 +113,25 @@
     conn: http1::Connection<Stream, Outgoing>,
     stream: Stream,
     to: SocketAddr,
+    /// Since when the backend may count it as idle.
     since: Instant,
+    /// When its last answer had been read.
+    answered: Instant,
     _slot: Slot,
 }
 
+impl Conn {
+    /// hyper takes a request only after a first turn of its own. It has that here, so that nothing comes between
+    /// the last look at what may be sent and the first byte.
+    async fn open(stream: Stream, to: SocketAddr, slot: Slot) -> Option<Conn> {
+        let shaken = http1::Builder::new().max_buf_size(2 * MAX_BODY).handshake(stream.clone()).await;
+        let (mut sender, mut conn) = shaken.ok()?;
+        driven(&mut conn, sender.ready()).await?.ok()?;
+        let now = Instant::now();
+        Some(Conn { sender, conn, stream, to, since: now, answered: now, _slot: slot })
+    }
+}
+
 /// Counts an open (or opening) connection.
 struct Slot(Rc<Cell<usize>>);
 
@@ -169,23 +187,34 @@
         c.since.elapsed() < self.keep.get() && !c.sender.is_closed() && !c.stream.stirred()
     }
 
-    /// A warm connection, checked at this moment.
-    fn take(&self, id: BackendId, to: SocketAddr) -> Option<Conn> {
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&id)?;
-        while let Some(c) = list.pop() {
-            if c.to == to && self.usable(&c) {
+    /// A warm connection that has rested, checked at this moment.
+    async fn take(&self, id: BackendId, to: SocketAddr) -> Option<Conn> {
+        loop {
+            let c = self.pick(id)?;
+            if c.to != to {
+                continue; // its backend has another address now
+            }
+            if c.answered.elapsed() < REST {
+                tokio::time::sleep_until(c.answered + REST).await;
+            }
+            if self.usable(&c) {
                 return Some(c);
             }
         }
-        None
     }
 
-    fn put(&self, id: BackendId, mut c: Conn) {
+    /// The one used last of those that have rested, or the one that has soonest.
+    fn pick(&self, id: BackendId) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&id).filter(|list| !list.is_empty())?;
+        let rested = list.iter().rposition(|c| c.answered.elapsed() >= REST);
+        Some(list.remove(rested.unwrap_or(0)))
+    }
+
+    fn put(&self, id: BackendId, c: Conn) {
         if self.shut.borrow().contains(&id) {
             return;
         }
-        c.since = Instant::now();
         c.stream.mark_idle();
         self.idle.borrow_mut().entry(id).or_default().push(c);
     }
@@ -234,15 +263,13 @@
         let slot = Slot(self.open.clone());
         self.opened.set(self.opened.get() + 1);
         let dial = tokio::time::timeout(self.connect_timeout.get(), TcpStream::connect(to)).await;
-        let stream = match dial {
-            Ok(Ok(tcp)) => Stream::new(tcp),
+        let tcp = match dial {
+            Ok(Ok(tcp)) => tcp,
             // Out of descriptors: that is this proxy's own trouble, and no sign of the backend's.
             Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NeverSent),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
-        let shaken = http1::Builder::new().max_buf_size(2 * MAX_BODY).handshake(stream.clone()).await;
-        let (sender, conn) = shaken.map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Conn { sender, conn, stream, to, since: Instant::now(), _slot: slot })
+        Conn::open(Stream::new(tcp), to, slot).await.ok_or(Outcome::ConnectFailed)
     }
 
     /// Sends `call` to a backend and waits for the answer.
@@ -250,7 +277,7 @@
         &self, id: BackendId, to: SocketAddr, call: &Call, deadline: Instant,
         progress: &Rc<impl Progress + 'static>,
     ) -> Ended {
-        let mut c = match self.take(id, to) {
+        let mut c = match self.take(id, to).await {
             Some(c) => c,
             None => match self.connect(to).await {
                 Ok(c) => c,
@@ -303,7 +330,7 @@
         match exchanged {
             Some(Ok(Got::Whole(outcome, mut head, body))) => {
                 self.heard.borrow_mut().insert(id, Instant::now());
-                self.put_if_ready(id, c, body.is_some());
+                self.put_if_ready(id, c, body.is_some(), Instant::now());
                 match (outcome, body) {
                     (Outcome::Ok, Some(body)) => {
                         let body = Content::Whole(body);
@@ -319,8 +346,10 @@
                 let (pieces, flow) = Flow::new(length);
                 let headers = cleaned(&mut head.headers);
                 progress.streams(Served { headers, body: Content::Flow(flow) });
+                // It may have given all long before the client has taken it, and be idle from then on.
+                let begun = Instant::now();
                 let (outcome, open) = pumped(&mut c.conn, pass_on(held, body, pieces)).await;
-                self.put_if_ready(id, c, open && outcome == Outcome::Ok);
+                self.put_if_ready(id, c, open && outcome == Outcome::Ok, begun);
                 (outcome, None)
             }
             // The client's body broke off, or the backend's connection before it was all written: the backend
@@ -337,9 +366,9 @@
         }
     }
 
-    /// Keeps a connection whose answer was read to its end. One look: an answer does not wait for a connection
+    /// Keeps a connection whose answer was read to its end, idle `since` then. One look: an answer does not wait for a connection
     /// that is not ready for more.
-    fn put_if_ready(&self, id: BackendId, mut c: Conn, whole: bool) {
+    fn put_if_ready(&self, id: BackendId, mut c: Conn, whole: bool, since: Instant) {
         let mut cx = Context::from_waker(Waker::noop());
         let Conn { sender, conn, .. } = &mut c;
         let ready = whole && {
@@ -347,6 +376,7 @@
             matches!(next.poll(&mut cx), Poll::Ready(Some(Ok(()))))
         };
         if ready {
+            (c.since, c.answered) = (since, Instant::now());
             self.put(id, c);
         }
     }
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,203 @@
+//! Answers that are not what they should be: each is told from a good one, and none reaches the request that comes next
+//! on its connection.
+
+mod rig;
+
+use rig::scripted::*;
+use rig::*;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+fn one(backend: &Scripted) -> Proxy {
+    Proxy::start(&[entry("b0", backend.address, "SERVING")])
+}
+
+/// More came than one answer: the first is the client's, and the connection is not used again.
+#[test]
+fn what_comes_behind_an_answer_is_never_the_next_ones() {
+    let second = answer("another");
+    for more in [&second[..], "HTTP/1.1 2", "x", "\r\n"] {
+        let backend = Scripted::start();
+        let proxy = one(&backend);
+        let mut client = proxy.client();
+        client.send(&pay(3.0));
+        let mut wire = backend.accept();
+        wire.request();
+        wire.send(answer("first") + more);
+        assert_eq!(client.answer().expect("an answer").body, b"first", "{more:?}");
+        client.send(&pay(3.0));
+        let mut next = backend.accept();
+        next.request();
+        next.answer("second");
+        assert_eq!(client.answer().expect("an answer").body, b"second", "{more:?}");
+        assert_eq!(wire.rest(), b"", "{more:?}");
+    }
+}
+
+/// The same where it comes once the connection rests.
+#[test]
+fn what_comes_between_two_requests_is_never_the_next_ones() {
+    let second = answer("another");
+    for more in [&second[..], "HTTP/1.1 2", "x"] {
+        let backend = Scripted::start();
+        let proxy = one(&backend);
+        let mut client = proxy.client();
+        client.send(&pay(3.0));
+        let mut wire = backend.accept();
+        wire.request();
+        wire.answer("first");
+        assert_eq!(client.answer().expect("an answer").body, b"first");
+        wire.send(more);
+        client.send(&pay(3.0));
+        let mut next = backend.accept();
+        next.request();
+        next.answer("second");
+        assert_eq!(client.answer().expect("an answer").body, b"second", "{more:?}");
+        assert_eq!(wire.rest(), b"", "{more:?}");
+    }
+}
+
+/// A late second answer would be taken for the next request's if that were on its way already: a connection rests before
+/// it is used again, however fast requests follow each other.
+#[test]
+fn a_connection_rests_between_an_answer_and_the_next_request() {
+    let backend = Scripted::start();
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    client.send(&pay(3.0));
+    let mut wire = backend.accept();
+    for _ in 0..10 {
+        wire.request();
+        let answered = Instant::now();
+        wire.answer("x");
+        assert_eq!(client.answer().expect("an answer").body, b"x");
+        client.send(&pay(3.0));
+        wire.0.get_ref().peek(&mut [0]).expect("the next request");
+        assert!(answered.elapsed() >= Duration::from_millis(10), "{:?}", answered.elapsed());
+    }
+    wire.request();
+    wire.answer("x");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+}
+
+/// A body without a length that is cut off by a reset is not whole, however much of it came and whatever the client
+/// knows of framing. Ended in order it is.
+#[test]
+fn a_reset_is_no_end_of_an_answer_without_a_length() {
+    let (small, large) = ("z".repeat(3_000), "z".repeat(300_000));
+    for (old, body, reset) in [
+        (false, &small, true),
+        (true, &small, true),
+        (false, &large, true),
+        (true, &large, true),
+        (true, &small, false),
+        (false, &large, false),
+    ] {
+        let backend = Scripted::start();
+        let proxy = one(&backend);
+        let mut client = proxy.client();
+        client.send(&pay(3.0).replace("HTTP/1.1", if old { "HTTP/1.0" } else { "HTTP/1.1" }));
+        let mut wire = backend.accept();
+        wire.request();
+        let (text, long) = (body.clone(), body.len() > 65_536);
+        let (sent, all_sent) = std::sync::mpsc::channel();
+        let (go, wait) = std::sync::mpsc::channel::<()>();
+        let sending = std::thread::spawn(move || {
+            wire.send("HTTP/1.1 200 OK\r\n\r\n");
+            wire.send(&text);
+            sent.send(()).unwrap();
+            wait.recv().unwrap();
+            if reset {
+                wire.reset();
+            }
+        });
+        let mut got = Vec::new();
+        if long {
+            got = vec![0; 70_000]; // it streams: nothing takes these bytes back
+            client.0.read_exact(&mut got).unwrap();
+        }
+        all_sent.recv_timeout(PATIENCE).expect("the backend's buffers hold it");
+        go.send(()).unwrap();
+        sending.join().unwrap();
+        let plain_end = client.0.read_to_end(&mut got).is_ok();
+        let text = String::from_utf8_lossy(&got);
+        let case = format!("old {old}, {} bytes, reset {reset}", body.len());
+        match (reset, long) {
+            (true, false) => assert!(
+                text.starts_with("HTTP/1.1 502") || text.starts_with("HTTP/1.0 502"),
+                "{case}: {text}"
+            ),
+            (true, true) if old => assert!(!plain_end, "{case}: a plain end"),
+            (true, true) => assert!(!text.ends_with("0\r\n\r\n"), "{case}"),
+            (false, _) => assert!(text.contains("200") && text.matches('z').count() == body.len(), "{case}"),
+        }
+    }
+}
+
+/// Begun to stream after a second for want of an end, then reset: the client can tell.
+#[test]
+fn a_slow_answer_without_a_length_that_is_reset_shows_as_broken() {
+    for old in [false, true] {
+        let backend = Scripted::start();
+        let proxy = one(&backend);
+        let mut client = proxy.client();
+        client.send(&read(3.0).replace("HTTP/1.1", if old { "HTTP/1.0" } else { "HTTP/1.1" }));
+        let mut wire = backend.accept();
+        wire.request();
+        wire.send("HTTP/1.1 200 OK\r\n\r\nsome");
+        let mut got = vec![0; 12];
+        client.0.read_exact(&mut got).unwrap(); // it streams
+        wire.reset();
+        let plain_end = client.0.read_to_end(&mut got).is_ok();
+        let text = String::from_utf8_lossy(&got);
+        assert!(text.contains("some") && !text.ends_with("0\r\n\r\n"), "{text}");
+        assert!(!old || !plain_end, "a plain end");
+    }
+}
+
+/// Words before the answer change nothing.
+#[test]
+fn interim_answers_are_no_answers() {
+    let backend = Scripted::start();
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    client.send(&pay(3.0));
+    let mut wire = backend.accept();
+    wire.request();
+    wire.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    wire.send("HTTP/1.1 102 Processing\r\n\r\n");
+    wire.answer("own");
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"own"[..]));
+}
+
+/// Trickled for ever before anything goes on, it ends with the client's time; after that the connection is gone.
+#[test]
+fn an_answer_that_never_ends_is_answered_for_in_time() {
+    let heads = [
+        "HTTP/1.1 102 Processing\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n",
+        "HTTP/1.1 500 Oops\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX: ",
+    ];
+    for head in heads {
+        let backend = Scripted::start();
+        let proxy = one(&backend);
+        let mut client = proxy.client();
+        client.send(&pay(0.6));
+        let mut wire = backend.accept();
+        wire.request();
+        wire.send(head);
+        let trickle = if head.contains("102") { head } else { "t" };
+        let trickling = std::thread::spawn(move || {
+            let end = Instant::now() + PATIENCE;
+            while wire.0.get_mut().write_all(trickle.as_bytes()).is_ok() {
+                assert!(Instant::now() < end, "the proxy keeps it");
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        });
+        let status = client.answer().expect("an answer").status();
+        assert!(status == 502 || status == 504, "{head:?}: {status}");
+        trickling.join().unwrap();
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -13,6 +13,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod holdings;
+pub mod scripted;
 
 /// No wait in these tests is meant to last as long: it only ends a test that would hang.
 pub const PATIENCE: Duration = Duration::from_secs(20);
