Take no answer for a request's own that came before its last byte

Need: a backend begins a request with its last byte, so an answer that comes earlier (a late second answer, or nonsense) is made for another. It was passed on as this request's, and an upload was cut off behind it as if served. Change: such an attempt ends with its connection and never ran (turned away where it says so).

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -7,7 +7,7 @@
 use super::body::{Flow, Upload};
 use super::stream::Stream;
 use super::{span, MAX_BODY};
-use answer::{cleaned, pass_on, Got, BACKEND_STALL};
+use answer::{cleaned, judge, pass_on, Got, BACKEND_STALL};
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::client::conn::http1;
@@ -312,10 +312,17 @@
         if let Ok(text) = format!("{:.3}", left.as_secs_f64()).parse() {
             request.headers_mut().insert("x-time-left", text);
         }
-        let Conn { sender, conn, .. } = &mut c;
+        let Conn { sender, conn, stream, .. } = &mut c;
+        let written = || passed.as_ref().map_or_else(|| stream.request_written(), |p| p.ended());
         let exchange = async {
             sender.ready().await?;
-            Ok::<_, hyper::Error>(Got::read(sender.send_request(request).await?).await)
+            let answer = sender.send_request(request).await?;
+            // The backend begins with the last byte: what answers before it is none of this request's, and with
+            // its connection ended here it never runs.
+            if !written() {
+                return Ok(Got::Early(judge(&answer)));
+            }
+            Ok::<_, hyper::Error>(Got::read(answer).await)
         };
         let stalled = async {
             match &passed {
@@ -328,6 +335,8 @@
             () = stalled => None,
         };
         match exchanged {
+            Some(Ok(Got::Early(Outcome::Full))) => (Outcome::Full, None),
+            Some(Ok(Got::Early(_))) => (Outcome::ConnectFailed, None),
             Some(Ok(Got::Whole(outcome, mut head, body))) => {
                 self.heard.borrow_mut().insert(id, Instant::now());
                 self.put_if_ready(id, c, body.is_some(), Instant::now());
--- a/src/net/upstream/answer.rs
+++ b/src/net/upstream/answer.rs
@@ -21,6 +21,8 @@
 
 /// An answer as far as it is held.
 pub enum Got {
+    /// Its head came before the request had gone out.
+    Early(Outcome),
     /// With its body, where that came whole and is no longer than what is held.
     Whole(Outcome, Parts, Option<Bytes>),
     /// Served and long: its length where known, what came so far, and the rest.
@@ -89,7 +91,7 @@
 }
 
 /// What an answer says. Whatever the protocol does not list may have run.
-fn judge(answer: &Response<Incoming>) -> Outcome {
+pub fn judge(answer: &Response<Incoming>) -> Outcome {
     let unprocessed = answer.headers().get("x-unprocessed").is_some_and(|v| v == "1");
     match answer.status() {
         StatusCode::OK => Outcome::Ok,
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use std::io::Read;
+use std::io::{Read, Write};
 
 fn pool(max: usize) -> Pool {
     let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
@@ -60,3 +60,66 @@
     drop(other);
     assert_eq!(pool.open(), 0);
 }
+
+struct Goes;
+
+impl Progress for Goes {
+    fn may_send(&self) -> bool {
+        true
+    }
+    fn uploading(&self) {}
+    fn uploaded(&self) {}
+    fn streams(&self, _: Served) {}
+}
+
+/// A warm connection on which little goes out until the other side reads, and that side.
+async fn narrow(pool: &Pool) -> (SocketAddr, std::net::TcpStream) {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.set_recv_buffer_size(2048).unwrap();
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    listener.listen(4).unwrap();
+    let listener = std::net::TcpListener::from(listener);
+    let to = listener.local_addr().unwrap();
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(4096).unwrap();
+    let tcp = socket.connect(to).await.unwrap();
+    pool.open.set(pool.open.get() + 1);
+    let c = Conn::open(Stream::new(tcp), to, Slot(pool.open.clone())).await.unwrap();
+    pool.put(BackendId(0), c);
+    let peer = listener.accept().unwrap().0;
+    peer.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    (to, peer)
+}
+
+fn long_call() -> Call {
+    Call { body: Payload::Whole(Bytes::from(vec![b'y'; MAX_BODY])), ..call() }
+}
+
+/// What answers while the request still goes out cannot be made for it: the request never runs, and its connection ends.
+#[tokio::test]
+async fn an_answer_before_the_last_byte_is_not_the_requests_own() {
+    for (head, outcome) in [
+        ("200 OK", Outcome::ConnectFailed),
+        ("500 Oops", Outcome::ConnectFailed),
+        ("503 Full\r\nX-Unprocessed: 1", Outcome::Full),
+    ] {
+        let pool = pool(4);
+        let (to, mut peer) = narrow(&pool).await;
+        let (call, goes) = (long_call(), Rc::new(Goes));
+        let (over, wait) = std::sync::mpsc::channel::<()>();
+        let backend = std::thread::spawn(move || {
+            peer.read_exact(&mut [0; 64]).unwrap();
+            write!(peer, "HTTP/1.1 {head}\r\nContent-Length: 5\r\n\r\nstale").unwrap();
+            let _ = wait.recv(); // takes nothing more until the attempt is over
+            let mut rest = Vec::new();
+            let _ = peer.read_to_end(&mut rest);
+            rest
+        });
+        let ended = pool.attempt(BackendId(0), to, &call, soon(), &goes).await;
+        assert_eq!((ended.0, ended.1.is_none()), (outcome, true), "{head}");
+        assert_eq!(pool.open(), 0, "{head}");
+        drop(over);
+        let rest = backend.join().unwrap();
+        assert!(rest.len() < MAX_BODY, "{head}: it went out whole");
+    }
+}
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -80,6 +80,22 @@
     assert_eq!(client.answer().expect("an answer").status(), 200);
 }
 
+/// An answer that comes while its request still goes out cannot be made for it, and the request never runs.
+#[test]
+fn an_answer_before_the_requests_last_byte_is_not_its_own() {
+    const LENGTH: usize = 1_000_000;
+    let backend = Scripted::start();
+    let proxy = one(&backend);
+    let mut client = proxy.client();
+    client.send(&pay(3.0).replace("Length: 4", &format!("Length: {LENGTH}")).replace("cash", ""));
+    client.send(&"y".repeat(LENGTH / 2));
+    let mut wire = backend.accept();
+    wire.bytes(LENGTH / 2);
+    wire.answer("stale");
+    assert_eq!(client.answer().expect("an answer").status(), 503, "it never ran");
+    assert!(wire.rest().len() < LENGTH / 2, "the rest did not go out");
+}
+
 /// A body without a length that is cut off by a reset is not whole, however much of it came and whatever the client
 /// knows of framing. Ended in order it is.
 #[test]
