Send nothing to an address that its backend has left while the connection came up

Need: the address is taken at dispatch, and a connection may take over a second to come up. The list may name another address for that backend by then; what listens at the old one is not the list's business any more, or is another backend that drains. Change: the last look before the first byte compares the address too. The window of a keyed repeat is asked of the state at that moment, not carried along from the dispatch. The test of may_send passed a deadline by hand; it now makes copies that were sent so long ago, which is as strict.

--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -1,9 +1,10 @@
 //! Attempts at backends, from their dispatch to their end.
 
 use super::super::upstream::{Ended, Payload, Progress, Served};
-use super::state::{Answer, Flight, Known, State, UNKNOWN};
+use super::state::{Answer, Flight, State, UNKNOWN};
 use super::Host;
 use shaletide::*;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::debug;
 
@@ -22,13 +23,9 @@
         };
         let deadline = self.clock.instant(deadline);
         let Some(to) = s.backends.get(backend.0 as usize).map(|b| b.address) else { return };
-        // A keyed repeat that leaves after the window, its connection being slow to come up, would run again.
-        let earlier = (0..attempt.0).filter_map(|no| s.attempts.get(&(request, AttemptNo(no))));
-        let first = earlier.map(|f| f.sent).chain(live.ran).min();
-        let send_by = first.zip(live.window).map(|(at, window)| at + window);
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let leg = Rc::new(Leg { host: host.clone(), request, attempt, backend, send_by });
+            let leg = Rc::new(Leg { host: host.clone(), request, attempt, backend, to });
             let ended = host.pool.attempt(backend, to, &call, deadline, &leg).await;
             host.attempt_ended(request, attempt, ended);
         });
@@ -36,13 +33,15 @@
         s.attempts.insert((request, attempt), flight);
     }
 
-    /// At the moment of the first byte: the list still allows it, the request still waits for it, and a repeat
-    /// is still one that is dropped.
-    pub(super) fn may_send(&self, request: RequestId, backend: BackendId, send_by: Option<Time>) -> bool {
+    /// At the moment of the first byte: the list still allows it and names that address, the request still waits
+    /// for it, and a repeat is still one that is dropped.
+    pub(super) fn may_send(
+        &self, request: RequestId, attempt: AttemptNo, backend: BackendId, to: SocketAddr,
+    ) -> bool {
         let s = self.state.borrow();
-        s.backends.get(backend.0 as usize).is_some_and(Known::open)
+        s.backends.get(backend.0 as usize).is_some_and(|b| b.open() && b.address == to)
             && s.requests.contains_key(&request)
-            && send_by.is_none_or(|at| self.clock.now() < at)
+            && s.repeat_until(request, attempt).is_none_or(|at| self.clock.now() < at)
     }
 
     /// When the request's time is up.
@@ -134,12 +133,12 @@
     request: RequestId,
     attempt: AttemptNo,
     backend: BackendId,
-    send_by: Option<Time>,
+    to: SocketAddr,
 }
 
 impl Progress for Leg {
     fn may_send(&self) -> bool {
-        self.host.may_send(self.request, self.backend, self.send_by)
+        self.host.may_send(self.request, self.attempt, self.backend, self.to)
     }
     fn uploading(&self) {
         self.host.tell(Event::UploadStarted { request: self.request, attempt: self.attempt });
--- a/src/net/host/attempts/tests.rs
+++ b/src/net/host/attempts/tests.rs
@@ -1,28 +1,117 @@
 use super::super::super::list::List;
 use super::*;
+use crate::net::host::state::{Flight, Live};
+use tokio::sync::oneshot;
 
-/// Each thing that may change while a connection comes up stops the send: the list, the request's end,
-/// and the end of the time in which a keyed repeat is dropped.
+const B: BackendId = BackendId(0);
+const FIRST: AttemptNo = AttemptNo(0);
+const SECOND: AttemptNo = AttemptNo(1);
+const WINDOW: Micros = Micros(500_000);
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn news(host: &Rc<Host>, index: u64, status: &str, port: u16) {
+    let entry = serde_json::json!({"name": "b", "address": at(port).to_string(), "status": status});
+    host.members(ListUpdate::Changes, &List { index, snapshot: false, endpoints: vec![entry] });
+}
+
+async fn scoped(test: impl std::future::Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(test).await
+}
+
+/// A keyed request with copies that were sent so long ago each; the module knows nothing of it.
+fn copies(host: &Rc<Host>, ago: &[u64]) -> (RequestId, oneshot::Receiver<Answer>) {
+    let (id, _) = host.example_request();
+    let mut s = host.state.borrow_mut();
+    s.attempts.clear();
+    let call = s.requests[&id].call.clone();
+    let (answer, wait) = oneshot::channel();
+    let deadline = host.clock.now() + Micros(60_000_000);
+    let attempts = ago.len() as u32;
+    s.requests.insert(id, Live { call, window: Some(WINDOW), ran: None, answer, deadline, attempts });
+    for (no, ago) in ago.iter().enumerate() {
+        let task = tokio::task::spawn_local(std::future::pending::<()>()).abort_handle();
+        let flight = Flight { backend: B, sent: host.clock.now() - Micros(*ago), task };
+        s.attempts.insert((id, AttemptNo(no as u32)), flight);
+    }
+    drop(s);
+    (id, wait)
+}
+
+/// Each thing that may change while a connection comes up stops the send: the list, the address that it gives, and the
+/// request's end.
 #[tokio::test]
-async fn the_first_byte_waits_for_list_request_and_window() {
+async fn the_first_byte_waits_for_list_and_request() {
     let host = Host::example();
-    let news = |index: u64, status: &str| -> List {
-        let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
-        List { index, snapshot: false, endpoints: vec![entry] }
+    scoped(async {
+        news(&host, 1, "SERVING", 9);
+        let (id, _wait) = host.example_request();
+        assert!(host.may_send(id, FIRST, B, at(9)));
+        assert!(!host.may_send(RequestId(99), FIRST, B, at(9)), "the request is over");
+        news(&host, 2, "SERVING", 10);
+        assert!(!host.may_send(id, FIRST, B, at(9)), "the backend is elsewhere now");
+        assert!(host.may_send(id, FIRST, B, at(10)));
+        news(&host, 3, "DRAINING", 10);
+        assert!(!host.may_send(id, FIRST, B, at(10)), "the backend drains");
+        host.client_gone(id);
+        assert!(host.state.borrow().attempts.is_empty(), "nothing is out for a client that left");
+    })
+    .await;
+}
+
+/// A copy goes out only while backends still drop it, whichever of the copies was dispatched first: one whose connection
+/// came up late is a repeat of a later one that was faster.
+#[tokio::test]
+async fn no_copy_goes_out_once_another_may_have_run_a_window_ago() {
+    let host = Host::example();
+    scoped(async {
+        news(&host, 1, "SERVING", 9);
+        let (id, _wait) = copies(&host, &[0]);
+        assert!(host.may_send(id, FIRST, B, at(9)), "alone, it is no repeat");
+        let (id, _wait) = copies(&host, &[400_000, 0]);
+        assert!(host.may_send(id, SECOND, B, at(9)), "still dropped");
+        let (id, _wait) = copies(&host, &[500_000, 0]);
+        assert!(!host.may_send(id, SECOND, B, at(9)), "the window is over");
+    })
+    .await;
+}
+
+fn served(text: &'static str) -> Ended {
+    let body = super::super::super::upstream::Content::Whole(bytes::Bytes::from_static(text.as_bytes()));
+    (Outcome::Ok, Some(Served { headers: hyper::HeaderMap::new(), body }))
+}
+
+/// What crosses in one turn of the loop gives one final answer: the first.
+#[tokio::test]
+async fn of_outcomes_in_one_turn_the_first_is_the_answer() {
+    use super::super::super::upstream::Content;
+    let text = |answer: Answer| match answer {
+        Answer::Served(Served { body: Content::Whole(body), .. }) => {
+            String::from_utf8(body.to_vec()).unwrap()
+        }
+        _ => "none of theirs".into(),
     };
-    let scope = tokio::task::LocalSet::new();
-    scope
-        .run_until(async {
-            host.members(ListUpdate::Changes, &news(1, "SERVING"));
-            let (id, _wait) = host.example_request();
-            let (now, b) = (host.clock.now(), BackendId(0));
-            assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
-            assert!(!host.may_send(id, b, Some(now)), "the window is over");
-            assert!(!host.may_send(RequestId(99), b, None), "the request is over");
-            host.members(ListUpdate::Changes, &news(2, "DRAINING"));
-            assert!(!host.may_send(id, b, None), "the backend drains");
-            host.client_gone(id);
-            assert!(host.state.borrow().attempts.is_empty(), "nothing is out for a client that left");
-        })
-        .await;
+    let host = Host::example();
+    scoped(async {
+        news(&host, 1, "SERVING", 9);
+        let (id, mut wait) = copies(&host, &[0, 0]);
+        host.attempt_ended(id, SECOND, served("second"));
+        host.attempt_ended(id, FIRST, served("first"));
+        host.deadline(id);
+        assert_eq!(text(wait.try_recv().unwrap()), "second", "two answers, then the deadline");
+        let (id, mut wait) = copies(&host, &[0, 0]);
+        host.deadline(id);
+        host.attempt_ended(id, FIRST, served("late"));
+        assert_eq!(text(wait.try_recv().unwrap()), "none of theirs", "the deadline, then an answer");
+        let (id, mut wait) = copies(&host, &[0, 0]);
+        host.client_gone(id);
+        host.attempt_ended(id, FIRST, served("late"));
+        host.deadline(id);
+        assert!(wait.try_recv().is_err(), "nobody waits");
+        let s = host.state.borrow();
+        assert!(s.attempts.is_empty() && s.requests.is_empty(), "nothing is left of them");
+    })
+    .await;
 }
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -124,6 +124,14 @@
 }
 
 impl State {
+    /// Until when a repeat of a keyed request is still dropped, where an earlier copy may have run or may yet.
+    pub fn repeat_until(&self, request: RequestId, attempt: AttemptNo) -> Option<Time> {
+        let live = self.requests.get(&request)?;
+        let others = (0..live.attempts).map(AttemptNo).filter(|no| *no < attempt);
+        let sent = others.filter_map(|no| self.attempts.get(&(request, no))).map(|f| f.sent);
+        sent.chain(live.ran).min().zip(live.window).map(|(at, window)| at + window)
+    }
+
     pub fn new(balancer: Balancer, names: Names) -> State {
         State {
             balancer,
--- a/tests/rig/scripted.rs
+++ b/tests/rig/scripted.rs
@@ -17,16 +17,6 @@
         Scripted::on(TcpListener::bind("127.0.0.1:0").unwrap())
     }
 
-    /// One that takes in as little as the system lets it, until it is read from.
-    pub fn tight() -> Scripted {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        socket.set_recv_buffer_size(2048).unwrap();
-        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        socket.bind(&any.into()).unwrap();
-        socket.listen(64).unwrap();
-        Scripted::on(socket.into())
-    }
-
     fn on(listener: TcpListener) -> Scripted {
         let address = listener.local_addr().unwrap();
         let (tell, accepted) = mpsc::channel();
@@ -37,14 +27,45 @@
     /// The next connection.
     pub fn accept(&self) -> Wire {
         let tcp = self.accepted.recv_timeout(PATIENCE).expect("a connection to the backend");
-        tcp.set_read_timeout(Some(PATIENCE)).unwrap();
-        tcp.set_nodelay(true).unwrap();
-        Wire(BufReader::new(tcp))
+        Wire::new(tcp)
     }
 
-    /// Whether one comes within that time.
-    pub fn comes_within(&self, span: Duration) -> bool {
-        self.accepted.recv_timeout(span).is_ok()
+    /// One that has come already.
+    pub fn accepted(&self) -> Option<Wire> {
+        self.accepted.try_recv().ok().map(Wire::new)
+    }
+}
+
+/// A machine on which no connection comes up until the test lets it: its queue is full.
+pub struct Late {
+    listener: TcpListener,
+    queued: Vec<TcpStream>,
+}
+
+impl Late {
+    pub fn start() -> Late {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        socket.bind(&any.into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let (to, mut queued) = (listener.local_addr().unwrap(), Vec::new());
+        while let Ok(tcp) = TcpStream::connect_timeout(&to, Duration::from_millis(200)) {
+            queued.push(tcp);
+        }
+        Late { listener, queued }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// From now on connections come up, with the next try of the side that connects.
+    pub fn open(self) -> Scripted {
+        for _ in &self.queued {
+            self.listener.accept().unwrap();
+        }
+        Scripted::on(self.listener)
     }
 }
 
@@ -52,6 +73,21 @@
 pub struct Wire(pub BufReader<TcpStream>);
 
 impl Wire {
+    fn new(tcp: TcpStream) -> Wire {
+        tcp.set_read_timeout(Some(PATIENCE)).unwrap();
+        tcp.set_nodelay(true).unwrap();
+        Wire(BufReader::new(tcp))
+    }
+
+    /// Whether something has come on it.
+    pub fn stirs(&self) -> bool {
+        let tcp = self.0.get_ref();
+        tcp.set_nonblocking(true).unwrap();
+        let came = tcp.peek(&mut [0]).is_ok();
+        tcp.set_nonblocking(false).unwrap();
+        came
+    }
+
     /// Waits for the next request.
     pub fn request(&mut self) -> Message {
         Message::read(&mut self.0).expect("a request at the backend")
