Hold every copy of a keyed request to the window, by its last byte

Need: two copies that cross. The first is dispatched, but its connection comes up late; the second is sent, may have run and breaks; then the first goes out a window later and runs again, as only earlier copies were looked at. And a repeat was let go by its first byte, while a backend drops it by its last, which a slow intake can hold up. Change: at the first byte any other copy counts that is out or may have run, from its dispatch (before it can begin). A request held whole has to be out by the end of that time, or a window after its own first byte where no other copy is out yet: else it ends unwritten, and never ran.

--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -6,6 +6,7 @@
 use shaletide::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::time::Instant;
 use tracing::debug;
 
 impl Host {
@@ -44,6 +45,15 @@
             && s.repeat_until(request, attempt).is_none_or(|at| self.clock.now() < at)
     }
 
+    /// When the last byte of a keyed request must be out that goes out from now on: a copy that is sent later than
+    /// this may run first, and it then is the repeat.
+    pub(super) fn whole_by(&self, request: RequestId, attempt: AttemptNo) -> Option<Time> {
+        let s = self.state.borrow();
+        let window = s.requests.get(&request)?.window?;
+        let alone = self.clock.now() + window;
+        Some(s.repeat_until(request, attempt).map_or(alone, |at| at.min(alone)))
+    }
+
     /// When the request's time is up.
     pub fn due(&self, id: RequestId) -> Time {
         self.state.borrow().requests.get(&id).map_or(UNKNOWN, |r| r.deadline)
@@ -140,6 +150,9 @@
     fn may_send(&self) -> bool {
         self.host.may_send(self.request, self.attempt, self.backend, self.to)
     }
+    fn whole_by(&self) -> Option<Instant> {
+        self.host.whole_by(self.request, self.attempt).map(|at| self.host.clock.instant(at))
+    }
     fn uploading(&self) {
         self.host.tell(Event::UploadStarted { request: self.request, attempt: self.attempt });
     }
--- a/src/net/host/attempts/tests.rs
+++ b/src/net/host/attempts/tests.rs
@@ -74,6 +74,19 @@
         assert!(host.may_send(id, SECOND, B, at(9)), "still dropped");
         let (id, _wait) = copies(&host, &[500_000, 0]);
         assert!(!host.may_send(id, SECOND, B, at(9)), "the window is over");
+        let (id, _wait) = copies(&host, &[900_000, 500_000]);
+        assert!(!host.may_send(id, FIRST, B, at(9)), "the later copy may have run a window ago");
+        host.attempt_ended(id, SECOND, (Outcome::Reset, None));
+        assert!(!host.may_send(id, FIRST, B, at(9)), "and so it may once it has ended");
+        let (id, _wait) = copies(&host, &[900_000, 500_000]);
+        host.attempt_ended(id, SECOND, (Outcome::ConnectFailed, None));
+        assert!(host.may_send(id, FIRST, B, at(9)), "it never ran");
+        // The last byte has to be out in time as well, counted from now where no other copy is out yet.
+        let now = host.clock.now();
+        let by = host.whole_by(id, FIRST).unwrap();
+        assert!(by >= now + WINDOW && by < now + WINDOW + WINDOW);
+        let (id, _wait) = copies(&host, &[400_000, 0]);
+        assert!(host.whole_by(id, SECOND).unwrap() <= host.clock.now() + Micros(100_000));
     })
     .await;
 }
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -124,10 +124,12 @@
 }
 
 impl State {
-    /// Until when a repeat of a keyed request is still dropped, where an earlier copy may have run or may yet.
+    /// Until when a copy of a keyed request is still dropped, where any other copy may have run or may yet. That one
+    /// counts from its dispatch, which is before it can have begun; and a later one counts as well as an earlier, as
+    /// it may have been faster.
     pub fn repeat_until(&self, request: RequestId, attempt: AttemptNo) -> Option<Time> {
         let live = self.requests.get(&request)?;
-        let others = (0..live.attempts).map(AttemptNo).filter(|no| *no < attempt);
+        let others = (0..live.attempts).map(AttemptNo).filter(|no| *no != attempt);
         let sent = others.filter_map(|no| self.attempts.get(&(request, no))).map(|f| f.sent);
         sent.chain(live.ran).min().zip(live.window).map(|(at, window)| at + window)
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -96,6 +96,8 @@
 pub trait Progress {
     /// Asked at the moment of the first byte: the backend may have begun to drain while the connection came up.
     fn may_send(&self) -> bool;
+    /// Asked right after: when the last byte must be out of a request that is held whole, if it must be.
+    fn whole_by(&self) -> Option<Instant>;
     /// A body that cannot be sent again begins to go out.
     fn uploading(&self);
     /// Its last byte has gone out.
@@ -324,15 +326,21 @@
             }
             Ok::<_, hyper::Error>(Got::read(answer).await)
         };
-        let stalled = async {
-            match &passed {
-                Some(passed) => passed.stalled(BACKEND_STALL).await,
-                None => std::future::pending().await,
+        let whole_by = progress.whole_by();
+        let given_up = async {
+            match (&passed, whole_by) {
+                (Some(passed), _) => passed.stalled(BACKEND_STALL).await,
+                (None, Some(at)) => tokio::time::sleep_until(at).await,
+                (None, None) => std::future::pending().await,
+            }
+            if written() {
+                std::future::pending().await
             }
         };
         let exchanged = tokio::select! {
+            biased; // nothing is written once it is too late
+            () = given_up => None,
             exchanged = driven(conn, exchange) => exchanged,
-            () = stalled => None,
         };
         match exchanged {
             Some(Ok(Got::Early(Outcome::Full))) => (Outcome::Full, None),
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -27,6 +27,9 @@
     fn may_send(&self) -> bool {
         false
     }
+    fn whole_by(&self) -> Option<Instant> {
+        None
+    }
     fn uploading(&self) {}
     fn uploaded(&self) {}
     fn streams(&self, _: Served) {}
@@ -61,12 +64,16 @@
     assert_eq!(pool.open(), 0);
 }
 
-struct Goes;
+/// Goes out, and has to be out by then.
+struct Goes(Option<Instant>);
 
 impl Progress for Goes {
     fn may_send(&self) -> bool {
         true
     }
+    fn whole_by(&self) -> Option<Instant> {
+        self.0
+    }
     fn uploading(&self) {}
     fn uploaded(&self) {}
     fn streams(&self, _: Served) {}
@@ -105,7 +112,7 @@
     ] {
         let pool = pool(4);
         let (to, mut peer) = narrow(&pool).await;
-        let (call, goes) = (long_call(), Rc::new(Goes));
+        let (call, goes) = (long_call(), Rc::new(Goes(None)));
         let (over, wait) = std::sync::mpsc::channel::<()>();
         let backend = std::thread::spawn(move || {
             peer.read_exact(&mut [0; 64]).unwrap();
@@ -123,3 +130,30 @@
         assert!(rest.len() < MAX_BODY, "{head}: it went out whole");
     }
 }
+
+/// A keyed repeat that the backend takes in slowly would end after the time in which repeats are dropped, and run again:
+/// its last byte does not go out.
+#[tokio::test]
+async fn a_repeat_that_does_not_get_out_in_time_is_never_whole() {
+    let pool = pool(4);
+    let (to, mut peer) = narrow(&pool).await;
+    let goes = Rc::new(Goes(Some(Instant::now() + Duration::from_millis(100))));
+    let (over, wait) = std::sync::mpsc::channel::<()>();
+    let backend = std::thread::spawn(move || {
+        let _ = wait.recv_timeout(Duration::from_secs(2)); // takes nothing before
+        let mut all = Vec::new();
+        let mut piece = [0; 4096];
+        while let Ok(n @ 1..) = peer.read(&mut piece) {
+            all.extend_from_slice(&piece[..n]);
+            if all.len() > MAX_BODY {
+                let _ = peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran");
+                break;
+            }
+        }
+        all
+    });
+    let ended = pool.attempt(BackendId(0), to, &long_call(), soon(), &goes).await;
+    drop(over);
+    assert!(backend.join().unwrap().len() < MAX_BODY, "it went out whole");
+    assert_eq!(ended.0, Outcome::ConnectFailed, "it never ran");
+}
