Say in one line why an answer is broken, and trust none that is framed in two ways

Need: a broken answer left only its outcome in the log. One with a length and chunks, or with a coding that the client is never told of, was passed on as good; and one that said 'not processed' but was cut off was taken at its word, so that an unsafe request was sent again. Change: one debug line for each attempt without a usable answer (event attempt_broken: backend, address, cause with all that it comes from). Framing other than one length, one 'chunked' or neither is an error, and its connection ends. An answer that is cut off has run, whatever its head says. Result: seventeen broken answers on a real process, each 502 once, with its line, and the next request served on another connection. With a length and chunks the connection was kept before; '503, X-Unprocessed' cut off gave 503 instead of 502 with that arm undone.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -7,7 +7,7 @@
 use super::body::{Flow, Upload};
 use super::stream::Stream;
 use super::{span, MAX_BODY};
-use answer::{cleaned, judge, pass_on, Got, BACKEND_STALL};
+use answer::{cause, cleaned, judge, pass_on, Got, BACKEND_STALL};
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::client::conn::http1;
@@ -25,6 +25,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// Part of the backends' idle limit after which a connection is no longer used: well inside it, as their
 /// clock may have started earlier than ours.
@@ -342,20 +343,34 @@
             () = given_up => None,
             exchanged = driven(conn, exchange) => exchanged,
         };
+        let broken = |cause: String| {
+            debug!(event = "attempt_broken", backend = id.0, %to, cause, "no answer that can be used");
+        };
         match exchanged {
             Some(Ok(Got::Early(Outcome::Full))) => (Outcome::Full, None),
-            Some(Ok(Got::Early(_))) => (Outcome::ConnectFailed, None),
+            Some(Ok(Got::Early(_))) => {
+                broken("it answered before the request's last byte".into());
+                (Outcome::ConnectFailed, None)
+            }
             Some(Ok(Got::Whole(outcome, mut head, body))) => {
                 self.heard.borrow_mut().insert(id, Instant::now());
-                self.put_if_ready(id, c, body.is_some(), Instant::now());
+                self.put_if_ready(id, c, body.is_ok(), Instant::now());
                 match (outcome, body) {
-                    (Outcome::Ok, Some(body)) => {
+                    (Outcome::Ok, Ok(body)) => {
                         let body = Content::Whole(body);
                         (Outcome::Ok, Some(Served { headers: cleaned(&mut head.headers), body }))
                     }
-                    // Served, but cut off: it has run.
-                    (Outcome::Ok, None) => (Outcome::Reset, None),
-                    (outcome, _) => (outcome, None),
+                    (outcome, Err(e)) => {
+                        broken(cause(e.as_ref()));
+                        // Cut off: a served one has run, and one that says otherwise cannot be trusted in that.
+                        (if outcome == Outcome::Error { outcome } else { Outcome::Reset }, None)
+                    }
+                    (outcome, Ok(_)) => {
+                        if outcome == Outcome::Error {
+                            broken(format!("status {}", head.status.as_u16()));
+                        }
+                        (outcome, None)
+                    }
                 }
             }
             Some(Ok(Got::Long(mut head, length, held, body))) => {
@@ -367,6 +382,9 @@
                 let begun = Instant::now();
                 let (outcome, open) = pumped(&mut c.conn, pass_on(held, body, pieces)).await;
                 self.put_if_ready(id, c, open && outcome == Outcome::Ok, begun);
+                if matches!(outcome, Outcome::Reset | Outcome::TimedOut) {
+                    broken(format!("{outcome:?} in a long answer"));
+                }
                 (outcome, None)
             }
             // The client's body broke off, or the backend's connection before it was all written: the backend
@@ -374,12 +392,16 @@
             Some(Err(e)) if e.is_user() && passed.as_ref().is_some_and(|p| !p.ended()) => {
                 (Outcome::NeverSent, None)
             }
-            _ if passed.as_ref().map_or_else(|| !c.stream.request_written(), |p| !p.ended()) => {
-                (Outcome::ConnectFailed, None)
+            other => {
+                // What cannot be read as an answer is an answer all the same, and no break.
+                let (outcome, why) = match &other {
+                    Some(Err(e)) => (if e.is_parse() { Outcome::Error } else { Outcome::Reset }, cause(e)),
+                    _ => (Outcome::Reset, "it ended, or took nothing more".into()),
+                };
+                broken(why);
+                let whole = passed.as_ref().map_or_else(|| c.stream.request_written(), |p| p.ended());
+                (if whole { outcome } else { Outcome::ConnectFailed }, None)
             }
-            // What cannot be read as an answer is an answer all the same, and no break.
-            Some(Err(e)) if e.is_parse() => (Outcome::Error, None),
-            _ => (Outcome::Reset, None),
         }
     }
 
--- a/src/net/upstream/answer.rs
+++ b/src/net/upstream/answer.rs
@@ -2,9 +2,11 @@
 
 use super::super::body::Piece;
 use super::super::{strip_hop_by_hop, MAX_BODY};
+use super::BoxError;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response, StatusCode};
 use shaletide::Outcome;
@@ -24,7 +26,7 @@
     /// Its head came before the request had gone out.
     Early(Outcome),
     /// With its body, where that came whole and is no longer than what is held.
-    Whole(Outcome, Parts, Option<Bytes>),
+    Whole(Outcome, Parts, Result<Bytes, BoxError>),
     /// Served and long: its length where known, what came so far, and the rest.
     Long(Parts, Option<u64>, Bytes, Incoming),
 }
@@ -33,6 +35,10 @@
     pub async fn read(answer: Response<Incoming>) -> Got {
         let outcome = judge(&answer);
         let (head, mut body) = answer.into_parts();
+        if !framed(&head.headers) {
+            let why = "its framing is not told in one way, or coded".into();
+            return Got::Whole(Outcome::Error, head, Err(why));
+        }
         let length = body.size_hint().exact();
         if outcome == Outcome::Ok && length.is_some_and(|n| n > MAX_BODY as u64) {
             return Got::Long(head, length, Bytes::new(), body);
@@ -48,14 +54,14 @@
                 }
             };
             match frame {
-                None => return Got::Whole(outcome, head, Some(held.freeze())),
-                Some(Err(_)) => return Got::Whole(outcome, head, None),
+                None => return Got::Whole(outcome, head, Ok(held.freeze())),
+                Some(Err(e)) => return Got::Whole(outcome, head, Err(e.into())),
                 Some(Ok(frame)) => held.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
             }
             if held.len() > MAX_BODY {
                 return match outcome {
                     Outcome::Ok => Got::Long(head, None, held.freeze(), body),
-                    _ => Got::Whole(outcome, head, None),
+                    _ => Got::Whole(outcome, head, Err("longer than what is held".into())),
                 };
             }
         }
@@ -99,3 +105,21 @@
         _ => Outcome::Error,
     }
 }
+
+/// Whether it says in one way how its body ends, and codes it in none that the client would not be told of.
+fn framed(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(only), None) => {
+            only.as_bytes().eq_ignore_ascii_case(b"chunked") && !headers.contains_key(CONTENT_LENGTH)
+        }
+        _ => false,
+    }
+}
+
+/// An error with all that it comes from.
+pub fn cause(e: &dyn std::error::Error) -> String {
+    let sources = std::iter::successors(e.source(), |e| e.source());
+    sources.fold(e.to_string(), |text, source| format!("{text}: {source}"))
+}
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -12,6 +12,12 @@
     Proxy::start(&[entry("b0", backend.address, "SERVING")])
 }
 
+/// A proxy with debug lines.
+fn talking(backend: &Scripted) -> Proxy {
+    let level = [("NODE_LOG", "debug".to_string()), ("TMPDIR", folder().display().to_string())];
+    Proxy::operated(&[entry("b0", backend.address, "SERVING")], SETTINGS, &level)
+}
+
 /// More came than one answer: the first is the client's, and the connection is not used again.
 #[test]
 fn what_comes_behind_an_answer_is_never_the_next_ones() {
@@ -171,6 +177,71 @@
     }
 }
 
+/// What one broken answer of each sort comes to. A request that may have run and must not run twice fails in time,
+/// once; one line says why; the next request is served on another connection.
+#[test]
+fn each_broken_answer_fails_alone_and_says_why() {
+    let giant = format!("HTTP/1.1 200 OK\r\nX: {}\r\n\r\n", "g".repeat(200_000));
+    let many = format!("HTTP/1.1 200 OK\r\n{}\r\n", "A: b\r\n".repeat(300));
+    let cases: [(&str, &str, bool); 17] = [
+        ("nonsense", "\u{1}\u{2}\u{3} what is this\r\n\r\n", false),
+        ("a giant head", &giant, false),
+        ("many headers", &many, false),
+        ("two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde", false),
+        ("no number", "HTTP/1.1 200 OK\r\nContent-Length: four\r\n\r\nabcd", false),
+        ("negative", "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nabcd", false),
+        ("length and chunks", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", false),
+        ("coded", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n", false),
+        ("another coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nabcd", true),
+        (
+            "cut off, and not run it says",
+            "HTTP/1.1 503 X\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nabcd",
+            true,
+        ),
+        ("broken chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabcd\r\n0\r\n\r\n", false),
+        ("huge chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nabcd", false),
+        ("cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nabcd", true),
+        ("no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n", true),
+        ("too short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabcd", true),
+        ("half a head", "HTTP/1.1 200 OK\r\nContent-Le", true),
+        ("switching", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", false),
+    ];
+    let backend = Scripted::start();
+    let proxy = talking(&backend);
+    for (what, bytes, ends) in cases {
+        let lines = proxy.logged("attempt_broken");
+        let mut client = proxy.client();
+        client.send(&pay(3.0));
+        let mut wire = backend.accept();
+        wire.request();
+        wire.send(bytes);
+        if ends {
+            wire.close();
+        } else {
+            // It stays open on this side: the answer alone decides.
+            assert_eq!(client.answer().unwrap_or_default().status(), 502, "{what}");
+            assert!(wire.rest().is_empty(), "{what}: used again");
+        }
+        if ends {
+            assert_eq!(client.answer().unwrap_or_default().status(), 502, "{what}");
+        }
+        let mut next = proxy.client();
+        next.send(&pay(3.0));
+        let mut wire = backend.accept();
+        wire.request();
+        wire.answer("good");
+        assert_eq!(next.answer().expect("an answer").body, b"good", "{what}");
+        // The good one rests; without it the next round's request would come on it.
+        wire.close();
+        let end = Instant::now() + PATIENCE;
+        while proxy.logged("attempt_broken") == lines {
+            assert!(Instant::now() < end, "{what}: no line");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        assert_eq!(proxy.logged("attempt_broken"), lines + 1, "{what}");
+    }
+}
+
 /// Words before the answer change nothing.
 #[test]
 fn interim_answers_are_no_answers() {
