--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -2,10 +2,12 @@
 
 use super::super::stream::Peer;
 use super::super::upstream::{Ended, Payload, Progress, Served};
-use super::state::{Answer, Flight, Known, Live, State, UNKNOWN};
+use super::state::{Answer, Flight, Live, State, UNKNOWN};
 use super::Host;
 use shaletide::*;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::time::Instant;
 use tracing::debug;
 
 impl Host {
@@ -23,13 +25,9 @@
         };
         let deadline = self.clock.instant(deadline);
         let Some(to) = s.backends.get(backend.0 as usize).map(|b| b.address) else { return };
-        // A keyed repeat that leaves after the window, its connection being slow to come up, would run again.
-        let earlier = (0..attempt.0).filter_map(|no| s.attempts.get(&(request, AttemptNo(no))));
-        let first = earlier.map(|f| f.sent).chain(live.ran).min();
-        let send_by = first.zip(live.window).map(|(at, window)| at + window);
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let leg = Rc::new(Leg { host: host.clone(), request, attempt, backend, send_by });
+            let leg = Rc::new(Leg { host: host.clone(), request, attempt, backend, to });
             let ended = host.pool.attempt(backend, to, &call, deadline, &leg).await;
             host.attempt_ended(request, attempt, ended);
         });
@@ -37,19 +35,28 @@
         s.attempts.insert((request, attempt), flight);
     }
 
-    /// At the moment of the first byte: the list still allows it, the request and its client still wait for it,
-    /// and a repeat is still one that is dropped.
+    /// At the moment of the first byte: the list still allows it and names that address, the request and its client
+    /// still wait for it, and a repeat is still one that is dropped.
     pub(super) fn may_send(
-        self: &Rc<Self>, request: RequestId, backend: BackendId, send_by: Option<Time>,
+        self: &Rc<Self>, request: RequestId, attempt: AttemptNo, backend: BackendId, to: SocketAddr,
     ) -> bool {
         let client = |live: &Live| live.call.client.as_ref().is_some_and(Peer::has_left);
         if self.state.borrow().requests.get(&request).is_some_and(client) {
             self.client_gone(request);
         }
         let s = self.state.borrow();
-        s.backends.get(backend.0 as usize).is_some_and(Known::open)
+        s.backends.get(backend.0 as usize).is_some_and(|b| b.open() && b.address == to)
             && s.requests.contains_key(&request)
-            && send_by.is_none_or(|at| self.clock.now() < at)
+            && s.repeat_until(request, attempt).is_none_or(|at| self.clock.now() < at)
+    }
+
+    /// When the last byte of a keyed request must be out that goes out from now on: a copy that is sent later than
+    /// this may run first, and it then is the repeat.
+    pub(super) fn whole_by(&self, request: RequestId, attempt: AttemptNo) -> Option<Time> {
+        let s = self.state.borrow();
+        let window = s.requests.get(&request)?.window?;
+        let alone = self.clock.now() + window;
+        Some(s.repeat_until(request, attempt).map_or(alone, |at| at.min(alone)))
     }
 
     /// When the request's time is up.
@@ -141,12 +148,15 @@
     request: RequestId,
     attempt: AttemptNo,
     backend: BackendId,
-    send_by: Option<Time>,
+    to: SocketAddr,
 }
 
 impl Progress for Leg {
     fn may_send(&self) -> bool {
-        self.host.may_send(self.request, self.backend, self.send_by)
+        self.host.may_send(self.request, self.attempt, self.backend, self.to)
+    }
+    fn whole_by(&self) -> Option<Instant> {
+        self.host.whole_by(self.request, self.attempt).map(|at| self.host.clock.instant(at))
     }
     fn uploading(&self) {
         self.host.tell(Event::UploadStarted { request: self.request, attempt: self.attempt });
@@ -160,33 +170,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::super::super::list::List;
-    use super::*;
-
-    /// Each thing that may change while a connection comes up stops the send: the list, the request's end,
-    /// and the end of the time in which a keyed repeat is dropped.
-    #[tokio::test]
-    async fn the_first_byte_waits_for_list_request_and_window() {
-        let host = Host::example();
-        let news = |index: u64, status: &str| -> List {
-            let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": status});
-            List { index, snapshot: false, endpoints: vec![entry] }
-        };
-        let scope = tokio::task::LocalSet::new();
-        scope
-            .run_until(async {
-                host.members(ListUpdate::Changes, &news(1, "SERVING"));
-                let (id, _wait) = host.example_request();
-                let (now, b) = (host.clock.now(), BackendId(0));
-                assert!(host.may_send(id, b, None) && host.may_send(id, b, Some(now + Micros(60_000_000))));
-                assert!(!host.may_send(id, b, Some(now)), "the window is over");
-                assert!(!host.may_send(RequestId(99), b, None), "the request is over");
-                host.members(ListUpdate::Changes, &news(2, "DRAINING"));
-                assert!(!host.may_send(id, b, None), "the backend drains");
-                host.client_gone(id);
-                assert!(host.state.borrow().attempts.is_empty(), "nothing is out for a client that left");
-            })
-            .await;
-    }
-}
+mod tests;
--- a/src/net/host/gone_tests.rs
+++ b/src/net/host/gone_tests.rs
@@ -10,7 +10,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let tcp = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let (client, peer) = (Stream::new(tcp), listener.accept().unwrap().0);
-    let host = Host::example();
+    let (host, at) = (Host::example(), std::net::SocketAddr::from(([127, 0, 0, 1], 9)));
     let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": "SERVING"});
     let list = super::super::list::List { index: 1, snapshot: true, endpoints: vec![entry] };
     let call = Call {
@@ -33,9 +33,9 @@
         .run_until(async {
             host.members(ListUpdate::Full, &list);
             let (id, _wait) = host.request(arrival, &Rc::new(call), Effect::Free);
-            assert!(host.may_send(id, BackendId(0), None));
+            assert!(host.may_send(id, AttemptNo(0), BackendId(0), at));
             drop(peer);
-            assert!(!host.may_send(id, BackendId(0), None));
+            assert!(!host.may_send(id, AttemptNo(0), BackendId(0), at));
             let s = host.state.borrow();
             assert!(s.requests.is_empty() && s.attempts.is_empty(), "no other attempt follows");
         })
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,14 +1,17 @@
 //! Attempts: one request to one backend, and the pool of connections that they use.
 
-use super::body::{Flow, Piece, Upload};
+mod answer;
+#[cfg(test)]
+mod tests;
+
+use super::body::{Flow, Upload};
 use super::stream::{Peer, Stream};
-use super::{span, strip_hop_by_hop, MAX_BODY};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Either, Full};
-use hyper::body::{Body, Incoming};
+use super::{span, MAX_BODY};
+use answer::{cause, cleaned, judge, pass_on, Got, BACKEND_STALL};
+use bytes::Bytes;
+use http_body_util::{Either, Full};
 use hyper::client::conn::http1;
-use hyper::http::response::Parts;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Request, Uri};
 use shaletide::settings::Network;
 use shaletide::{BackendId, Micros, Outcome};
 use std::cell::{Cell, RefCell};
@@ -20,18 +23,16 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::Notify;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// Part of the backends' idle limit after which a connection is no longer used: well inside it, as their
 /// clock may have started earlier than ours.
 const IDLE_PART: f64 = 0.6;
-/// An answer of unknown length is held no longer than this before its first bytes go on.
-const HOLD_BACK: Duration = Duration::from_secs(1);
-/// A backend that gives nothing of an answer it began, or takes nothing of a body, for so long is taken for dead.
-const BACKEND_STALL: Duration = Duration::from_secs(10);
-/// A client that takes nothing of its answer for so long is let go; the kernel's buffers hide shorter pauses.
-const CLIENT_STALL: Duration = Duration::from_secs(30);
+/// So long a connection rests after an answer before the next request goes out on it: what a broken backend sends
+/// late, such as a second answer, shows until then, and is not taken for the next one's.
+const REST: Duration = Duration::from_millis(10);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -98,6 +99,8 @@
 pub trait Progress {
     /// Asked at the moment of the first byte: the backend may have begun to drain while the connection came up.
     fn may_send(&self) -> bool;
+    /// Asked right after: when the last byte must be out of a request that is held whole, if it must be.
+    fn whole_by(&self) -> Option<Instant>;
     /// A body that cannot be sent again begins to go out.
     fn uploading(&self);
     /// Its last byte has gone out.
@@ -115,10 +118,25 @@
     conn: http1::Connection<Stream, Outgoing>,
     stream: Stream,
     to: SocketAddr,
+    /// Since when the backend may count it as idle.
     since: Instant,
+    /// When its last answer had been read.
+    answered: Instant,
     _slot: Slot,
 }
 
+impl Conn {
+    /// hyper takes a request only after a first turn of its own. It has that here, so that nothing comes between
+    /// the last look at what may be sent and the first byte.
+    async fn open(stream: Stream, to: SocketAddr, slot: Slot) -> Option<Conn> {
+        let shaken = http1::Builder::new().max_buf_size(2 * MAX_BODY).handshake(stream.clone()).await;
+        let (mut sender, mut conn) = shaken.ok()?;
+        driven(&mut conn, sender.ready()).await?.ok()?;
+        let now = Instant::now();
+        Some(Conn { sender, conn, stream, to, since: now, answered: now, _slot: slot })
+    }
+}
+
 /// Counts an open (or opening) connection.
 struct Slot(Rc<Cell<usize>>);
 
@@ -174,23 +192,34 @@
         c.since.elapsed() < self.keep.get() && !c.sender.is_closed() && !c.stream.stirred()
     }
 
-    /// A warm connection, checked at this moment.
-    fn take(&self, id: BackendId, to: SocketAddr) -> Option<Conn> {
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&id)?;
-        while let Some(c) = list.pop() {
-            if c.to == to && self.usable(&c) {
+    /// A warm connection that has rested, checked at this moment.
+    async fn take(&self, id: BackendId, to: SocketAddr) -> Option<Conn> {
+        loop {
+            let c = self.pick(id)?;
+            if c.to != to {
+                continue; // its backend has another address now
+            }
+            if c.answered.elapsed() < REST {
+                tokio::time::sleep_until(c.answered + REST).await;
+            }
+            if self.usable(&c) {
                 return Some(c);
             }
         }
-        None
     }
 
-    fn put(&self, id: BackendId, mut c: Conn) {
+    /// The one used last of those that have rested, or the one that has soonest.
+    fn pick(&self, id: BackendId) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&id).filter(|list| !list.is_empty())?;
+        let rested = list.iter().rposition(|c| c.answered.elapsed() >= REST);
+        Some(list.remove(rested.unwrap_or(0)))
+    }
+
+    fn put(&self, id: BackendId, c: Conn) {
         if self.shut.borrow().contains(&id) {
             return;
         }
-        c.since = Instant::now();
         c.stream.mark_idle();
         self.idle.borrow_mut().entry(id).or_default().push(c);
     }
@@ -239,15 +268,13 @@
         let slot = Slot(self.open.clone());
         self.opened.set(self.opened.get() + 1);
         let dial = tokio::time::timeout(self.connect_timeout.get(), TcpStream::connect(to)).await;
-        let stream = match dial {
-            Ok(Ok(tcp)) => Stream::new(tcp),
+        let tcp = match dial {
+            Ok(Ok(tcp)) => tcp,
             // Out of descriptors: that is this proxy's own trouble, and no sign of the backend's.
             Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NeverSent),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
-        let shaken = http1::Builder::new().max_buf_size(2 * MAX_BODY).handshake(stream.clone()).await;
-        let (sender, conn) = shaken.map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Conn { sender, conn, stream, to, since: Instant::now(), _slot: slot })
+        Conn::open(Stream::new(tcp), to, slot).await.ok_or(Outcome::ConnectFailed)
     }
 
     /// Sends `call` to a backend and waits for the answer.
@@ -255,7 +282,7 @@
         &self, id: BackendId, to: SocketAddr, call: &Call, deadline: Instant,
         progress: &Rc<impl Progress + 'static>,
     ) -> Ended {
-        let mut c = match self.take(id, to) {
+        let mut c = match self.take(id, to).await {
             Some(c) => c,
             None => match self.connect(to).await {
                 Ok(c) => c,
@@ -290,33 +317,62 @@
         if let Ok(text) = format!("{:.3}", left.as_secs_f64()).parse() {
             request.headers_mut().insert("x-time-left", text);
         }
-        let Conn { sender, conn, .. } = &mut c;
+        let Conn { sender, conn, stream, .. } = &mut c;
+        let written = || passed.as_ref().map_or_else(|| stream.request_written(), |p| p.ended());
         let exchange = async {
             sender.ready().await?;
-            Ok::<_, hyper::Error>(Got::read(sender.send_request(request).await?).await)
+            let answer = sender.send_request(request).await?;
+            // The backend begins with the last byte: what answers before it is none of this request's, and with
+            // its connection ended here it never runs.
+            if !written() {
+                return Ok(Got::Early(judge(&answer)));
+            }
+            Ok::<_, hyper::Error>(Got::read(answer).await)
         };
-        let stalled = async {
-            match &passed {
-                Some(passed) => passed.stalled(BACKEND_STALL).await,
-                None => std::future::pending().await,
+        let whole_by = progress.whole_by();
+        let given_up = async {
+            match (&passed, whole_by) {
+                (Some(passed), _) => passed.stalled(BACKEND_STALL).await,
+                (None, Some(at)) => tokio::time::sleep_until(at).await,
+                (None, None) => std::future::pending().await,
+            }
+            if written() {
+                std::future::pending().await
             }
         };
         let exchanged = tokio::select! {
+            biased; // nothing is written once it is too late
+            () = given_up => None,
             exchanged = driven(conn, exchange) => exchanged,
-            () = stalled => None,
+        };
+        let broken = |cause: String| {
+            debug!(event = "attempt_broken", backend = id.0, %to, cause, "no answer that can be used");
         };
         match exchanged {
+            Some(Ok(Got::Early(Outcome::Full))) => (Outcome::Full, None),
+            Some(Ok(Got::Early(_))) => {
+                broken("it answered before the request's last byte".into());
+                (Outcome::ConnectFailed, None)
+            }
             Some(Ok(Got::Whole(outcome, mut head, body))) => {
                 self.heard.borrow_mut().insert(id, Instant::now());
-                self.put_if_ready(id, c, body.is_some());
+                self.put_if_ready(id, c, body.is_ok(), Instant::now());
                 match (outcome, body) {
-                    (Outcome::Ok, Some(body)) => {
+                    (Outcome::Ok, Ok(body)) => {
                         let body = Content::Whole(body);
                         (Outcome::Ok, Some(Served { headers: cleaned(&mut head.headers), body }))
                     }
-                    // Served, but cut off: it has run.
-                    (Outcome::Ok, None) => (Outcome::Reset, None),
-                    (outcome, _) => (outcome, None),
+                    (outcome, Err(e)) => {
+                        broken(cause(e.as_ref()));
+                        // Cut off: a served one has run, and one that says otherwise cannot be trusted in that.
+                        (if outcome == Outcome::Error { outcome } else { Outcome::Reset }, None)
+                    }
+                    (outcome, Ok(_)) => {
+                        if outcome == Outcome::Error {
+                            broken(format!("status {}", head.status.as_u16()));
+                        }
+                        (outcome, None)
+                    }
                 }
             }
             Some(Ok(Got::Long(mut head, length, held, body))) => {
@@ -324,8 +380,13 @@
                 let (pieces, flow) = Flow::new(length);
                 let headers = cleaned(&mut head.headers);
                 progress.streams(Served { headers, body: Content::Flow(flow) });
+                // It may have given all long before the client has taken it, and be idle from then on.
+                let begun = Instant::now();
                 let (outcome, open) = pumped(&mut c.conn, pass_on(held, body, pieces)).await;
-                self.put_if_ready(id, c, open && outcome == Outcome::Ok);
+                self.put_if_ready(id, c, open && outcome == Outcome::Ok, begun);
+                if matches!(outcome, Outcome::Reset | Outcome::TimedOut) {
+                    broken(format!("{outcome:?} in a long answer"));
+                }
                 (outcome, None)
             }
             // The client's body broke off, or the backend's connection before it was all written: the backend
@@ -333,18 +394,22 @@
             Some(Err(e)) if e.is_user() && passed.as_ref().is_some_and(|p| !p.ended()) => {
                 (Outcome::NeverSent, None)
             }
-            _ if passed.as_ref().map_or_else(|| !c.stream.request_written(), |p| !p.ended()) => {
-                (Outcome::ConnectFailed, None)
+            other => {
+                // What cannot be read as an answer is an answer all the same, and no break.
+                let (outcome, why) = match &other {
+                    Some(Err(e)) => (if e.is_parse() { Outcome::Error } else { Outcome::Reset }, cause(e)),
+                    _ => (Outcome::Reset, "it ended, or took nothing more".into()),
+                };
+                broken(why);
+                let whole = passed.as_ref().map_or_else(|| c.stream.request_written(), |p| p.ended());
+                (if whole { outcome } else { Outcome::ConnectFailed }, None)
             }
-            // What cannot be read as an answer is an answer all the same, and no break.
-            Some(Err(e)) if e.is_parse() => (Outcome::Error, None),
-            _ => (Outcome::Reset, None),
         }
     }
 
-    /// Keeps a connection whose answer was read to its end. One look: an answer does not wait for a connection
+    /// Keeps a connection whose answer was read to its end, idle `since` then. One look: an answer does not wait for a connection
     /// that is not ready for more.
-    fn put_if_ready(&self, id: BackendId, mut c: Conn, whole: bool) {
+    fn put_if_ready(&self, id: BackendId, mut c: Conn, whole: bool, since: Instant) {
         let mut cx = Context::from_waker(Waker::noop());
         let Conn { sender, conn, .. } = &mut c;
         let ready = whole && {
@@ -352,80 +417,12 @@
             matches!(next.poll(&mut cx), Poll::Ready(Some(Ok(()))))
         };
         if ready {
+            (c.since, c.answered) = (since, Instant::now());
             self.put(id, c);
         }
     }
 }
 
-/// An answer as far as it is held.
-enum Got {
-    /// With its body, where that came whole and is no longer than what is held.
-    Whole(Outcome, Parts, Option<Bytes>),
-    /// Served and long: its length where known, what came so far, and the rest.
-    Long(Parts, Option<u64>, Bytes, Incoming),
-}
-
-impl Got {
-    async fn read(answer: Response<Incoming>) -> Got {
-        let outcome = judge(&answer);
-        let (head, mut body) = answer.into_parts();
-        let length = body.size_hint().exact();
-        if outcome == Outcome::Ok && length.is_some_and(|n| n > MAX_BODY as u64) {
-            return Got::Long(head, length, Bytes::new(), body);
-        }
-        let mut held = BytesMut::new();
-        let mut patience = pin!(tokio::time::sleep(HOLD_BACK));
-        loop {
-            let frame = tokio::select! {
-                biased;
-                frame = body.frame() => frame,
-                () = patience.as_mut(), if outcome == Outcome::Ok && length.is_none() && !held.is_empty() => {
-                    return Got::Long(head, None, held.freeze(), body);
-                }
-            };
-            match frame {
-                None => return Got::Whole(outcome, head, Some(held.freeze())),
-                Some(Err(_)) => return Got::Whole(outcome, head, None),
-                Some(Ok(frame)) => held.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
-            }
-            if held.len() > MAX_BODY {
-                return match outcome {
-                    Outcome::Ok => Got::Long(head, None, held.freeze(), body),
-                    _ => Got::Whole(outcome, head, None),
-                };
-            }
-        }
-    }
-}
-
-/// Passes a long answer on, a piece at a time, for as long as the backend gives and the client takes.
-async fn pass_on(held: Bytes, mut body: Incoming, pieces: mpsc::Sender<Piece>) -> Outcome {
-    let mut next = held;
-    loop {
-        if !next.is_empty() {
-            let taken = tokio::time::timeout(CLIENT_STALL, pieces.send(Piece::Data(next))).await;
-            if !matches!(taken, Ok(Ok(()))) {
-                return Outcome::Cancelled;
-            }
-        }
-        next = match tokio::time::timeout(BACKEND_STALL, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Ok(None) => {
-                let _ = pieces.send(Piece::End).await; // a client that knows the length may have gone on
-                return Outcome::Ok;
-            }
-            Ok(Some(Err(_))) => return Outcome::Reset,
-            Err(_) => return Outcome::TimedOut,
-        };
-    }
-}
-
-fn cleaned(headers: &mut HeaderMap) -> HeaderMap {
-    strip_hop_by_hop(headers);
-    headers.remove("x-backend-load");
-    std::mem::take(headers)
-}
-
 /// Runs `work` to its end and drives its connection for as long as that lasts; whether it still does. Unlike
 /// in `driven`, what a connection brought before its end may take `work` long to pass on.
 async fn pumped<T>(
@@ -445,16 +442,6 @@
     .await
 }
 
-/// What an answer says. Whatever the protocol does not list may have run.
-fn judge(answer: &Response<Incoming>) -> Outcome {
-    let unprocessed = answer.headers().get("x-unprocessed").is_some_and(|v| v == "1");
-    match answer.status() {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Full,
-        _ => Outcome::Error,
-    }
-}
-
 /// Runs `work` to its end while driving the connection that it is on. `None`: the connection ended first.
 /// hyper does not tell `work` of that end by itself as long as the connection's future is kept: a wait for
 /// the sender to be ready again would last for ever after an answer with which the backend closed.
@@ -484,71 +471,3 @@
 }
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::Read;
-
-    fn pool(max: usize) -> Pool {
-        let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
-        let network =
-            Network { connect_timeout, conn_idle, max_retry_after: Micros(0), deadlines: Vec::new() };
-        Pool::new(&network, max)
-    }
-
-    fn call() -> Call {
-        let uri = Uri::from_static("/pay/k");
-        Call {
-            method: Method::POST,
-            uri,
-            headers: HeaderMap::new(),
-            body: Payload::Whole(Bytes::from_static(b"cash")),
-            client: None,
-        }
-    }
-
-    fn soon() -> Instant {
-        Instant::now() + Duration::from_secs(20)
-    }
-
-    struct Drains;
-
-    impl Progress for Drains {
-        fn may_send(&self) -> bool {
-            false
-        }
-        fn uploading(&self) {}
-        fn uploaded(&self) {}
-        fn streams(&self, _: Served) {}
-    }
-
-    /// The backend begins to drain while the connection comes up: not a byte goes out on it.
-    #[tokio::test]
-    async fn a_backend_that_drains_while_connecting_is_sent_nothing() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let (pool, to) = (pool(4), listener.local_addr().unwrap());
-        let ended = pool.attempt(BackendId(0), to, &call(), soon(), &Rc::new(Drains)).await;
-        assert_eq!(ended.0, Outcome::NeverSent);
-        let mut peer = listener.accept().unwrap().0;
-        drop(pool);
-        let mut got = Vec::new();
-        peer.read_to_end(&mut got).unwrap();
-        assert!(got.is_empty(), "{got:?}");
-    }
-
-    /// At the bound the backend is not called ill, and an idle connection to another makes room first.
-    #[tokio::test]
-    async fn the_bound_on_connections_holds_and_the_idle_make_way() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let (pool, to) = (pool(1), listener.local_addr().unwrap());
-        let busy = pool.connect(to).await.ok().unwrap();
-        let refused = pool.connect(to).await.err();
-        assert_eq!((refused, pool.open()), (Some(Outcome::NeverSent), 1));
-        pool.put(BackendId(0), busy);
-        let other = pool.connect(to).await;
-        assert!(other.is_ok() && pool.open() == 1);
-        drop(other);
-        assert_eq!(pool.open(), 0);
-    }
-}
--- /dev/null
+++ b/src/net/upstream/tests.rs
@@ -0,0 +1,160 @@
+use super::*;
+use std::io::{Read, Write};
+
+fn pool(max: usize) -> Pool {
+    let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
+    let network = Network { connect_timeout, conn_idle, max_retry_after: Micros(0), deadlines: Vec::new() };
+    Pool::new(&network, max)
+}
+
+fn call() -> Call {
+    let uri = Uri::from_static("/pay/k");
+    Call {
+        method: Method::POST,
+        uri,
+        headers: HeaderMap::new(),
+        body: Payload::Whole(Bytes::from_static(b"cash")),
+        client: None,
+    }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(20)
+}
+
+struct Drains;
+
+impl Progress for Drains {
+    fn may_send(&self) -> bool {
+        false
+    }
+    fn whole_by(&self) -> Option<Instant> {
+        None
+    }
+    fn uploading(&self) {}
+    fn uploaded(&self) {}
+    fn streams(&self, _: Served) {}
+}
+
+/// The backend begins to drain while the connection comes up: not a byte goes out on it.
+#[tokio::test]
+async fn a_backend_that_drains_while_connecting_is_sent_nothing() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (pool, to) = (pool(4), listener.local_addr().unwrap());
+    let ended = pool.attempt(BackendId(0), to, &call(), soon(), &Rc::new(Drains)).await;
+    assert_eq!(ended.0, Outcome::NeverSent);
+    let mut peer = listener.accept().unwrap().0;
+    drop(pool);
+    let mut got = Vec::new();
+    peer.read_to_end(&mut got).unwrap();
+    assert!(got.is_empty(), "{got:?}");
+}
+
+/// At the bound the backend is not called ill, and an idle connection to another makes room first.
+#[tokio::test]
+async fn the_bound_on_connections_holds_and_the_idle_make_way() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (pool, to) = (pool(1), listener.local_addr().unwrap());
+    let busy = pool.connect(to).await.ok().unwrap();
+    let refused = pool.connect(to).await.err();
+    assert_eq!((refused, pool.open()), (Some(Outcome::NeverSent), 1));
+    pool.put(BackendId(0), busy);
+    let other = pool.connect(to).await;
+    assert!(other.is_ok() && pool.open() == 1);
+    drop(other);
+    assert_eq!(pool.open(), 0);
+}
+
+/// Goes out, and has to be out by then.
+struct Goes(Option<Instant>);
+
+impl Progress for Goes {
+    fn may_send(&self) -> bool {
+        true
+    }
+    fn whole_by(&self) -> Option<Instant> {
+        self.0
+    }
+    fn uploading(&self) {}
+    fn uploaded(&self) {}
+    fn streams(&self, _: Served) {}
+}
+
+/// A warm connection on which little goes out until the other side reads, and that side.
+async fn narrow(pool: &Pool) -> (SocketAddr, std::net::TcpStream) {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.set_recv_buffer_size(2048).unwrap();
+    listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    listener.listen(4).unwrap();
+    let listener = std::net::TcpListener::from(listener);
+    let to = listener.local_addr().unwrap();
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(4096).unwrap();
+    let tcp = socket.connect(to).await.unwrap();
+    pool.open.set(pool.open.get() + 1);
+    let c = Conn::open(Stream::new(tcp), to, Slot(pool.open.clone())).await.unwrap();
+    pool.put(BackendId(0), c);
+    let peer = listener.accept().unwrap().0;
+    peer.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    (to, peer)
+}
+
+fn long_call() -> Call {
+    Call { body: Payload::Whole(Bytes::from(vec![b'y'; MAX_BODY])), ..call() }
+}
+
+/// What answers while the request still goes out cannot be made for it: the request never runs, and its connection ends.
+#[tokio::test]
+async fn an_answer_before_the_last_byte_is_not_the_requests_own() {
+    for (head, outcome) in [
+        ("200 OK", Outcome::ConnectFailed),
+        ("500 Oops", Outcome::ConnectFailed),
+        ("503 Full\r\nX-Unprocessed: 1", Outcome::Full),
+    ] {
+        let pool = pool(4);
+        let (to, mut peer) = narrow(&pool).await;
+        let (call, goes) = (long_call(), Rc::new(Goes(None)));
+        let (over, wait) = std::sync::mpsc::channel::<()>();
+        let backend = std::thread::spawn(move || {
+            peer.read_exact(&mut [0; 64]).unwrap();
+            write!(peer, "HTTP/1.1 {head}\r\nContent-Length: 5\r\n\r\nstale").unwrap();
+            let _ = wait.recv(); // takes nothing more until the attempt is over
+            let mut rest = Vec::new();
+            let _ = peer.read_to_end(&mut rest);
+            rest
+        });
+        let ended = pool.attempt(BackendId(0), to, &call, soon(), &goes).await;
+        assert_eq!((ended.0, ended.1.is_none()), (outcome, true), "{head}");
+        assert_eq!(pool.open(), 0, "{head}");
+        drop(over);
+        let rest = backend.join().unwrap();
+        assert!(rest.len() < MAX_BODY, "{head}: it went out whole");
+    }
+}
+
+/// A keyed repeat that the backend takes in slowly would end after the time in which repeats are dropped, and run again:
+/// its last byte does not go out.
+#[tokio::test]
+async fn a_repeat_that_does_not_get_out_in_time_is_never_whole() {
+    let pool = pool(4);
+    let (to, mut peer) = narrow(&pool).await;
+    let goes = Rc::new(Goes(Some(Instant::now() + Duration::from_millis(100))));
+    let (over, wait) = std::sync::mpsc::channel::<()>();
+    let backend = std::thread::spawn(move || {
+        let _ = wait.recv_timeout(Duration::from_secs(2)); // takes nothing before
+        let mut all = Vec::new();
+        let mut piece = [0; 4096];
+        while let Ok(n @ 1..) = peer.read(&mut piece) {
+            all.extend_from_slice(&piece[..n]);
+            if all.len() > MAX_BODY {
+                let _ = peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran");
+                break;
+            }
+        }
+        all
+    });
+    let ended = pool.attempt(BackendId(0), to, &long_call(), soon(), &goes).await;
+    drop(over);
+    assert!(backend.join().unwrap().len() < MAX_BODY, "it went out whole");
+    assert_eq!(ended.0, Outcome::ConnectFailed, "it never ran");
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod holdings;
 pub mod kept;
+pub mod scripted;
 
 /// No wait in these tests is meant to last as long: it only ends a test that would hang.
 pub const PATIENCE: Duration = Duration::from_secs(20);
