Let the rig's backend read a chunked body before it answers

Need: the rig's backend took a chunked request for one without a body and answered while the body was on its way.

--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -47,11 +47,26 @@
             let Some((name, value)) = text.split_once(':') else { break };
             message.headers.push((name.into(), value.trim().into()));
         }
+        if message.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
+            while message.chunk(from)? {}
+            return Some(message);
+        }
         let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
         message.body = vec![0; length];
         from.read_exact(&mut message.body).ok()?;
         Some(message)
     }
+    /// Takes one chunk; whether more come.
+    fn chunk(&mut self, from: &mut impl BufRead) -> Option<bool> {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        let length = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let begin = self.body.len();
+        self.body.resize(begin + length + 2, 0); // with the line's end
+        from.read_exact(&mut self.body[begin..]).ok()?;
+        self.body.truncate(begin + length);
+        Some(length > 0)
+    }
 }
 
 /// What a backend does with a request.
