Let an open request obey the stricter of the settings before and after a reload

Need: a class that was free to repeat becomes one that must not run twice (or one that a key protects, which the request has not) while a first attempt is out; the second was sent under the old settings. A keyed class's window may shrink likewise, also while a repeat's connection comes up.

--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -49,7 +49,7 @@
     /// this may run first, and it then is the repeat.
     pub(super) fn whole_by(&self, request: RequestId, attempt: AttemptNo) -> Option<Time> {
         let s = self.state.borrow();
-        let window = s.requests.get(&request)?.window?;
+        let window = s.window(s.requests.get(&request)?).filter(|w| w.0 > 0)?;
         let alone = self.clock.now() + window;
         Some(s.repeat_until(request, attempt).map_or(alone, |at| at.min(alone)))
     }
--- a/src/net/host/attempts/tests.rs
+++ b/src/net/host/attempts/tests.rs
@@ -30,7 +30,8 @@
     let (answer, wait) = oneshot::channel();
     let deadline = host.clock.now() + Micros(60_000_000);
     let attempts = ago.len() as u32;
-    s.requests.insert(id, Live { call, window: Some(WINDOW), ran: None, answer, deadline, attempts });
+    let (class, effect) = (ClassId(0), Effect::Keyed(KeyScope::All, WINDOW));
+    s.requests.insert(id, Live { call, class, effect, ran: None, answer, deadline, attempts });
     for (no, ago) in ago.iter().enumerate() {
         let task = tokio::task::spawn_local(std::future::pending::<()>()).abort_handle();
         let flight = Flight { backend: B, sent: host.clock.now() - Micros(*ago), task };
@@ -87,6 +88,17 @@
         assert!(by >= now + WINDOW && by < now + WINDOW + WINDOW);
         let (id, _wait) = copies(&host, &[400_000, 0]);
         assert!(host.whole_by(id, SECOND).unwrap() <= host.clock.now() + Micros(100_000));
+        // Settings that came meanwhile shorten the window, or allow no copy at all; longer ones change nothing.
+        for (effect, allowed) in [
+            (Effect::Keyed(KeyScope::All, Micros(300_000)), false),
+            (Effect::Unsafe, false),
+            (Effect::Keyed(KeyScope::All, Micros(900_000)), true),
+            (Effect::Free, true),
+        ] {
+            host.state.borrow_mut().effects = vec![effect];
+            let (id, _wait) = copies(&host, &[400_000, 0]);
+            assert_eq!(host.may_send(id, SECOND, B, at(9)), allowed, "{effect:?}");
+        }
     })
     .await;
 }
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -106,12 +106,9 @@
                 Payload::Whole(_) => self.clock.now() + arrival.time_left,
                 Payload::Coming(_) => UNKNOWN, // until its last byte
             };
-            let window = match effect {
-                Effect::Keyed(_, window) => Some(window),
-                _ => None,
-            };
-            let call = call.clone();
-            s.requests.insert(id, Live { call, window, ran: None, answer, deadline, attempts: 0 });
+            let (call, class) = (call.clone(), arrival.class);
+            let live = Live { call, class, effect, ran: None, answer, deadline, attempts: 0 };
+            s.requests.insert(id, live);
             s.counts.requests += 1;
             id
         };
@@ -161,8 +158,11 @@
 
     /// Takes settings that were read against `names`.
     pub fn retune(self: &Rc<Self>, change: Change) {
-        self.state.borrow_mut().names = change.names;
-        let Change { config, live, heirs, .. } = change;
+        let Change { config, live, heirs, names, .. } = change;
+        {
+            let mut s = self.state.borrow_mut();
+            (s.names, s.effects) = (names, config.classes.iter().map(|c| c.effect).collect());
+        }
         self.tell(Event::Settings { config: Box::new(config), live, heirs });
     }
 
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -24,8 +24,9 @@
 
 pub struct Live {
     pub call: Rc<Call>,
-    /// How long after the first send that may have run backends still drop a repeat, for a keyed class.
-    pub window: Option<Micros>,
+    pub class: ClassId,
+    /// What a second run would do, by the settings that it came under.
+    pub effect: Effect,
     /// When the first attempt that may have run was sent, of those that have ended.
     pub ran: Option<Time>,
     pub answer: oneshot::Sender<Answer>,
@@ -110,6 +111,8 @@
 pub struct State {
     pub balancer: Balancer,
     pub names: Names,
+    /// What a second run would do, by class, once settings have changed.
+    pub effects: Vec<Effect>,
     pub numbers: HashMap<String, BackendId>,
     pub backends: Vec<Known>,
     pub requests: HashMap<RequestId, Live>,
@@ -124,6 +127,17 @@
 }
 
 impl State {
+    /// How long after the first send that may have run a copy may be sent: for ever, as long as a keyed one is
+    /// dropped, or not at all. Settings that changed meanwhile can only take from that.
+    pub fn window(&self, live: &Live) -> Option<Micros> {
+        let window = |effect: &Effect| match effect {
+            Effect::Free => None,
+            Effect::Keyed(_, window) => Some(*window),
+            Effect::Unsafe => Some(Micros(0)),
+        };
+        [Some(&live.effect), self.effects.get(live.class.0)].into_iter().flatten().filter_map(window).min()
+    }
+
     /// Until when a copy of a keyed request is still dropped, where any other copy may have run or may yet. That one
     /// counts from its dispatch, which is before it can have begun; and a later one counts as well as an earlier, as
     /// it may have been faster.
@@ -131,13 +145,14 @@
         let live = self.requests.get(&request)?;
         let others = (0..live.attempts).map(AttemptNo).filter(|no| *no != attempt);
         let sent = others.filter_map(|no| self.attempts.get(&(request, no))).map(|f| f.sent);
-        sent.chain(live.ran).min().zip(live.window).map(|(at, window)| at + window)
+        sent.chain(live.ran).min().zip(self.window(live)).map(|(at, window)| at + window)
     }
 
     pub fn new(balancer: Balancer, names: Names) -> State {
         State {
             balancer,
             names,
+            effects: Vec::new(),
             numbers: HashMap::new(),
             backends: Vec::new(),
             requests: HashMap::new(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -377,6 +377,23 @@
     pub told: String,
 }
 
+/// What may be done with a request that came under one effect while another is in force.
+fn stricter(came: Effect, now: Effect) -> Effect {
+    let reach = |scope| match scope {
+        KeyScope::Cell => 0,
+        KeyScope::Zone => 1,
+        KeyScope::All => 2,
+    };
+    match (came, now) {
+        (came, Effect::Free) => came,
+        (Effect::Keyed(a, long), Effect::Keyed(b, short)) => {
+            Effect::Keyed(if reach(a) <= reach(b) { a } else { b }, long.min(short))
+        }
+        // One that came as free has no key by which a repeat would be dropped.
+        _ => Effect::Unsafe,
+    }
+}
+
 /// Reads settings that follow others. A class or tenant keeps its number; a class whose rules differ gets a new one.
 pub fn change(settings: &Value, names: &Names, config: &Config, before: &Network) -> Result<Change, String> {
     let places = Names { classes: Vec::new(), tenants: Vec::new(), ..names.clone() };
@@ -410,6 +427,11 @@
             told.push(format!("{} {}", if old.is_some() { "changed" } else { "new" }, new.name));
         }
     }
+    // What is still open under an old number obeys the stricter of its rules and those that hold now.
+    for (number, class) in classes.iter_mut().enumerate().filter(|(n, _)| !named[*n].live) {
+        let now = fresh_names.classes.iter().position(|new| new.name == named[number].name);
+        class.effect = now.map_or(class.effect, |at| stricter(class.effect, fresh.classes[at].effect));
+    }
     let dropped = |n: &&Named| n.live && Named::find(&named, &n.name).is_none();
     told.extend(names.classes.iter().filter(dropped).map(|n| format!("dropped {}", n.name)));
     let (mut tenants, mut customers) = (config.tenants.clone(), names.tenants.clone());
