Let the tests' backend read chunked bodies before it answers

Need: the stand-in took a chunked request for one without a body and answered before its last byte, which no backend of the protocol does; the proxy now takes such an answer for another's, and the long chunked upload was refused. Change: the rig reads chunks to their end, and the test checks the body that arrives, which it could not before.

--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -46,6 +46,10 @@
             let Some((name, value)) = text.split_once(':') else { break };
             message.headers.push((name.into(), value.trim().into()));
         }
+        if message.header("transfer-encoding").is_some_and(|c| c.eq_ignore_ascii_case("chunked")) {
+            message.body = chunks(from)?;
+            return Some(message);
+        }
         let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
         message.body = vec![0; length];
         from.read_exact(&mut message.body).ok()?;
@@ -53,6 +57,22 @@
     }
 }
 
+/// A body in chunks, to its end; without trailers.
+fn chunks(from: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let mut chunk = vec![0; size + 2]; // with the line's end
+        from.read_exact(&mut chunk).ok()?;
+        if size == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
 /// What a backend does with a request.
 #[derive(Clone, Debug)]
 pub enum Reply {
--- a/tests/streaming.rs
+++ b/tests/streaming.rs
@@ -60,7 +60,8 @@
     let chunked = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
     client
         .send(&pay(3.0).replace("Content-Length: 4", "Transfer-Encoding: chunked").replace("cash", &chunked));
-    assert_eq!(client.answer().expect("an answer").body, answer.as_bytes());
+    assert!(client.answer().expect("an answer").body == answer.as_bytes());
+    assert!(backend.request().body == body.as_bytes());
     let got = client.ask(&read(3.0));
     assert_eq!((got.status(), got.body == answer.as_bytes()), (200, true));
 }
