--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -118,7 +118,8 @@
         let backend = Scripted::start();
         let proxy = one(&backend);
         let mut client = proxy.client();
-        client.send(&pay(3.0).replace("HTTP/1.1", if old { "HTTP/1.0" } else { "HTTP/1.1" }));
+        let ask = pay(3.0).replace("Host: s", "Host: s\r\nConnection: close");
+        client.send(&ask.replace("HTTP/1.1", if old { "HTTP/1.0" } else { "HTTP/1.1" }));
         let mut wire = backend.accept();
         wire.request();
         let (text, long) = (body.clone(), body.len() > 65_536);
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -165,7 +165,14 @@
         wire.answer("warm");
         assert_eq!(client.answer().expect("an answer").body, b"warm");
         if crossing {
-            meet(&mut client, &mut wire);
+            loop {
+                client.send(&pay(3.0));
+                if until(|| wire.stirs().then_some(()), &client).is_some() {
+                    wire.request();
+                    break;
+                }
+                assert_eq!(client.answer().expect("an answer").body, b"elsewhere");
+            }
         }
         let before = other.count();
         wire.send(half);
@@ -194,18 +201,6 @@
     }
 }
 
-/// Until an unsafe request has come whole on that connection; those before are served by the other backend.
-fn meet(client: &mut Client, wire: &mut Wire) {
-    loop {
-        client.send(&pay(3.0));
-        if until(|| wire.stirs().then_some(()), client).is_some() {
-            wire.request();
-            return;
-        }
-        assert_eq!(client.answer().expect("an answer").body, b"elsewhere");
-    }
-}
-
 /// What comes first: that, or else an answer for the client.
 fn until<T>(mut that: impl FnMut() -> Option<T>, client: &Client) -> Option<T> {
     let tcp = client.0.get_ref();
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -46,8 +46,8 @@
             let Some((name, value)) = text.split_once(':') else { break };
             message.headers.push((name.into(), value.trim().into()));
         }
-        if message.header("transfer-encoding").is_some_and(|c| c.eq_ignore_ascii_case("chunked")) {
-            message.body = chunks(from)?;
+        if message.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
+            while message.chunk(from)? {}
             return Some(message);
         }
         let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
@@ -55,21 +55,16 @@
         from.read_exact(&mut message.body).ok()?;
         Some(message)
     }
-}
-
-/// A body in chunks, to its end; without trailers.
-fn chunks(from: &mut impl BufRead) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
-    loop {
+    /// Takes one chunk; whether more come.
+    fn chunk(&mut self, from: &mut impl BufRead) -> Option<bool> {
         let mut line = String::new();
         from.read_line(&mut line).ok()?;
-        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
-        let mut chunk = vec![0; size + 2]; // with the line's end
-        from.read_exact(&mut chunk).ok()?;
-        if size == 0 {
-            return Some(body);
-        }
-        body.extend_from_slice(&chunk[..size]);
+        let length = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let begin = self.body.len();
+        self.body.resize(begin + length + 2, 0); // with the line's end
+        from.read_exact(&mut self.body[begin..]).ok()?;
+        self.body.truncate(begin + length);
+        Some(length > 0)
     }
 }
 
