Hand on no body's last byte once its client has left

While nobody takes a long body the kernel's window is full, and the end of a client that left long ago can only arrive behind the last bytes, when those are read for a backend: one play of client_gone in ten sent such a request on whole. The client is now asked for as well when the body comes to its end.

body/gone_tests.rs forces it and fails without the check. tests/client_gone.rs has that case as a test of its own, and waits everywhere else until the kernel has brought the client's end, or the SYN, to where the test needs it: on a busy machine one wait for a late connection never ended before.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -1,5 +1,6 @@
 //! Bodies on their way: a client's as it comes, and a backend's as it goes on to the client.
 
+use super::stream::Peer;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::Cell;
@@ -88,16 +89,17 @@
     last: Instant,
     timer: Pin<Box<Sleep>>,
     waiting: bool,
+    client: Peer,
     pub passed: Rc<Passed>,
 }
 
 impl Upload {
     /// `from`: since when its patience counts.
-    pub fn new(inner: Incoming, from: Instant) -> Upload {
+    pub fn new(inner: Incoming, client: Peer, from: Instant) -> Upload {
         let (now, until) = (Instant::now(), from + BODY_PATIENCE);
         let timer = Box::pin(tokio::time::sleep_until(until));
         let (before, waiting, passed) = (None, false, Rc::new(Passed::new()));
-        Upload { before, inner, until, last: now, timer, waiting, passed }
+        Upload { before, inner, until, last: now, timer, waiting, client, passed }
     }
 
     /// Gives back what was taken from its beginning.
@@ -140,6 +142,11 @@
         };
         (self.last, self.waiting) = (now, false);
         self.passed.moved.set(now);
+        // The end of a client that left long ago may stand behind its last byte, which then is not handed on.
+        let whole = got.is_none() || self.inner.is_end_stream();
+        if whole && self.client.has_left() {
+            return Poll::Ready(Some(Err(Broken::Malformed)));
+        }
         Poll::Ready(match got {
             Some(Ok(frame)) => {
                 let bytes = frame.data_ref().map_or(0, Bytes::len);
@@ -239,3 +246,6 @@
         self.over.take().into_iter().for_each(|over| over(false));
     }
 }
+
+#[cfg(test)]
+mod gone_tests;
--- a/src/net/server/request.rs
+++ b/src/net/server/request.rs
@@ -41,10 +41,11 @@
         }
         let most = rules.deadlines[class.0];
         let left = number(&headers, "x-time-left").map_or(most, Micros::from_secs).min(most);
-        let body = receive(Upload::new(body, from), left).await.map_err(|broken| match broken {
-            Broken::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
-            Broken::Malformed => bad("the body is malformed\n"),
-        })?;
+        let body =
+            receive(Upload::new(body, client.peer(), from), left).await.map_err(|broken| match broken {
+                Broken::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
+                Broken::Malformed => bad("the body is malformed\n"),
+            })?;
         // Its time counts from its last byte.
         let time_left = Micros(left.0.saturating_sub(self.host.margin().0));
         let tenant = headers.get("x-account").and_then(|v| v.to_str().ok());
--- a/tests/client_gone.rs
+++ b/tests/client_gone.rs
@@ -4,7 +4,7 @@
 mod rig;
 
 use rig::*;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
@@ -31,12 +31,33 @@
         client
     }
 
+    /// Leaves, though the kernel may not bring that to the proxy's side before it has read what stands before.
+    fn turn_away(self, client: Client) {
+        let tcp = client.0.get_ref();
+        socket2::SockRef::from(tcp).set_linger(self.reset.then_some(Duration::ZERO)).unwrap();
+    }
+
+    /// Leaves, and waits until the kernel has brought that to the proxy's side.
     fn go(self, client: Client) {
-        let socket = socket2::SockRef::from(client.0.get_ref());
-        socket.set_linger(self.reset.then_some(Duration::ZERO)).unwrap();
+        let tcp = client.0.get_ref();
+        let (own, proxy) = (tcp.local_addr().unwrap(), tcp.peer_addr().unwrap());
+        self.turn_away(client);
+        until(|| sockets(ESTABLISHED, Some(proxy), own) == 0, "the end never arrived");
     }
 }
 
+const ESTABLISHED: &str = "01";
+const SYN_SENT: &str = "02";
+
+/// How many sockets of this machine are in that state, from there (or anywhere) to there.
+fn sockets(state: &str, from: Option<SocketAddr>, to: SocketAddr) -> usize {
+    let named = |at: SocketAddr| format!("0100007F:{:04X}", at.port());
+    let (from, to) = (from.map(named), named(to));
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let fields = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    fields.filter(|f| f[3] == state && f[2] == to && from.as_ref().is_none_or(|from| f[1] == *from)).count()
+}
+
 /// Whatever the test does until `go_on` meets the proxy at once.
 fn hold(proxy: &Proxy) {
     proxy.signal("-STOP");
@@ -84,8 +105,8 @@
         let proxy = Proxy::start(&[]);
         let (_, answer) = proxy.discovery.call();
         let left = WAYS.map(|way| (way, way.ask(&proxy, &read(3.0))));
-        // Of a body this long the most part stays in the kernel for as long as no backend takes it.
-        let bodies = WAYS.map(|way| (way, way.ask(&proxy, &upload(150_000))));
+        // Of a body this long a part stays in the kernel for as long as no backend takes it.
+        let bodies = WAYS.map(|way| (way, way.ask(&proxy, &upload(100_000))));
         in_hand(&proxy);
         hold(&proxy);
         let news = list(5, true, &[entry("b0", backend.address, "SERVING")]);
@@ -102,6 +123,23 @@
     }
 }
 
+/// The proxy holds so much of a body unread that the client's end cannot reach it before a backend takes the body.
+#[test]
+fn a_body_whose_end_brings_the_clients_is_not_sent_whole() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::start(&[]);
+    let (_, answer) = proxy.discovery.call();
+    let bodies = WAYS.map(|way| (way, way.ask(&proxy, &upload(150_000))));
+    in_hand(&proxy);
+    hold(&proxy);
+    bodies.into_iter().for_each(|(way, client)| way.turn_away(client));
+    answer.send((200, list(5, true, &[entry("b0", backend.address, "SERVING")]))).unwrap();
+    go_on(&proxy);
+    served(&proxy);
+    (0..4).for_each(|_| served(&proxy));
+    assert_eq!(backend.count(), 5);
+}
+
 /// All slots of the only backend are taken, and become free in the moment in which those that wait for one leave.
 #[test]
 fn a_request_that_waits_for_a_slot_is_dropped_with_its_client() {
@@ -138,7 +176,7 @@
     fn new() -> Late {
         let new = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         let socket = new();
-        socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
         socket.listen(Late::QUEUE as i32 - 1).unwrap();
         let to = socket.local_addr().unwrap();
         let connected = |_| {
@@ -151,7 +189,22 @@
 
     /// Takes those who filled the queue: whoever tries now comes up.
     fn open(&self) {
-        (0..Late::QUEUE).for_each(|_| drop(self.listener.accept().unwrap()));
+        (0..Late::QUEUE).for_each(|_| drop(self.accept()));
+    }
+
+    fn accept(&self) -> TcpStream {
+        let end = Instant::now() + PATIENCE;
+        self.listener.set_nonblocking(true).unwrap();
+        let tcp = loop {
+            match self.listener.accept() {
+                Ok((tcp, _)) => break tcp,
+                Err(e) => assert!(Instant::now() < end, "{e}"),
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        };
+        self.listener.set_nonblocking(false).unwrap();
+        tcp.set_nonblocking(false).unwrap();
+        tcp
     }
 }
 
@@ -161,12 +214,12 @@
     let late = Late::new();
     let slow = SETTINGS.replace("\"dial_timeout_us\":300000", "\"dial_timeout_us\":9000000");
     let known = [entry("b0", late.listener.local_addr().unwrap(), "SERVING")];
-    let proxy = Proxy::operated(&known, &slow, &[]);
+    let proxy = Proxy::with(&known, 1024, &slow);
     let left = WAYS.map(|way| (way, way.ask(&proxy, &read(9.0))));
-    until(|| figure(&proxy, "shaletide_attempts_total") == 4, "not all were dispatched");
+    until(|| sockets(SYN_SENT, None, late.listener.local_addr().unwrap()) == 4, "not all were dispatched");
     hold(&proxy);
     late.open();
-    let came: Vec<_> = (0..4).map(|_| late.listener.accept().unwrap().0).collect(); // up, as the proxy will find
+    let came: Vec<_> = (0..4).map(|_| late.accept()).collect(); // up, as the proxy will find
     left.into_iter().for_each(|(way, client)| way.go(client));
     go_on(&proxy);
     // The next one's attempt comes after whatever was sent for those.
@@ -182,7 +235,7 @@
     assert_eq!(heard.try_iter().count(), 1);
 }
 
-fn answer_each(tcp: std::net::TcpStream, tell: mpsc::Sender<()>) {
+fn answer_each(tcp: TcpStream, tell: mpsc::Sender<()>) {
     std::thread::spawn(move || {
         let mut reader = std::io::BufReader::new(tcp.try_clone().unwrap());
         while Message::read(&mut reader).is_some() {
