--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -32,7 +32,7 @@
 const IDLE_PART: f64 = 0.6;
 /// So long a connection rests after an answer before the next request goes out on it: what a broken backend sends
 /// late, such as a second answer, shows until then, and is not taken for the next one's.
-const REST: Duration = Duration::from_millis(10);
+const REST: Duration = Duration::from_millis(3);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
 
