--- a/src/rules.rs
+++ b/src/rules.rs
@@ -836,7 +836,10 @@
         let before = if now < self.beside.2 { self.beside.1 } else { 1 };
         // What a process before this one had sent weighs still, and falls out of the window evenly.
         let own = self.born.map_or(0.0, |born| (now - born).secs() / self.cfg.fall_window.secs().max(1e-6));
-        all * FALL_MARGIN * p.due * own.min(1.0) / f64::from(self.beside.0.max(before)) - spent
+        // One request of all proxies together is chance, however little that is. Else a process that begins
+        // among cold backends alone would refuse its first ones.
+        let all = (all * FALL_MARGIN * own.min(1.0)).max(1.0);
+        all * p.due / f64::from(self.beside.0.max(before)) - spent
     }
 
     /// Requests of mean work a second that a warm backend of the kind surely serves. As the speed in `solve`,
