Let the new tests share their holds, example request and next-request check

Need: holding a process still stood in two test files, the example request in two, and the check that the next request goes elsewhere twice. No assertion changed; nothing outside tests.

--- a/src/net/host/gone_tests.rs
+++ b/src/net/host/gone_tests.rs
@@ -1,7 +1,6 @@
 //! Clients that leave between two looks of the event loop.
 
 use super::super::stream::Stream;
-use super::super::upstream::{Call, Payload};
 use super::*;
 
 /// The client leaves as the first byte is about to go out: the kernel knows, the event loop has not come round.
@@ -13,26 +12,11 @@
     let (host, at) = (Host::example(), std::net::SocketAddr::from(([127, 0, 0, 1], 9)));
     let entry = serde_json::json!({"name": "b", "address": "127.0.0.1:9", "status": "SERVING"});
     let list = super::super::list::List { index: 1, snapshot: true, endpoints: vec![entry] };
-    let call = Call {
-        method: hyper::Method::GET,
-        uri: hyper::Uri::from_static("/read/k"),
-        headers: hyper::HeaderMap::new(),
-        body: Payload::Whole(bytes::Bytes::new()),
-        client: Some(client.peer()),
-    };
-    let arrival = Arrival {
-        request: RequestId(0),
-        class: ClassId(0),
-        tenant: None,
-        time_left: Micros(60_000_000),
-        work_hint: None,
-        repeat: false,
-    };
     let scope = tokio::task::LocalSet::new();
     scope
         .run_until(async {
             host.members(ListUpdate::Full, &list);
-            let (id, _wait) = host.request(arrival, &Rc::new(call), Effect::Free);
+            let (id, _wait) = host.example_request_of(Some(client.peer()));
             assert!(host.may_send(id, AttemptNo(0), BackendId(0), at));
             drop(peer);
             assert!(!host.may_send(id, AttemptNo(0), BackendId(0), at));
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -65,12 +65,20 @@
     /// A request of the example's first class with a minute left, as a client's `GET`.
     #[cfg(test)]
     pub fn example_request(self: &Rc<Self>) -> (RequestId, oneshot::Receiver<Answer>) {
+        self.example_request_of(None)
+    }
+
+    /// The same from a client that may leave.
+    #[cfg(test)]
+    fn example_request_of(
+        self: &Rc<Self>, client: Option<super::stream::Peer>,
+    ) -> (RequestId, oneshot::Receiver<Answer>) {
         let call = Call {
             method: hyper::Method::GET,
             uri: hyper::Uri::from_static("/read/k"),
             headers: hyper::HeaderMap::new(),
             body: Payload::Whole(bytes::Bytes::new()),
-            client: None,
+            client,
         };
         let arrival = Arrival {
             request: RequestId(0),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -31,15 +31,20 @@
         wire.request();
         wire.send(answer("first") + more);
         assert_eq!(client.answer().expect("an answer").body, b"first", "{more:?}");
-        client.send(&pay(3.0));
-        let mut next = backend.accept();
-        next.request();
-        next.answer("second");
-        assert_eq!(client.answer().expect("an answer").body, b"second", "{more:?}");
-        assert_eq!(wire.rest(), b"", "{more:?}");
+        the_next_goes_elsewhere(&backend, &mut client, wire, more);
     }
 }
 
+/// The next request is served on a connection of its own, and the one before carries nothing more.
+fn the_next_goes_elsewhere(backend: &Scripted, client: &mut Client, before: Wire, case: &str) {
+    client.send(&pay(3.0));
+    let mut next = backend.accept();
+    next.request();
+    next.answer("second");
+    assert_eq!(client.answer().expect("an answer").body, b"second", "{case:?}");
+    assert_eq!(before.rest(), b"", "{case:?}");
+}
+
 /// The same where it comes once the connection rests.
 #[test]
 fn what_comes_between_two_requests_is_never_the_next_ones() {
@@ -54,12 +59,7 @@
         wire.answer("first");
         assert_eq!(client.answer().expect("an answer").body, b"first");
         wire.send(more);
-        client.send(&pay(3.0));
-        let mut next = backend.accept();
-        next.request();
-        next.answer("second");
-        assert_eq!(client.answer().expect("an answer").body, b"second", "{more:?}");
-        assert_eq!(wire.rest(), b"", "{more:?}");
+        the_next_goes_elsewhere(&backend, &mut client, wire, more);
     }
 }
 
--- a/tests/client_gone.rs
+++ b/tests/client_gone.rs
@@ -69,17 +69,6 @@
     fields.filter(|f| f[3] == state && f[2] == to && from.as_ref().is_none_or(|from| f[1] == *from)).count()
 }
 
-/// Whatever the test does until `go_on` meets the proxy at once.
-fn hold(proxy: &Proxy) {
-    proxy.signal("-STOP");
-    let stat = format!("/proc/{}/stat", proxy.child.id());
-    until(|| std::fs::read_to_string(&stat).unwrap().contains(") T "), "it never stood still");
-}
-
-fn go_on(proxy: &Proxy) {
-    proxy.signal("-CONT");
-}
-
 fn until(done: impl Fn() -> bool, otherwise: &str) {
     let end = Instant::now() + PATIENCE;
     while !done() {
@@ -119,7 +108,7 @@
         // Of a body this long a part stays in the kernel for as long as no backend takes it.
         let bodies = WAYS.map(|way| (way, way.ask(&proxy, &upload(100_000))));
         in_hand(&proxy);
-        hold(&proxy);
+        proxy.hold();
         let news = list(5, true, &[entry("b0", backend.address, "SERVING")]);
         if list_first {
             answer.send((200, news.clone())).unwrap();
@@ -128,7 +117,7 @@
         if !list_first {
             answer.send((200, news)).unwrap();
         }
-        go_on(&proxy);
+        proxy.go_on();
         served(&proxy);
         assert_eq!(sent_on(&backend), 0, "list first: {list_first}");
     }
@@ -148,10 +137,10 @@
     assert!(backend.count() < 20, "none waits");
     let late = WAYS.map(|way| (way, way.ask(&proxy, &read(3.0))));
     in_hand(&proxy);
-    hold(&proxy);
+    proxy.hold();
     late.into_iter().for_each(|(way, client)| way.go(client));
     gate.open();
-    go_on(&proxy);
+    proxy.go_on();
     clients.iter_mut().for_each(|c| drop(c.answer().expect("an answer")));
     until(|| proxy.ask(&read(3.0)).status() == 200, "nothing more is served");
     assert_eq!(sent_on(&backend), 0);
@@ -210,11 +199,11 @@
     let proxy = Proxy::with(&known, 1024, &slow);
     let left = WAYS.map(|way| (way, way.ask(&proxy, &read(9.0))));
     until(|| sockets(SYN_SENT, None, late.listener.local_addr().unwrap()) == 4, "not all were dispatched");
-    hold(&proxy);
+    proxy.hold();
     late.open();
     let came: Vec<_> = (0..4).map(|_| late.accept()).collect(); // up, as the proxy will find
     left.into_iter().for_each(|(way, client)| way.go(client));
-    go_on(&proxy);
+    proxy.go_on();
     // The next one's attempt comes after whatever was sent for those.
     let mut stays = proxy.client();
     stays.send(&read(9.0));
@@ -275,12 +264,12 @@
         let client = way.ask(&proxy, &read(3.0));
         until(|| sent() == 1, "it was never sent");
         until(|| !failing.load(SeqCst), "it was answered"); // one fails, and all others serve
-        hold(&proxy);
+        proxy.hold();
         way.go(client);
         let before = failed.get();
         gate.open();
         until(|| sent() == 1 && failed.get() > before, "no failure");
-        go_on(&proxy);
+        proxy.go_on();
         served(&proxy);
         assert_eq!(sent(), 1, "{way:?}");
     }
@@ -291,10 +280,10 @@
 fn a_request_of_one_who_has_left_already_is_not_sent_on() {
     let backend = BackendServer::start(|_| ok("x"));
     let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
-    hold(&proxy);
+    proxy.hold();
     WAYS.iter().for_each(|way| way.go(way.ask(&proxy, &read(3.0))));
     WAYS.iter().for_each(|way| way.go(way.ask(&proxy, &upload(100_000))));
-    go_on(&proxy);
+    proxy.go_on();
     served(&proxy);
     assert_eq!(sent_on(&backend), 0);
 }
@@ -308,10 +297,10 @@
     let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
     let left = WAYS.map(|way| (way, way.ask(&proxy, &read(3.0))));
     until(|| backend.count() == 4, "not all were sent");
-    hold(&proxy);
+    proxy.hold();
     left.into_iter().for_each(|(way, client)| way.go(client));
     gate.open();
-    go_on(&proxy);
+    proxy.go_on();
     served(&proxy);
     assert_eq!(sent_on(&backend), 4, "the first of each");
 }
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -426,6 +426,21 @@
         self.signal("-TERM");
     }
 
+    /// Whatever the test does until `go_on` meets the program at once.
+    pub fn hold(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let end = std::time::Instant::now() + PATIENCE;
+        while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+            assert!(std::time::Instant::now() < end, "it never stood still");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     pub fn signal(&self, which: &str) {
         let done = Command::new("kill").args([which, &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -12,21 +12,6 @@
 /// After SIGTERM resting connections are let go once this is over.
 const RESTING: Duration = Duration::from_millis(500);
 
-/// Whatever the test does until `go_on` meets the proxy at once.
-fn hold(proxy: &Proxy) {
-    proxy.signal("-STOP");
-    let stat = format!("/proc/{}/stat", proxy.child.id());
-    let end = Instant::now() + PATIENCE;
-    while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
-        assert!(Instant::now() < end, "it never stood still");
-        std::thread::sleep(Duration::from_millis(2));
-    }
-}
-
-fn go_on(proxy: &Proxy) {
-    proxy.signal("-CONT");
-}
-
 fn one(backend: &BackendServer) -> Proxy {
     Proxy::start(&[entry("b0", backend.address, "SERVING")])
 }
@@ -70,14 +55,14 @@
     let mut half = proxy.client();
     half.send(begin);
     assert_eq!(proxy.ask(READY).status(), 200); // the half was read
-    hold(&proxy);
+    proxy.hold();
     clients[..4].iter_mut().for_each(|c| c.send(&read(3.0)));
     proxy.terminate();
     clients[4..].iter_mut().for_each(|c| c.send(&read(3.0)));
     let mut new = proxy.client();
     new.send(&read(3.0));
     half.send(rest);
-    go_on(&proxy);
+    proxy.go_on();
     for client in clients.iter_mut().chain([&mut new, &mut half]) {
         assert_eq!(client.answer().expect("an answer").status(), 200);
     }
@@ -94,10 +79,10 @@
     let mut idle = resting(&proxy, 2);
     proxy.terminate();
     stopping(&proxy);
-    hold(&proxy);
+    proxy.hold();
     std::thread::sleep(RESTING); // its timer fires as soon as it goes on
     clients.iter_mut().for_each(|c| c.send(&read(3.0)));
-    go_on(&proxy);
+    proxy.go_on();
     for client in &mut clients {
         assert_eq!(client.answer().expect("an answer").status(), 200);
         ended_plainly(client);
@@ -113,11 +98,11 @@
     let mut proxy = Proxy::launched(&[], 1024, SETTINGS, 40);
     proxy.terminate();
     stopping(&proxy);
-    hold(&proxy);
+    proxy.hold();
     std::thread::sleep(RESTING);
     let mut queued: Vec<Client> = (0..80).map(|_| proxy.client()).collect();
     queued.iter_mut().for_each(|c| c.send(READY));
-    go_on(&proxy);
+    proxy.go_on();
     for (n, client) in queued.iter_mut().enumerate() {
         assert_eq!(client.answer().unwrap_or_else(|| panic!("no answer to {n}")).status(), 200);
     }
@@ -194,11 +179,11 @@
     let mut clients: Vec<Client> = (0..8).map(|_| proxy.client()).collect();
     clients[..4].iter_mut().for_each(|c| c.send("GET /-/re"));
     assert_eq!(proxy.ask(READY).status(), 200); // all were taken in
-    hold(&proxy);
+    proxy.hold();
     std::thread::sleep(Duration::from_millis(2_600));
     clients[..4].iter_mut().for_each(|c| c.send(READY.strip_prefix("GET /-/re").unwrap()));
     clients[4..].iter_mut().for_each(|c| c.send(READY));
-    go_on(&proxy);
+    proxy.go_on();
     assert!(clients.iter_mut().all(|c| c.answer().is_some_and(|a| a.status() == 200)));
 }
 
@@ -216,10 +201,10 @@
         ("a broken chunk", pay(3.0).replace("Content-Length: 4", "Transfer-Encoding: chunked") + &junk, 400),
         ("two lengths", long(pay(3.0).replace("Host: s", "Host: s\r\nContent-Length: 9")), 400),
     ] {
-        hold(&proxy);
+        proxy.hold();
         let mut client = proxy.client();
         client.send(&request);
-        go_on(&proxy);
+        proxy.go_on();
         assert_eq!(client.answer().unwrap_or_else(|| panic!("{what}")).status(), status, "{what}");
         assert!(client.ended());
         // A reset right behind the end would show by now.
