Keep a call's place in discovery's line after a refusal

Probes in a scratch copy [, ] showed why: 32 proxies before a discovery that answers about four opening calls a second. It refuses calls (503) while its line is full and lets the others stand there for up to 3 s; it knows one call of a proxy, and a second one ends both with 503 in the same millisecond (38 of 59 late answers). Each proxy gave up after 1.8 s, called again, and so lost its place, for twenty seconds. Ruled out: watches that go on (they are answered in time all along).

Change: after a refusal a call is waited for up to 3.2 s, less in large fleets, where a hang, the pause behind it and the next call would not fit into the 6 s (docs/design.md).

The new process test fails without the change ("called again after 1.93 s"); the module test bounds the sum.

--- a/src/ask.rs
+++ b/src/ask.rs
@@ -16,6 +16,27 @@
 /// ... and once it grows no more, which keeps them so.
 const GROWN: f64 = 0.75;
 
+/// The patience with a call that may hang without a word, ...
+const HANGS: f64 = 1.8;
+/// ... and with one that surely stands in a line, s: discovery ends by itself what has waited for 3 s there.
+const LINE: f64 = 3.2;
+
+/// The gap between two calls in the end, s.
+fn longest(proxies: u32) -> f64 {
+    (f64::from(proxies) * TURN).clamp(LEAST, MOST)
+}
+
+/// How long to wait for a call after one that discovery refused. So it lives, and has a line as long as it lets one grow:
+/// what it took in since stands at the end, and another call of the same proxy costs both their places. In a large fleet it
+/// is less: should the call hang after all, what comes before the next one still fits into [`MOST`]'s sum. That is a pause
+/// of half the gap, or the gap where [`Ask::take_due`] counts anew meanwhile.
+pub fn in_line(proxies: u32, within: Micros) -> Micros {
+    let half = within.secs() / 2.0;
+    let gap = longest(proxies).min(half);
+    let behind = if half < LINE { gap } else { (FIRST + gap) / 2.0 };
+    Micros::from_secs((MOST - behind).clamp(HANGS, LINE))
+}
+
 /// A proxy's calls. A gap runs from the beginning of one to the next and not from a failure on: so a call that hangs
 /// till its patience ends makes the next one no later than one that is refused at once.
 #[derive(Debug)]
@@ -36,7 +57,7 @@
 
     /// A call failed, at one of so many proxies of which each has to ask `within` so long; `drawn` is even in 0..1.
     pub fn failed(&mut self, now: Time, proxies: u32, within: Micros, drawn: f64) {
-        let most = (f64::from(proxies) * TURN).clamp(LEAST, MOST).min(within.secs() / 2.0);
+        let most = longest(proxies).min(within.secs() / 2.0);
         let next = (self.gap * 2.0).clamp(FIRST, most.max(FIRST));
         let least = if self.gap < next { GROWING } else { GROWN };
         self.gap = next;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod settings;
 mod state;
 
+pub use ask::in_line;
 pub use interface::*;
 pub use rules::{halb_shares, Balancer};
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,7 +10,7 @@
 use hyper::Request;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use shaletide::{Discovery, ListUpdate};
+use shaletide::{in_line, Discovery, ListUpdate};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -81,6 +81,8 @@
     mode: Discovery,
     /// Seconds.
     most: f64,
+    /// The patience with a call after one that was refused.
+    in_full_line: Duration,
     draw: StdRng,
 }
 
@@ -88,7 +90,11 @@
     /// For one of so many proxies, with a seed of its own.
     pub fn new(mode: Discovery, proxies: u32, seed: u64) -> Pace {
         let most = (f64::from(proxies) / CALLS).clamp(LEAST_WAIT, MOST_WAIT);
-        Pace { mode, most, draw: StdRng::seed_from_u64(seed) }
+        let in_full_line = match mode {
+            Discovery::Subscribe(within) => Duration::from_micros(in_line(proxies, within).0),
+            Discovery::Push => IN_LINE, // an agent has one caller
+        };
+        Pace { mode, most, in_full_line, draw: StdRng::seed_from_u64(seed) }
     }
 
     fn wait(&mut self) -> Duration {
@@ -243,6 +249,7 @@
     let (mut whole, mut link, mut failures) = (!asked, None, 0u32);
     // A call of the module's is answered once, by what it missed; only what follows waits for news.
     let mut wait = Duration::ZERO;
+    let mut patient = IN_LINE;
     let (mut address, mut moved) = (*at.borrow_and_update(), false);
     if asked {
         host.followed().await;
@@ -256,8 +263,8 @@
         }
         let call = known.asked(whole);
         let (uri, patience) = match call.whole {
-            true => ("/api/targets".to_string(), IN_LINE),
-            false if wait.is_zero() => (format!("/api/targets?after={}&wait_ms=0", call.index), IN_LINE),
+            true => ("/api/targets".to_string(), patient),
+            false if wait.is_zero() => (format!("/api/targets?after={}&wait_ms=0", call.index), patient),
             false => {
                 let uri = format!("/api/targets?after={}&wait_ms={}", call.index, wait.as_millis());
                 (uri, wait + PROMPT)
@@ -291,6 +298,7 @@
                 whole = news == News::Gap;
             }
             Err(e) => {
+                patient = if matches!(e, WatchError::Status(_)) { pace.in_full_line } else { IN_LINE };
                 wait = Duration::ZERO; // the next call is answered at once, by what this one missed
                 failures += 1;
                 if failures == 1 {
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -106,6 +106,26 @@
     }
 }
 
+/// The same where calls are refused and hang in turn: one that hangs after a refusal is waited for as if it stood in a line.
+#[test]
+fn a_call_that_keeps_its_place_in_a_line_leaves_the_bound_as_it_was() {
+    for proxies in [2, 3, 20, 32, 60, 78, 300, 1800] {
+        for within in [0.5, 2.0, 5.0, 6.3, 6.5, 9.0, 30.0, 3600.0] {
+            let in_line = Duration::from_micros(in_line(proxies, Micros::from_secs(within)).0);
+            assert!(in_line >= IN_LINE, "{proxies}");
+            for refused in [|n| n % 2 == 0, |n| n % 3 == 0, |n| n != 5] {
+                let takes = |n| if refused(n) { Duration::ZERO } else { in_line };
+                let begun = Caller::new(proxies, 1, within).outage(60 * SECOND, takes);
+                let most = begun.windows(2).map(|pair| (pair[1] - pair[0]) as f64 / 1e6).fold(0.0, f64::max);
+                let told = most + IN_LINE.as_secs_f64() + SPARE;
+                assert!(told < TOLD, "{proxies} proxies, {within} s: {most} s between two calls");
+            }
+        }
+    }
+    let line = in_line(32, Micros::from_secs(9.0));
+    assert!(line > Micros::from_secs(3.0), "a few dozen proxies can wait for the end of discovery's line");
+}
+
 /// What the whole fleet costs a discovery that fails: few calls in the end, at no time in step, later and later at first.
 #[test]
 fn a_fleet_calls_a_failing_discovery_no_faster_than_stated() {
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -111,3 +111,25 @@
         assert!(target.contains("after=9&"), "{target}");
     });
 }
+
+/// A discovery with more callers than it can answer refuses calls, and lets the others stand in line for up to 3 s. Another
+/// call of a proxy that stands there ends both: so none is made, and the answer is heard.
+#[test]
+fn a_call_after_a_refusal_keeps_its_place_in_the_line() {
+    let settings =
+        SETTINGS.replace("\"automatic\"", "\"subscribe\"").replace("\"group_size\":1", "\"group_size\":32");
+    let (old, new) = (BackendServer::start(|_| ok("old")), BackendServer::start(|_| ok("new")));
+    let proxy = Proxy::with(&[entry("b0", old.address, "SERVING")], 1024, &settings);
+    proxy.discovery.call().1.send((503, String::new())).unwrap();
+    let (_, _hangs) = proxy.discovery.call();
+    let stands = Instant::now();
+    let (_, in_line) = proxy.discovery.call();
+    assert!(stands.elapsed() > Duration::from_secs(3), "called again after {:?}", stands.elapsed());
+    in_line.send((503, String::new())).unwrap();
+    let (_, in_line) = proxy.discovery.call();
+    let change = [entry("b0", old.address, "DRAINING"), entry("b1", new.address, "SERVING")];
+    in_line.send((200, list(9, true, &change))).unwrap();
+    let (target, _hold) = proxy.discovery.call(); // by now the change is taken in
+    assert!(target.contains("after=9&") && !target.contains("wait_ms=0 "), "{target}");
+    assert_eq!(proxy.ask(&pay(3.0)).body, b"new");
+}
