Share the settings' tables between those who hold them, and check them once

A change of settings copied and checked every class and tenant on the request loop, several times over. Config's tables are persistent vectors now: a clone shares them. Config::checked makes a Checked, which Event::Settings carries: sound by its type, with the sum of the quotas, and amended entry by entry in O(log n). The event names the classes that leave and come back into use instead of telling of all. The sum is added up in parts of 4,096: the plain sum up to one part's length and wherever quotas are whole numbers, and always the same for the same tenants.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! The whole interface of the decision module: configuration, events, actions. No decisions here.
 
+use imbl::Vector;
 use std::collections::BTreeMap;
 
 /// A point in time, in microseconds of the host's clock; it begins at no particular value.
@@ -82,7 +83,8 @@
     TimerToken(u64);
 }
 
-/// Everything told at start-up.
+/// Everything told at start-up. A clone shares the tables of classes and tenants with its original and costs nothing by
+/// their size; one that is then changed copies only what leads to the change.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// How many proxies share the traffic, this one included.
@@ -92,9 +94,9 @@
     /// The proxy's own zone.
     pub zone: ZoneId,
     /// The sorts of requests.
-    pub classes: Vec<Class>,
+    pub classes: Vector<Class>,
     /// The customers; may be empty.
-    pub tenants: Vec<Tenant>,
+    pub tenants: Vector<Tenant>,
     /// Worth of a request past its tenant's quota, as a part of its class's worth.
     pub over_quota_worth: f64,
     /// What the operator's goal puts on the whole of the traffic.
@@ -144,14 +146,14 @@
             proxies: 3,
             position: 0,
             zone: ZoneId(0),
-            classes: vec![Class {
+            classes: Vector::unit(Class {
                 aim: Micros(500_000),
                 aim_stretch: 0.0,
                 effect: Effect::Free,
                 worth: 1.0,
                 late_worth: 0.0,
-            }],
-            tenants: Vec::new(),
+            }),
+            tenants: Vector::new(),
             over_quota_worth: 0.1,
             goal_whole: 1.0,
             goal_worst_class: 0.0,
@@ -170,25 +172,28 @@
         }
     }
 
-    /// The first field that is out of its range, if any.
-    pub fn validate(&self) -> Result<(), ConfigError> {
-        self.errors().into_iter().next().map_or(Ok(()), Err)
+    /// This configuration as one that is sound, or the first field that is out of its range. Looks at every class and
+    /// tenant.
+    pub fn checked(self) -> Result<Checked, ConfigError> {
+        match self.errors().into_iter().next() {
+            Some(error) => Err(error),
+            None => Ok(Checked { quotas: Quotas::of(&self.tenants), config: self }),
+        }
     }
 
     /// Every field that is out of its range.
     pub fn errors(&self) -> Vec<ConfigError> {
-        let part = |x: f64| (0.0..=1.0).contains(&x);
-        let above_zero = |x: f64| x > 0.0 && x.is_finite();
         let classes = &self.classes;
+        let all = |sound: &dyn Fn(&Class) -> bool| classes.iter().all(sound);
         let tests = [
             (self.proxies > 0, "proxies", "at least 1"),
             (self.position < self.proxies, "position", "less than proxies"),
             (!classes.is_empty(), "classes", "at least one class"),
-            (classes.iter().all(|c| c.aim.0 > 0), "aim", "a time above 0"),
-            (classes.iter().all(|c| c.aim_stretch >= 0.0), "aim_stretch", "at least 0"),
-            (classes.iter().all(|c| above_zero(c.worth)), "worth", "a finite number above 0"),
-            (classes.iter().all(|c| part(c.late_worth)), "late_worth", "a part from 0 to 1"),
-            (self.tenants.iter().all(|t| above_zero(t.quota_per_s)), "quota_per_s", "a finite rate above 0"),
+            (all(&|c| c.aim_sound()), "aim", "a time above 0"),
+            (all(&|c| c.aim_stretch_sound()), "aim_stretch", "at least 0"),
+            (all(&|c| c.worth_sound()), "worth", "a finite number above 0"),
+            (all(&|c| c.late_worth_sound()), "late_worth", "a part from 0 to 1"),
+            (self.tenants.iter().all(Tenant::sound), "quota_per_s", "a finite rate above 0"),
             (part(self.over_quota_worth), "over_quota_worth", "a part from 0 to 1"),
             (part(self.goal_whole), "goal_whole", "a part from 0 to 1"),
             (part(self.goal_worst_class), "goal_worst_class", "a part from 0 to 1"),
@@ -203,11 +208,26 @@
                 "(0, 1]",
             ),
         ];
-        let failed = tests.into_iter().filter(|t| !t.0);
-        failed.map(|(_, field, expected)| ConfigError { field, expected }).collect()
+        failed(tests).collect()
     }
 }
 
+fn part(x: f64) -> bool {
+    (0.0..=1.0).contains(&x)
+}
+
+fn above_zero(x: f64) -> bool {
+    x > 0.0 && x.is_finite()
+}
+
+/// The errors among tests of (whether it holds, the field, what is expected of it).
+fn failed<const N: usize>(
+    tests: [(bool, &'static str, &'static str); N],
+) -> impl Iterator<Item = ConfigError> {
+    let failed = tests.into_iter().filter(|t| !t.0);
+    failed.map(|(_, field, expected)| ConfigError { field, expected })
+}
+
 /// A sort of request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -223,6 +243,32 @@
     pub late_worth: f64,
 }
 
+impl Class {
+    fn aim_sound(&self) -> bool {
+        self.aim.0 > 0
+    }
+    fn aim_stretch_sound(&self) -> bool {
+        self.aim_stretch >= 0.0
+    }
+    fn worth_sound(&self) -> bool {
+        above_zero(self.worth)
+    }
+    fn late_worth_sound(&self) -> bool {
+        part(self.late_worth)
+    }
+
+    /// The first field that is out of its range, if any.
+    pub fn validate(&self) -> Result<(), ConfigError> {
+        let tests = [
+            (self.aim_sound(), "aim", "a time above 0"),
+            (self.aim_stretch_sound(), "aim_stretch", "at least 0"),
+            (self.worth_sound(), "worth", "a finite number above 0"),
+            (self.late_worth_sound(), "late_worth", "a part from 0 to 1"),
+        ];
+        failed(tests).next().map_or(Ok(()), Err)
+    }
+}
+
 /// What running a request twice would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -252,6 +298,17 @@
     pub quota_per_s: f64,
 }
 
+impl Tenant {
+    fn sound(&self) -> bool {
+        above_zero(self.quota_per_s)
+    }
+
+    /// The first field that is out of its range, if any.
+    pub fn validate(&self) -> Result<(), ConfigError> {
+        failed([(self.sound(), "quota_per_s", "a finite rate above 0")]).next().map_or(Ok(()), Err)
+    }
+}
+
 /// Where the list of backends comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discovery {
@@ -278,6 +335,88 @@
 
 impl std::error::Error for ConfigError {}
 
+/// A configuration with every field in its range, and what follows from it as a whole. Made by [`Config::checked`]; an
+/// amended one looks only at what was amended. A clone shares the tables.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Checked {
+    config: Config,
+    quotas: Quotas,
+}
+
+impl std::ops::Deref for Checked {
+    type Target = Config;
+    fn deref(&self) -> &Config {
+        &self.config
+    }
+}
+
+impl Checked {
+    /// Requests a second that all tenants' quotas come to.
+    pub fn quota_sum(&self) -> f64 {
+        self.quotas.sum
+    }
+
+    /// Puts a class in the place of another, or behind the last: `None` gives it the next number.
+    pub fn put_class(&mut self, at: Option<ClassId>, class: Class) -> Result<ClassId, ConfigError> {
+        class.validate()?;
+        let at = at.map_or(self.config.classes.len(), |id| id.0);
+        put(&mut self.config.classes, at, class, "classes").map(ClassId)
+    }
+
+    /// The same with a tenant.
+    pub fn put_tenant(&mut self, at: Option<TenantId>, tenant: Tenant) -> Result<TenantId, ConfigError> {
+        tenant.validate()?;
+        let at = at.map_or(self.config.tenants.len(), |id| id.0);
+        put(&mut self.config.tenants, at, tenant, "tenants")?;
+        self.quotas.renew(&self.config.tenants, at);
+        Ok(TenantId(at))
+    }
+}
+
+/// Sets the item there, or adds it behind the last.
+fn put<T: Clone>(
+    table: &mut Vector<T>, at: usize, item: T, field: &'static str,
+) -> Result<usize, ConfigError> {
+    match table.len() {
+        length if at < length => drop(table.set(at, item)),
+        length if at == length => table.push_back(item),
+        _ => return Err(ConfigError { field, expected: "a number that is in use" }),
+    }
+    Ok(at)
+}
+
+/// The sum of all quotas, added up part by part: a change of one adds up its own part anew and not the whole, and the
+/// same tenants give the same sum to the last bit, whichever way they came about. Up to one part's length that is also
+/// the plain sum in the order of their numbers, and beyond it wherever quotas are whole numbers.
+#[derive(Clone, Debug, PartialEq)]
+struct Quotas {
+    parts: Vec<f64>,
+    sum: f64,
+}
+
+impl Quotas {
+    /// Tenants in a part.
+    const PART: usize = 4096;
+
+    fn of(tenants: &Vector<Tenant>) -> Quotas {
+        let mut quotas = Quotas { parts: Vec::new(), sum: 0.0 };
+        (0..tenants.len()).step_by(Quotas::PART).for_each(|at| quotas.renew(tenants, at));
+        quotas
+    }
+
+    /// Adds up the part that this tenant is in.
+    fn renew(&mut self, tenants: &Vector<Tenant>, at: usize) {
+        let part = at / Quotas::PART;
+        let (from, to) = (part * Quotas::PART, tenants.len().min((part + 1) * Quotas::PART));
+        let sum = tenants.focus().narrow(from..to).into_iter().map(|t| t.quota_per_s).sum();
+        match self.parts.get_mut(part) {
+            Some(old) => *old = sum,
+            None => self.parts.push(sum),
+        }
+        self.sum = self.parts.iter().sum();
+    }
+}
+
 /// A line of the backend list.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Backend {
@@ -479,9 +618,11 @@
     /// The settings changed. What is open ends under the rules and with the attempts that it came with.
     Settings {
         /// All of them; numbers of classes and tenants mean what they meant before, and new ones come last.
-        config: Box<Config>,
-        /// Which classes are still in use.
-        live: Vec<bool>,
+        config: Box<Checked>,
+        /// Numbers of classes that were in use and are no more.
+        retired: Vec<ClassId>,
+        /// Numbers of classes that were out of use and are in it again. New numbers are in use.
+        revived: Vec<ClassId>,
         /// Classes that take over another's estimates: the new number, then the old.
         heirs: Vec<(ClassId, ClassId)>,
     },
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 
 use clap::Parser;
 use cli::{Cli, Command, LogFormat, Run};
-use net::config::{self, Node, NodeError, Source};
+use net::config::{self, Node, Source};
 use net::control::{Control, DutiesDoor, Keepers};
 use net::discovery::Pace;
 use net::duties::Duties;
@@ -22,7 +22,7 @@
 use net::upstream::Pool;
 use net::{discovery, server, snapshot, Clock};
 use shaletide::settings::{self, Network};
-use shaletide::{Balancer, Config, ListUpdate};
+use shaletide::{Balancer, Checked, ListUpdate};
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::io;
@@ -111,8 +111,7 @@
     let room = room(node.sockets);
     let pool = Rc::new(Pool::new(&node.network, room / 2));
     let rules = Rules::new(&node.config, &node.network);
-    let balancer = Balancer::new(node.config.clone(), node.seed)
-        .map_err(|e| NodeError::Settings(e.to_string()).to_string())?;
+    let balancer = Balancer::of(node.config.clone(), node.seed);
     let host = Host::new(balancer, node.names, clock, pool.clone());
     // The list from before the restart is in place before anything is served, and before what was learned.
     host.members(ListUpdate::Cached, &node.known);
@@ -347,7 +346,7 @@
     owner: Owner,
     door: Door,
     sockets: Rc<Cell<usize>>,
-    config: Config,
+    config: Checked,
     network: Network,
     keys: BTreeSet<String>,
     listen: SocketAddr,
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use shaletide::fleet::lease;
 use shaletide::settings::{self, Names, Network};
-use shaletide::{Config, Micros};
+use shaletide::{Checked, Micros};
 use std::collections::BTreeSet;
 use std::fmt;
 use std::io::{self, Read};
@@ -79,7 +79,7 @@
     pub sockets: usize,
     /// The list as this proxy last had it.
     pub known: List,
-    pub config: Config,
+    pub config: Checked,
     pub names: Names,
     pub network: Network,
     /// The settings as they stand in the file.
@@ -418,6 +418,7 @@
             _ => file.snapshot,
         };
         let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
+        let config = config.checked().map_err(|e| NodeError::Settings(e.to_string()))?;
         let network = settings::network(&file.settings).map_err(NodeError::Settings)?;
         Ok(Node {
             name: file.name,
--- a/src/net/control/tests.rs
+++ b/src/net/control/tests.rs
@@ -31,7 +31,7 @@
         connect_timeout: second,
         conn_idle: second,
         max_retry_after: second,
-        deadlines: vec![second],
+        deadlines: vec![second].into(),
     };
     let host = Host::example();
     let server = Server::new(host.clone(), Rules::new(&Config::example(), &network), 4);
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -177,7 +177,7 @@
         connect_timeout: second,
         conn_idle: second,
         max_retry_after: second,
-        deadlines: vec![second],
+        deadlines: vec![second].into(),
     };
     let balancer = Balancer::new(Config { discovery, ..Config::example() }, 1).unwrap();
     let (names, clock) = (shaletide::settings::Names::default(), crate::net::Clock::new());
--- a/src/net/host/attempts/tests.rs
+++ b/src/net/host/attempts/tests.rs
@@ -95,7 +95,8 @@
             (Effect::Keyed(KeyScope::All, Micros(900_000)), true),
             (Effect::Free, true),
         ] {
-            host.state.borrow_mut().effects = vec![effect];
+            host.state.borrow_mut().classes =
+                vec![Class { effect, ..Config::example().classes[0].clone() }].into();
             let (id, _wait) = copies(&host, &[400_000, 0]);
             assert_eq!(host.may_send(id, SECOND, B, at(9)), allowed, "{effect:?}");
         }
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -56,7 +56,7 @@
             connect_timeout: second,
             conn_idle: second,
             max_retry_after: second,
-            deadlines: vec![second],
+            deadlines: vec![second].into(),
         };
         let balancer = Balancer::new(Config::example(), 1).unwrap();
         Host::new(balancer, Names::default(), Clock::new(), Rc::new(Pool::new(&network, 4)))
@@ -169,12 +169,12 @@
 
     /// Takes settings that were read against `names`.
     pub fn retune(self: &Rc<Self>, change: Change) {
-        let Change { config, live, heirs, names, .. } = change;
+        let Change { config, retired, revived, heirs, names, .. } = change;
         {
             let mut s = self.state.borrow_mut();
-            (s.names, s.effects) = (names, config.classes.iter().map(|c| c.effect).collect());
+            (s.names, s.classes) = (names, config.classes.clone());
         }
-        self.tell(Event::Settings { config: Box::new(config), live, heirs });
+        self.tell(Event::Settings { config: Box::new(config), retired, revived, heirs });
     }
 
     /// So many processes are this proxy now.
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -1,6 +1,7 @@
 //! What the host keeps between events: requests, attempts, backends, timers and counts.
 
 use super::super::upstream::{Call, Served};
+use imbl::Vector;
 use shaletide::settings::Names;
 use shaletide::*;
 use std::cmp::Reverse;
@@ -111,8 +112,8 @@
 pub struct State {
     pub balancer: Balancer,
     pub names: Names,
-    /// What a second run would do, by class, once settings have changed.
-    pub effects: Vec<Effect>,
+    /// The classes as they stand now, once settings have changed.
+    pub classes: Vector<Class>,
     pub numbers: HashMap<String, BackendId>,
     pub backends: Vec<Known>,
     pub requests: HashMap<RequestId, Live>,
@@ -135,7 +136,8 @@
             Effect::Keyed(_, window) => Some(*window),
             Effect::Unsafe => Some(Micros(0)),
         };
-        [Some(&live.effect), self.effects.get(live.class.0)].into_iter().flatten().filter_map(window).min()
+        let now = self.classes.get(live.class.0).map(|class| &class.effect);
+        [Some(&live.effect), now].into_iter().flatten().filter_map(window).min()
     }
 
     /// Until when a copy of a keyed request is still dropped, where any other copy may have run or may yet. That one
@@ -152,7 +154,7 @@
         State {
             balancer,
             names,
-            effects: Vec::new(),
+            classes: Vector::new(),
             numbers: HashMap::new(),
             backends: Vec::new(),
             requests: HashMap::new(),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -13,6 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
+use imbl::Vector;
 use shaletide::settings::Network;
 use shaletide::*;
 use std::cell::{Cell, RefCell};
@@ -57,15 +58,15 @@
 
 /// What requests are checked against.
 pub struct Rules {
-    pub effects: Vec<Effect>,
-    pub deadlines: Vec<Micros>,
+    pub classes: Vector<Class>,
+    pub deadlines: Vector<Micros>,
     pub max_retry_after: Micros,
 }
 
 impl Rules {
     pub fn new(config: &Config, network: &Network) -> Rules {
         Rules {
-            effects: config.classes.iter().map(|c| c.effect).collect(),
+            classes: config.classes.clone(),
             deadlines: network.deadlines.clone(),
             max_retry_after: network.max_retry_after,
         }
--- a/src/net/server/request.rs
+++ b/src/net/server/request.rs
@@ -31,7 +31,7 @@
         }
         // A class that is taken for safer than the request says would be repeated to its harm.
         let keyed = headers.contains_key("idempotency-key");
-        let fits = match rules.effects[class.0] {
+        let fits = match rules.classes[class.0].effect {
             Effect::Free => head.method == Method::GET || head.method == Method::HEAD,
             Effect::Keyed(..) => head.method == Method::POST && keyed,
             Effect::Unsafe => head.method == Method::POST,
@@ -62,7 +62,7 @@
         let uri = origin.and_then(Result::ok).ok_or(bad("the target has no path\n"))?;
         let client = Some(client.peer());
         let call = Rc::new(Call { method: head.method, uri, headers, body, client });
-        let (id, answer) = self.host.request(arrival, &call, rules.effects[class.0]);
+        let (id, answer) = self.host.request(arrival, &call, rules.classes[class.0].effect);
         let mut owed = Owed { host: &self.host, id, open: true };
         let mut answer = pin!(answer);
         let answer = loop {
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -10,7 +10,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let second = Micros(1_000_000);
-        let rules = Rules { effects: Vec::new(), deadlines: vec![second], max_retry_after: second };
+        let rules = Rules { classes: Vector::new(), deadlines: vec![second].into(), max_retry_after: second };
         let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
         test(Server::new(Host::example(), rules, 8), listener).await;
     });
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -3,7 +3,8 @@
 
 fn pool(max: usize) -> Pool {
     let (connect_timeout, conn_idle) = (Micros(5_000_000), Micros(60_000_000));
-    let network = Network { connect_timeout, conn_idle, max_retry_after: Micros(0), deadlines: Vec::new() };
+    let network =
+        Network { connect_timeout, conn_idle, max_retry_after: Micros(0), deadlines: Default::default() };
     Pool::new(&network, max)
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -146,7 +146,7 @@
 
 /// The decisions of one proxy. Give it every event in order; it answers with actions.
 pub struct Balancer {
-    cfg: Config,
+    cfg: Checked,
     dice: Dice,
     peers: BTreeMap<BackendId, Peer>,
     /// The peers by mark, an order that all proxies share.
@@ -188,8 +188,12 @@
 impl Balancer {
     /// A proxy that knows nothing yet but its configuration.
     pub fn new(cfg: Config, seed: u64) -> Result<Balancer, ConfigError> {
-        cfg.validate()?;
-        Ok(Balancer {
+        cfg.checked().map(|cfg| Balancer::of(cfg, seed))
+    }
+
+    /// The same with one that was checked before.
+    pub fn of(cfg: Checked, seed: u64) -> Balancer {
+        Balancer {
             dice: Dice::new(seed),
             peers: BTreeMap::new(),
             order: Vec::new(),
@@ -218,7 +222,7 @@
             born: None,
             actions: Vec::new(),
             cfg,
-        })
+        }
     }
 
     /// Takes one event that happened at `now` and adds the actions it calls for.
@@ -271,7 +275,9 @@
             Event::Beside { processes } => {
                 self.beside = (processes.max(1), self.beside.0, now + self.cfg.fall_window);
             }
-            Event::Settings { config, live, heirs } => self.settings(now, *config, &live, &heirs),
+            Event::Settings { config, retired, revived, heirs } => {
+                self.settings(now, *config, [(&retired, false), (&revived, true)], &heirs);
+            }
             Event::Recall { memory, age } => self.recall(now, *memory, age),
             Event::Heard(word) => self.heard(now, &word),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
@@ -373,20 +379,24 @@
         (self.solve_at, self.look_at) = (now, now);
     }
 
-    /// Classes and tenants keep their numbers, so that all that is open and learned goes on. The host has
-    /// checked the configuration; one that is unsound or forgets a number all the same changes nothing.
-    fn settings(&mut self, now: Time, cfg: Config, live: &[bool], heirs: &[(ClassId, ClassId)]) {
+    /// Classes and tenants keep their numbers, so that all that is open and learned goes on. The host sees to that; a
+    /// configuration that forgets a number all the same changes nothing.
+    fn settings(
+        &mut self, now: Time, cfg: Checked, turned: [(&Vec<ClassId>, bool); 2], heirs: &[(ClassId, ClassId)],
+    ) {
         let (classes, tenants) = (cfg.classes.len(), cfg.tenants.len());
-        if cfg.validate().is_err() || classes < self.classes.len() || tenants < self.buckets.len() {
+        if classes < self.classes.len() || tenants < self.buckets.len() {
             return self.log(now, "settings not taken".into());
         }
-        self.classes.resize_with(classes, ClassState::default);
+        self.classes.resize_with(classes, || ClassState { live: true, ..Default::default() });
         self.buckets.resize_with(tenants, || Bucket::new(RATE_MEMORY, FEW));
         for (new, old) in heirs {
             let latency = self.classes.get(old.0).map(|s| s.latency);
             self.classes.get_mut(new.0).zip(latency).into_iter().for_each(|(s, latency)| s.latency = latency);
         }
-        self.classes.iter_mut().zip(live).for_each(|(s, live)| s.live = *live);
+        for (id, live) in turned.into_iter().flat_map(|(ids, live)| ids.iter().map(move |id| (id, live))) {
+            self.classes.get_mut(id.0).into_iter().for_each(|s| s.live = live);
+        }
         (self.cfg, self.solve_at, self.look_at) = (cfg, now, now);
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,7 @@
 //! the proxy and the simulator's adapter.
 
 use crate::interface::*;
+use imbl::Vector;
 use serde_json::Value;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -240,10 +241,10 @@
         my_zone.want(zone, "one of zones", 0);
     }
     let classes = root.get("profiles").list().iter().map(|key| class(key, &mut names)).collect();
-    let mut tenants = Vec::new();
+    let mut tenants = Vector::new();
     for tenant in root.get("customers").list() {
         names.tenants.push(Named::new(tenant.get("name").text()));
-        tenants.push(Tenant { quota_per_s: tenant.get("quota_rps").real() });
+        tenants.push_back(Tenant { quota_per_s: tenant.get("quota_rps").real() });
     }
     let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
     let must_ask = rules.get("must_ask_in_us");
@@ -344,7 +345,7 @@
     /// The longest advice that a client follows.
     pub max_retry_after: Micros,
     /// How long a client waits at most, by class.
-    pub deadlines: Vec<Micros>,
+    pub deadlines: Vector<Micros>,
 }
 
 /// Reads the part of the settings that concerns sockets.
@@ -369,9 +370,11 @@
 #[derive(Clone, Debug)]
 pub struct Change {
     /// The module's part, for [`Event::Settings`].
-    pub config: Config,
-    /// Which numbers of classes are in use.
-    pub live: Vec<bool>,
+    pub config: Checked,
+    /// Numbers of classes that were in use and are no more.
+    pub retired: Vec<ClassId>,
+    /// Numbers of classes that were out of use and are in it again.
+    pub revived: Vec<ClassId>,
     /// New numbers of classes that were there under other rules, each with the old number.
     pub heirs: Vec<(ClassId, ClassId)>,
     /// Names for all numbers.
@@ -406,7 +409,7 @@
     let read = read_with(&root, places);
     let (fresh, fresh_names) = root.notes.sound(read)?;
     let fresh_network = network(settings)?;
-    fresh.validate().map_err(|e| e.to_string())?;
+    let fresh = fresh.checked().map_err(|e| e.to_string())?;
     if fresh.discovery != config.discovery {
         return Err("discovery: expected as before, it changes only with a restart".into());
     }
@@ -421,8 +424,8 @@
             |k: &usize| named[*k].name == new.name && classes[*k] == *class && deadlines[*k] == *deadline;
         let old = Named::find(&names.classes, &new.name);
         let number = (0..classes.len()).find(same).unwrap_or_else(|| {
-            classes.push(class.clone());
-            deadlines.push(*deadline);
+            classes.push_back(class.clone());
+            deadlines.push_back(*deadline);
             named.push(new.clone());
             heirs.extend(old.map(|old| (ClassId(classes.len() - 1), ClassId(old))));
             classes.len() - 1
@@ -446,13 +449,30 @@
             Some(at) => (customers[at].live, tenants[at]) = (true, tenant.clone()),
             None => {
                 customers.push(new.clone());
-                tenants.push(tenant.clone());
+                tenants.push_back(tenant.clone());
             }
         }
     }
-    let live = named.iter().map(|n| n.live).collect();
+    let turned = |live: bool| {
+        let turned = names
+            .classes
+            .iter()
+            .zip(&named)
+            .enumerate()
+            .filter(move |(_, (was, is))| was.live != is.live && is.live == live);
+        turned.map(|(n, _)| ClassId(n)).collect()
+    };
+    let (retired, revived) = (turned(false), turned(true));
     let told = if told.is_empty() { "classes as before".into() } else { told.join(", ") };
     let names = Names { classes: named, tenants: customers, ..fresh_names };
-    let config = Config { classes, tenants, ..fresh };
-    Ok(Change { config, live, heirs, names, network: Network { deadlines, ..fresh_network }, told })
+    let config = Config { classes, tenants, ..(*fresh).clone() }.checked().map_err(|e| e.to_string())?;
+    Ok(Change {
+        config,
+        retired,
+        revived,
+        heirs,
+        names,
+        network: Network { deadlines, ..fresh_network },
+        told,
+    })
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -9,7 +9,7 @@
 }
 
 fn config(classes: Vec<Class>) -> Config {
-    Config { classes, ..Config::example() }
+    Config { classes: classes.into(), ..Config::example() }
 }
 
 fn host(cfg: Config, list: Vec<Backend>) -> Host {
@@ -42,7 +42,7 @@
     assert_eq!(bad(|c| c.classes[0].aim = Micros(0)), Some("aim"));
     assert_eq!(bad(|c| c.classes[0].worth = f64::NAN), Some("worth"));
     assert_eq!(bad(|c| c.classes[0].late_worth = 1.5), Some("late_worth"));
-    assert_eq!(bad(|c| c.tenants.push(Tenant { quota_per_s: -1.0 })), Some("quota_per_s"));
+    assert_eq!(bad(|c| c.tenants.push_back(Tenant { quota_per_s: -1.0 })), Some("quota_per_s"));
     assert_eq!(bad(|c| c.max_attempts = 0), Some("max_attempts"));
     assert_eq!(bad(|c| c.tick = Micros(0)), Some("tick"));
     assert_eq!(bad(|c| c.cold_from = -0.1), Some("cold_from"));
@@ -134,7 +134,7 @@
 #[test]
 fn a_thin_tenant_inside_its_quota_is_not_taken_for_a_flood() {
     // Full size: a proxy's part of a quota is below one a second; two at once by chance were beyond it.
-    let tenants = vec![Tenant { quota_per_s: 50.0 }];
+    let tenants = vec![Tenant { quota_per_s: 50.0 }].into();
     let mut host = host(Config { proxies: 100, tenants, ..Config::example() }, fleet(20));
     let mut refused = 0;
     for _ in 0..30 {
@@ -191,8 +191,9 @@
 #[test]
 fn many_proxies_refuse_low_worth_first_and_at_once_when_the_fleet_is_crowded() {
     // Full size: without a room of its own a proxy sent all it had, and the machines tipped into the slow state.
-    let mut cfg = Config { proxies: 100, tenants: vec![Tenant { quota_per_s: 1e6 }], ..Config::example() };
-    cfg.tenants.push(Tenant { quota_per_s: 1e-3 });
+    let mut cfg =
+        Config { proxies: 100, tenants: vec![Tenant { quota_per_s: 1e6 }].into(), ..Config::example() };
+    cfg.tenants.push_back(Tenant { quota_per_s: 1e-3 });
     let mut host = host(cfg, fleet(20));
     let mut answer = |proxied: u64, tenant: usize| {
         // One attempt out for so long of every second: all hundred hold so many on twenty backends.
@@ -240,7 +241,8 @@
 /// Found on join+mass: in a storm of repeats those took their tenants' quotas, and first tries were refused as beyond them.
 #[test]
 fn repeats_take_nothing_of_the_quota_that_first_tries_need() {
-    let cfg = Config { proxies: 100, tenants: vec![Tenant { quota_per_s: 1_000.0 }], ..Config::example() };
+    let cfg =
+        Config { proxies: 100, tenants: vec![Tenant { quota_per_s: 1_000.0 }].into(), ..Config::example() };
     let mut host = host(cfg, fleet(20));
     let tenant = Some(TenantId(0));
     let second = |host: &mut Host, repeats: usize| {
@@ -397,7 +399,7 @@
 
 #[test]
 fn traffic_beyond_a_quota_leaves_room_for_the_others() {
-    let tenants = vec![Tenant { quota_per_s: 1.0 }, Tenant { quota_per_s: 1_000.0 }];
+    let tenants = vec![Tenant { quota_per_s: 1.0 }, Tenant { quota_per_s: 1_000.0 }].into();
     let mut host = host(Config { proxies: 1, tenants, ..Config::example() }, fleet(2));
     let flood: Vec<RequestId> = (0..30).map(|_| host.arrive_for(0, 900_000, Some(TenantId(0)))).collect();
     let flooded = flood.iter().filter(|id| !host.sent_to(**id).is_empty()).count();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -212,7 +212,7 @@
 /// quota for a flood, and the others for as full as themselves: a third of all was refused on a day without a fault.
 #[test]
 fn a_proxy_that_gets_several_times_the_mean_refuses_no_more_than_the_others() {
-    let tenants = vec![Tenant { quota_per_s: 800.0 }, Tenant { quota_per_s: 700.0 }];
+    let tenants = vec![Tenant { quota_per_s: 800.0 }, Tenant { quota_per_s: 700.0 }].into();
     let mut fleet = Fleet::new(&Config { tenants, ..Config::example() }, 100, |_| (150_000, Outcome::Ok));
     fleet.members(ListUpdate::Full, &backends(0..60, None));
     fleet.uneven = true;
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -59,8 +59,9 @@
         class(Effect::Keyed(KeyScope::Cell, window)),
         class(Effect::Keyed(KeyScope::All, window)),
         Class { aim: Micros(100_000), ..class(Effect::Free) },
-    ];
-    cfg.tenants = vec![Tenant { quota_per_s: 20.0 }, Tenant { quota_per_s: 5.0 }];
+    ]
+    .into();
+    cfg.tenants = vec![Tenant { quota_per_s: 20.0 }, Tenant { quota_per_s: 5.0 }].into();
     cfg.goal_worst_class = 0.3;
     cfg.second_copies = bits & 1 == 0;
     cfg.proxies = if bits & 2 == 0 { 3 } else { 40 };
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -6,22 +6,22 @@
 use shaletide::*;
 
 fn config() -> Config {
-    let classes = vec![class(Effect::Free), class(Effect::Unsafe)];
+    let classes = vec![class(Effect::Free), class(Effect::Unsafe)].into();
     Config { proxies: 1, classes, max_attempts: 3, ..Config::example() }
 }
 
 /// The second class becomes free to repeat, under a number of its own; attempts get fewer.
 fn changed() -> Config {
-    let classes = vec![class(Effect::Free), class(Effect::Unsafe), class(Effect::Free)];
+    let classes = vec![class(Effect::Free), class(Effect::Unsafe), class(Effect::Free)].into();
     Config { classes, max_attempts: 2, ..config() }
 }
 
 fn change(host: &mut Host) {
     host.cfg = changed();
     host.cfg.max_attempts = 3; // the harness checks the most that any open request may have
-    let config = Box::new(changed());
-    let heirs = vec![(ClassId(2), ClassId(1))];
-    host.event(Event::Settings { config, live: vec![true, false, true], heirs });
+    let config = Box::new(changed().checked().unwrap());
+    let (retired, heirs) = (vec![ClassId(1)], vec![(ClassId(2), ClassId(1))]);
+    host.event(Event::Settings { config, retired, revived: Vec::new(), heirs });
 }
 
 fn host(seed: u64) -> Host {
@@ -76,13 +76,56 @@
 #[test]
 fn settings_that_forget_a_number_are_not_taken() {
     let mut host = host(5);
-    for bad in
-        [Config { classes: vec![class(Effect::Free)], ..config() }, Config { max_attempts: 0, ..changed() }]
-    {
-        let live = vec![true; bad.classes.len()];
-        host.event(Event::Settings { config: Box::new(bad), live, heirs: vec![(ClassId(9), ClassId(7))] });
-        let id = host.arrive(1, 400_000);
-        host.serve_all(20_000);
-        assert_eq!(host.requests[&id].answer, Some("served"));
+    let short = Config { classes: vec![class(Effect::Free)].into(), ..config() }.checked().unwrap();
+    let (retired, heirs) = (vec![ClassId(1)], vec![(ClassId(9), ClassId(7))]);
+    let config = Box::new(short);
+    host.event(Event::Settings { config, retired, revived: vec![ClassId(8)], heirs });
+    let id = host.arrive(1, 400_000);
+    host.serve_all(20_000);
+    assert_eq!(host.requests[&id].answer, Some("served"));
+}
+
+/// Unsound settings never come as far as the module: the type that it takes cannot be made of them.
+#[test]
+fn unsound_settings_do_not_become_checked_ones() {
+    let field = |config: Config| config.checked().err().map(|e| e.field);
+    assert_eq!(field(Config { max_attempts: 0, ..changed() }), Some("max_attempts"));
+    assert_eq!(field(Config { classes: Vec::new().into(), ..changed() }), Some("classes"));
+    let mut config = changed().checked().unwrap();
+    let before = config.clone();
+    let bad = Class { worth: f64::INFINITY, ..class(Effect::Free) };
+    assert_eq!(config.put_class(Some(ClassId(1)), bad).map_err(|e| e.field), Err("worth"));
+    assert_eq!(config.put_class(Some(ClassId(4)), class(Effect::Free)).map_err(|e| e.field), Err("classes"));
+    let tenant = |quota_per_s| Tenant { quota_per_s };
+    assert_eq!(config.put_tenant(None, tenant(0.0)).map_err(|e| e.field), Err("quota_per_s"));
+    assert_eq!(config.put_tenant(Some(TenantId(1)), tenant(1.0)).map_err(|e| e.field), Err("tenants"));
+    assert_eq!(config, before, "what was refused left its mark");
+}
+
+/// Amended one by one or made as a whole: the same configuration, to the last bit of the quotas' sum, also where they
+/// are many and no whole numbers; what shares its tables with it does not change.
+#[test]
+fn an_amended_configuration_equals_one_made_whole() {
+    let quota = |n: u64| Tenant { quota_per_s: 1.0 / (n.wrapping_mul(0x9e37_79b9) % 1000 + 1) as f64 };
+    let whole = |tenants: Vec<Tenant>| Config { tenants: tenants.into(), ..config() }.checked().unwrap();
+    let mut tenants: Vec<Tenant> = (0..10_000).map(quota).collect();
+    let plain = |tenants: &[Tenant]| tenants.iter().map(|t| t.quota_per_s).sum::<f64>();
+    let first = whole(tenants.clone());
+    assert_eq!(whole(tenants[..4096].to_vec()).quota_sum(), plain(&tenants[..4096]), "in their order");
+    assert!((first.quota_sum() / plain(&tenants) - 1.0).abs() < 1e-12);
+    let mut amended = first.clone();
+    for n in (0..10_040).step_by(40) {
+        let (tenant, at) = (quota(n as u64 + 77), n.min(tenants.len()));
+        let id = (at < tenants.len()).then_some(TenantId(at));
+        assert_eq!(amended.put_tenant(id, tenant.clone()), Ok(TenantId(at)));
+        match id {
+            Some(_) => tenants[at] = tenant,
+            None => tenants.push(tenant),
+        }
     }
+    assert_eq!(amended.put_class(None, class(Effect::Unsafe)), Ok(ClassId(2)));
+    assert_eq!(amended.put_class(Some(ClassId(0)), class(Effect::Unsafe)), Ok(ClassId(0)));
+    let classes = vec![class(Effect::Unsafe); 3].into();
+    assert_eq!(amended, Config { classes, ..(*whole(tenants)).clone() }.checked().unwrap());
+    assert_eq!(first, whole((0..10_000).map(quota).collect()));
 }
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -105,7 +105,7 @@
         proxies: case.proxies,
         position,
         zone: ZoneId(position % 3),
-        classes: vec![class(300_000), class(SECOND)],
+        classes: vec![class(300_000), class(SECOND)].into(),
         cross_zone_cost: if case.near { 0.05 } else { 0.0 },
         cold_from: COLD_FROM,
         ramp: Micros(RAMP),
