--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,7 +1,7 @@
 //! The whole interface of the decision module: configuration, events, actions. No decisions here.
 
 use imbl::Vector;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A point in time, in microseconds of the host's clock; it begins at no particular value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -356,33 +356,41 @@
         self.quotas.sum
     }
 
-    /// Puts a class in the place of another, or behind the last: `None` gives it the next number.
-    pub fn put_class(&mut self, at: Option<ClassId>, class: Class) -> Result<ClassId, ConfigError> {
+    /// Puts a class in the place of another, or behind the last under the next number.
+    pub fn put_class(&mut self, id: ClassId, class: Class) -> Result<(), ConfigError> {
         class.validate()?;
-        let at = at.map_or(self.config.classes.len(), |id| id.0);
-        put(&mut self.config.classes, at, class, "classes").map(ClassId)
+        put(&mut self.config.classes, id.0, class, "classes")
     }
 
-    /// The same with a tenant.
-    pub fn put_tenant(&mut self, at: Option<TenantId>, tenant: Tenant) -> Result<TenantId, ConfigError> {
-        tenant.validate()?;
-        let at = at.map_or(self.config.tenants.len(), |id| id.0);
-        put(&mut self.config.tenants, at, tenant, "tenants")?;
-        self.quotas.renew(&self.config.tenants, at);
-        Ok(TenantId(at))
+    /// Puts tenants in the places of others, or behind the last under the next numbers: all of them or none.
+    pub fn put_tenants(
+        &mut self, tenants: impl IntoIterator<Item = (TenantId, Tenant)>,
+    ) -> Result<(), ConfigError> {
+        let (mut table, mut parts) = (self.config.tenants.clone(), BTreeSet::new());
+        for (id, tenant) in tenants {
+            tenant.validate()?;
+            put(&mut table, id.0, tenant, "tenants")?;
+            parts.insert(id.0 / Quotas::PART);
+        }
+        self.config.tenants = table;
+        parts.into_iter().for_each(|part| self.quotas.renew(&self.config.tenants, part));
+        Ok(())
+    }
+
+    /// Puts this proxy, and regions, into other zones.
+    pub fn place(&mut self, zone: ZoneId, regions: BTreeMap<ZoneId, RegionId>) {
+        (self.config.zone, self.config.regions) = (zone, regions);
     }
 }
 
 /// Sets the item there, or adds it behind the last.
-fn put<T: Clone>(
-    table: &mut Vector<T>, at: usize, item: T, field: &'static str,
-) -> Result<usize, ConfigError> {
+fn put<T: Clone>(table: &mut Vector<T>, at: usize, item: T, field: &'static str) -> Result<(), ConfigError> {
     match table.len() {
         length if at < length => drop(table.set(at, item)),
         length if at == length => table.push_back(item),
-        _ => return Err(ConfigError { field, expected: "a number that is in use" }),
+        _ => return Err(ConfigError { field, expected: "a number in use, or the next" }),
     }
-    Ok(at)
+    Ok(())
 }
 
 /// The sum of all quotas, added up part by part: a change of one adds up its own part anew and not the whole, and the
@@ -400,13 +408,12 @@
 
     fn of(tenants: &Vector<Tenant>) -> Quotas {
         let mut quotas = Quotas { parts: Vec::new(), sum: 0.0 };
-        (0..tenants.len()).step_by(Quotas::PART).for_each(|at| quotas.renew(tenants, at));
+        (0..tenants.len().div_ceil(Quotas::PART)).for_each(|part| quotas.renew(tenants, part));
         quotas
     }
 
-    /// Adds up the part that this tenant is in.
-    fn renew(&mut self, tenants: &Vector<Tenant>, at: usize) {
-        let part = at / Quotas::PART;
+    /// Adds up one part.
+    fn renew(&mut self, tenants: &Vector<Tenant>, part: usize) {
         let (from, to) = (part * Quotas::PART, tenants.len().min((part + 1) * Quotas::PART));
         let sum = tenants.focus().narrow(from..to).into_iter().map(|t| t.quota_per_s).sum();
         match self.parts.get_mut(part) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 use clap::Parser;
 use cli::{Cli, Command, LogFormat, Run};
 use net::config::{self, Node, Source};
-use net::control::{Control, DutiesDoor, Keepers};
+use net::control::{DutiesDoor, Keepers};
 use net::discovery::Pace;
 use net::duties::Duties;
 use net::figures::Figures;
@@ -16,25 +16,25 @@
 use net::keeper::Keeper;
 use net::maintenance::Maintenance;
 use net::peers::Peers;
+use net::reload::{aside, Door, Reload};
 use net::room::{room, share};
 use net::server::{Rules, Server};
 use net::snapshot::Owner;
 use net::upstream::Pool;
-use net::{discovery, server, snapshot, Clock};
-use shaletide::settings::{self, Network};
-use shaletide::{Balancer, Checked, ListUpdate};
+use net::{discovery, server, Clock};
+use shaletide::settings::InForce;
+use shaletide::{Balancer, ListUpdate};
 use std::cell::Cell;
-use std::collections::BTreeSet;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
 use tracing::{info, warn};
 
 /// A new process beside a running one waits so long for its first list.
@@ -98,34 +98,38 @@
     // Unheard, this one ends the program: it is heard before anything takes time, and answered once all runs.
     let hangup = runtime.block_on(async { signal(SignalKind::hangup()) });
     let hangup = hangup.map_err(|e| format!("no signals: {e}"))?;
-    let node = Node::read(&source).map_err(|e| e.to_string())?;
-    tokio::task::LocalSet::new().block_on(&runtime, run(node, source, passed, hangup))
+    let from = source.clone();
+    let (node, in_force) = runtime.block_on(aside(move || Node::read(&from)))?.map_err(|e| e.to_string())?;
+    tokio::task::LocalSet::new().block_on(&runtime, run(node, in_force, source, passed, hangup))
 }
 
 async fn run(
-    node: Node, source: Source, passed: Option<std::net::TcpListener>, hangup: Signal,
+    mut node: Node, in_force: InForce, source: Source, passed: Option<std::net::TcpListener>, hangup: Signal,
 ) -> Result<(), String> {
     let clock = Clock::new();
     let mut stop = Stop::new().map_err(|e| format!("no signals: {e}"))?;
     let sockets = Rc::new(Cell::new(node.sockets));
     let room = room(node.sockets);
-    let pool = Rc::new(Pool::new(&node.network, room / 2));
-    let rules = Rules::new(&node.config, &node.network);
-    let balancer = Balancer::of(node.config.clone(), node.seed);
-    let host = Host::new(balancer, node.names, clock, pool.clone());
+    let config = &in_force.config;
+    let pool = Rc::new(Pool::new(&in_force.network, room / 2));
+    let rules = Rules::new(config, &in_force.network);
+    let balancer = Balancer::of(config.clone(), node.seed);
+    let host = Host::new(balancer, in_force.names.clone(), clock, pool.clone());
     // The list from before the restart is in place before anything is served, and before what was learned.
-    host.members(ListUpdate::Cached, &node.known);
-    // Only where operators or the platform take part may there be a second process.
-    let shared = passed.is_some() || node.control.is_some();
+    let known = std::mem::take(&mut node.known);
+    host.members(ListUpdate::Cached, &known);
+    let (known, index) = (known.endpoints.len(), known.index); // long as it may be, it is not kept
+                                                               // Only where operators or the platform take part may there be a second process.
+    let paired = passed.is_some() || node.control.is_some();
     let at = passed.as_ref().and_then(|s| s.local_addr().ok()).unwrap_or(node.listen);
     let owner = Owner { name: node.name.clone(), listen: at, discovery: node.discovery };
-    let folder = shared.then(|| folder(&owner)).flatten();
+    let folder = paired.then(|| folder(&owner)).flatten();
     let presence = folder.as_deref().and_then(presence);
     if presence.as_ref().is_some_and(|p| p.others().older) {
         host.beside(2); // before what was learned is taken: some of it the other process still uses
     }
-    let in_force = Rc::new(Cell::new(snapshot::settings_hash(&node.settings)));
-    let keeper = node.snapshot.map(|kept| Keeper::new(kept, host.clone(), owner.clone(), &node.settings));
+    let shared = Rc::new(Cell::new(node.shared));
+    let keeper = node.snapshot.map(|kept| Keeper::new(kept, host.clone(), owner.clone(), node.settings));
     let mut cold = true;
     if let Some(keeper) = keeper.clone() {
         cold = !keeper.recall();
@@ -145,23 +149,23 @@
     tokio::task::spawn_local(pool.sweep());
     let watched = node.discovery.map(|to| {
         let (moved, at) = watch::channel(to);
-        let pace = Pace::new(node.config.discovery, node.config.proxies, node.seed);
-        tokio::task::spawn_local(discovery::watch(host.clone(), at, node.known.index, pace));
+        let pace = Pace::new(config.discovery, config.proxies, node.seed);
+        tokio::task::spawn_local(discovery::watch(host.clone(), at, index, pace));
         moved
     });
     let server = Server::new(host.clone(), rules, room - room / 2);
     let peers = match node.peers {
         Some(rules) => {
             let socket = claimed("peers: ", rules.listen, UdpSocket::bind).await?;
-            let fleet = node.config.proxies;
-            let peers = Peers::start(host.clone(), socket, rules, in_force.clone(), fleet, node.seed, cold);
+            let fleet = config.proxies;
+            let peers = Peers::start(host.clone(), socket, rules, shared.clone(), fleet, node.seed, cold);
             Some(peers.map_err(|e| format!("peers: {e}"))?)
         }
         None => None,
     };
     let duties = match peers.as_ref().zip(node.duties.as_ref()) {
         Some((peers, rules)) => {
-            let duties = Duties::start(host.clone(), peers, rules, node.config.ramp);
+            let duties = Duties::start(host.clone(), peers, rules, config.ramp);
             Some(duties.map_err(|e| format!("duties: {e}"))?)
         }
         None => None,
@@ -174,11 +178,11 @@
         duties: duties.clone().map(|d| d as Rc<dyn DutiesDoor>),
         figures: Figures::install(),
     };
-    let mut door = Door { at: None, running: None, keepers };
+    let mut door = Door::closed(keepers);
     if let Some(at) = node.control {
         door.answer(at, claimed("control: ", at, server::listen).await?);
     }
-    info!("{} listens on {bound}, {} backends known", node.name, node.known.endpoints.len());
+    info!("{} listens on {bound}, {known} backends known", node.name);
     if tracing::enabled!(tracing::Level::DEBUG) {
         let told = host.clone();
         tokio::task::spawn_local(async move {
@@ -201,13 +205,12 @@
         discovery: watched,
         source,
         in_force,
+        shared,
         keeper: keeper.clone(),
         owner,
         door,
         sockets: sockets.clone(),
-        config: node.config,
-        network: node.network,
-        keys: node.keys,
+        keys: Arc::new(node.keys),
         listen: node.listen,
     };
     tokio::task::spawn_local(reload.run(hangup));
@@ -292,106 +295,3 @@
     let made = Presence::new(dir);
     made.map(Rc::new).inspect_err(|e| warn!("TMPDIR: no other process of this proxy sees this one: {e}")).ok()
 }
-
-/// The operators' door, which the configuration may move.
-struct Door {
-    at: Option<SocketAddr>,
-    running: Option<AbortHandle>,
-    keepers: Keepers,
-}
-
-impl Door {
-    /// Opens it there; where that cannot be, it stays where it was.
-    fn open(&mut self, at: SocketAddr) -> Result<(), String> {
-        let listener = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
-        self.answer(at, listener);
-        Ok(())
-    }
-
-    fn answer(&mut self, at: SocketAddr, listener: TcpListener) {
-        info!("control on {}", listener.local_addr().unwrap_or(at));
-        let control = Control::new(self.keepers.clone());
-        self.close();
-        self.at = Some(at);
-        self.running = Some(tokio::task::spawn_local(control.run(listener)).abort_handle());
-    }
-
-    fn close(&mut self) {
-        self.running.take().into_iter().for_each(|task| task.abort());
-        self.at = None;
-    }
-
-    fn move_to(&mut self, at: Option<SocketAddr>) -> Result<(), String> {
-        match at {
-            _ if at == self.at => Ok(()),
-            Some(at) => self.open(at),
-            None => {
-                self.close();
-                Ok(())
-            }
-        }
-    }
-}
-
-/// What a new configuration may change, and what it is checked against.
-struct Reload {
-    host: Rc<Host>,
-    server: Rc<Server>,
-    /// Where it may move to; `None` where none is watched.
-    discovery: Option<watch::Sender<SocketAddr>>,
-    source: Source,
-    /// Hash of the settings, for what peers learned under them.
-    in_force: Rc<Cell<[u8; 32]>>,
-    keeper: Option<Rc<Keeper>>,
-    owner: Owner,
-    door: Door,
-    sockets: Rc<Cell<usize>>,
-    config: Checked,
-    network: Network,
-    keys: BTreeSet<String>,
-    listen: SocketAddr,
-}
-
-impl Reload {
-    /// On each SIGHUP reads the configuration again. It is taken as a whole, or nothing of it is.
-    async fn run(mut self, mut hangup: Signal) {
-        while hangup.recv().await.is_some() {
-            match self.take() {
-                Ok(told) => info!("configuration taken: {told}"),
-                Err(e) => warn!("configuration not taken, all stays as it was: {e}"),
-            }
-        }
-    }
-
-    fn take(&mut self) -> Result<String, String> {
-        let node = Node::read_again(&self.source, &self.keys).map_err(|e| e.to_string())?;
-        if node.discovery.is_some() != self.discovery.is_some() {
-            return Err("discovery: expected as before, it comes and goes only with a restart".into());
-        }
-        let change = settings::change(&node.settings, &self.host.names(), &self.config, &self.network)?;
-        // The last that can fail; from here on nothing does.
-        self.door.move_to(node.control)?;
-        let mut told = change.told.clone();
-        if let Some(at) = node.discovery {
-            told += &format!(", discovery at {at}");
-        }
-        if node.listen != self.listen {
-            told += &format!(", clients still at {}", self.listen);
-        }
-        (self.config, self.network, self.keys) = (change.config.clone(), change.network.clone(), node.keys);
-        self.sockets.set(node.sockets);
-        let room = room(node.sockets);
-        self.host.pool.limit(room / 2);
-        self.server.limit(room - room / 2);
-        self.host.pool.retune(&self.network);
-        self.server.retune(Rules::new(&self.config, &self.network));
-        self.host.retune(change);
-        self.in_force.set(snapshot::settings_hash(&node.settings));
-        self.owner.discovery = node.discovery;
-        self.keeper.iter().for_each(|k| k.stand(self.owner.clone(), &node.settings));
-        if let Some((moved, to)) = self.discovery.as_ref().zip(node.discovery) {
-            moved.send_if_modified(|at| std::mem::replace(at, to) != to);
-        }
-        Ok(told)
-    }
-}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,11 +1,12 @@
 //! The configuration: what this proxy is told at its start, as JSON by the platform or as TOML by operators.
 
 use super::list::List;
+use super::snapshot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use shaletide::fleet::lease;
-use shaletide::settings::{self, Names, Network};
-use shaletide::{Checked, Micros};
+use shaletide::settings::{sift, Change, InForce, Lists, Reading, Settings, Sink};
+use shaletide::Micros;
 use std::collections::BTreeSet;
 use std::fmt;
 use std::io::{self, Read};
@@ -13,8 +14,8 @@
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
-/// A longer file is refused unread: the longest list that discovery may tell, twice.
-const MOST: u64 = 8 * 1024 * 1024;
+/// A longer file is refused unread: five times a fleet of 25,000 backends, 21,000 classes and 130,000 tenants.
+const MOST: u64 = 64 * 1024 * 1024;
 
 /// Where the configuration comes from.
 #[derive(Clone, Debug, Default)]
@@ -79,11 +80,10 @@
     pub sockets: usize,
     /// The list as this proxy last had it.
     pub known: List,
-    pub config: Checked,
-    pub names: Names,
-    pub network: Network,
-    /// The settings as they stand in the file.
-    pub settings: Value,
+    /// Digest of the settings.
+    pub settings: [u8; 32],
+    /// The same of what the proxies of one fleet share of them.
+    pub shared: [u8; 32],
     /// All keys of the file but those inside lists.
     pub keys: BTreeSet<String>,
     /// Where and how often what was learned is kept; without it nothing is.
@@ -309,7 +309,9 @@
 
 /// A file that has the schema's shape, and its keys that the schema does not know.
 struct Parsed {
+    /// Without the settings.
     file: File,
+    settings: Settings,
     keys: BTreeSet<String>,
     unknown: Vec<String>,
 }
@@ -328,44 +330,108 @@
     }
 }
 
-fn parse(source: &Source) -> Result<Parsed, NodeError> {
-    let path = source.file.as_ref().ok_or(NodeError::Unset)?;
-    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-    let malformed = |e: String| NodeError::Malformed(path.clone(), e);
+/// The file's value with what is put into it.
+fn whole(source: &Source, path: &Path, text: &str) -> Result<Value, NodeError> {
+    let malformed = |e: String| NodeError::Malformed(path.into(), e);
     let mut whole: Value = match is_toml(path) {
-        true => toml::from_str(&text).map_err(|e| malformed(e.to_string()))?,
-        false => serde_json::from_str(&text).map_err(|e| malformed(e.to_string()))?,
+        true => toml::from_str(text).map_err(|e| malformed(e.to_string()))?,
+        false => serde_json::from_str(text).map_err(|e| malformed(e.to_string()))?,
     };
     source.sets.iter().try_for_each(|set| set.put(&mut whole)).map_err(NodeError::Set)?;
+    Ok(whole)
+}
+
+/// The file's long lists on their way in.
+struct Long {
+    settings: Lists,
+    /// `known.endpoints`, where they are wanted.
+    endpoints: Option<Vec<Value>>,
+}
+
+impl Long {
+    const ENDPOINTS: &'static str = "known.endpoints";
+    const SETTINGS: &'static str = "settings.";
+    const PATHS: [&'static str; 3] = [Long::ENDPOINTS, "settings.profiles", "settings.customers"];
+}
+
+impl Sink for Long {
+    fn lists(&self) -> &[&'static str] {
+        &Long::PATHS
+    }
+    fn begin(&mut self, list: &'static str) {
+        match list.strip_prefix(Long::SETTINGS) {
+            Some(list) => self.settings.begin(list),
+            None => self.endpoints.iter_mut().for_each(Vec::clear),
+        }
+    }
+    fn item(&mut self, list: &'static str, item: Value) {
+        match (list.strip_prefix(Long::SETTINGS), &mut self.endpoints) {
+            (Some(list), _) => self.settings.item(list, &item),
+            (None, Some(endpoints)) => endpoints.push(item),
+            (None, None) => {}
+        }
+    }
+}
+
+/// What is wanted of a file.
+#[derive(Clone, Copy, PartialEq)]
+enum Want {
+    /// Its errors.
+    Errors,
+    /// All.
+    Start,
+    /// All but the list at hand.
+    Again,
+}
+
+fn shape(whole: Value, path: &Path, unknown: &mut Vec<String>) -> Result<File, NodeError> {
+    let malformed = |e: String| NodeError::Malformed(path.into(), e);
+    let mut ignored = |key: serde_ignored::Path<'_>| unknown.push(key.to_string());
+    let reader = serde_ignored::Deserializer::new(whole, &mut ignored);
+    serde_path_to_error::deserialize(reader).map_err(|e| match e.path().to_string().as_str() {
+        "." => malformed(e.inner().to_string()),
+        at => malformed(format!("{at}: {}", e.inner())),
+    })
+}
+
+fn parse(source: &Source, want: Want) -> Result<Parsed, NodeError> {
+    let path = source.file.as_ref().ok_or(NodeError::Unset)?;
+    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
+    // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
+    let strict = is_toml(path) || !source.sets.is_empty();
+    let reading = Reading { strict, digested: want != Want::Errors };
+    let mut long = Long { settings: Lists::new(reading), endpoints: (want != Want::Again).then(Vec::new) };
+    let sifted = if strict {
+        sift(whole(source, path, &text)?, &mut long)
+    } else {
+        let mut reader = serde_json::Deserializer::from_str(&text);
+        sift(&mut reader, &mut long).and_then(|value| reader.end().map(|()| value))
+    };
+    drop(text);
+    let slim = sifted.map_err(|e| NodeError::Malformed(path.clone(), e.to_string()))?;
     let mut keys = BTreeSet::new();
-    collect(&whole, "", &mut keys);
+    collect(&slim, "", &mut keys);
     let mut unknown = Vec::new();
-    let file: File = {
-        let mut ignored = |key: serde_ignored::Path<'_>| unknown.push(key.to_string());
-        let reader = serde_ignored::Deserializer::new(whole, &mut ignored);
-        serde_path_to_error::deserialize(reader).map_err(|e| match e.path().to_string().as_str() {
-            "." => malformed(e.inner().to_string()),
-            at => malformed(format!("{at}: {}", e.inner())),
-        })?
-    };
-    if is_toml(path) || !source.sets.is_empty() {
-        unknown.extend(settings::unknown(&file.settings).into_iter().map(|key| format!("settings.{key}")));
+    let mut file = shape(slim, path, &mut unknown)?;
+    file.known.endpoints = long.endpoints.unwrap_or_default();
+    let settings = Settings::new(std::mem::take(&mut file.settings), long.settings);
+    if strict {
+        unknown.extend(settings.unknown().into_iter().map(|key| format!("settings.{key}")));
     }
-    // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
     if !is_toml(path) {
         unknown.retain(|key| source.sets.iter().any(|set| set.path == *key));
     }
-    Ok(Parsed { file, keys, unknown })
+    Ok(Parsed { file, settings, keys, unknown })
 }
 
 /// Every error of a configuration, one a line; empty where it can be run.
 pub fn check(source: &Source) -> Vec<String> {
-    let parsed = match parse(source) {
+    let parsed = match parse(source, Want::Errors) {
         Ok(parsed) => parsed,
         Err(e) => return vec![e.to_string()],
     };
     let mut errors: Vec<String> = parsed.unknown.iter().map(|key| format!("{key}: unknown key")).collect();
-    let found = settings::errors(&parsed.file.settings).into_iter().chain(seed(&parsed.file.seed).err());
+    let found = parsed.settings.errors().into_iter().chain(seed(&parsed.file.seed).err());
     errors.extend(found.map(|e| NodeError::Settings(e).to_string()));
     errors.extend(parsed.file.duties().err().map(|e| e.to_string()));
     errors
@@ -373,11 +439,12 @@
 
 /// The configuration in force as TOML, with its defaults.
 pub fn show(source: &Source) -> Result<String, NodeError> {
-    let parsed = parse(source)?;
-    let path = source.file.clone().unwrap_or_default();
+    let path = source.file.as_ref().ok_or(NodeError::Unset)?;
+    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
+    let file = shape(whole(source, path, &text)?, path, &mut Vec::new())?;
     let failed = |e: String| NodeError::Malformed(path.clone(), e);
     // Through a table, which puts plain values before the tables inside it.
-    let table = toml::Table::try_from(&parsed.file).map_err(|e| failed(e.to_string()))?;
+    let table = toml::Table::try_from(&file).map_err(|e| failed(e.to_string()))?;
     toml::to_string_pretty(&table).map_err(|e| failed(e.to_string()))
 }
 
@@ -386,22 +453,37 @@
     hex.or(value.as_u64()).ok_or_else(|| "seed: expected a number or up to 16 hex digits".into())
 }
 
+/// A configuration that was read again, and what it makes of the settings in force.
+pub struct Again {
+    pub node: Node,
+    pub change: Result<Change, String>,
+}
+
 impl Node {
     /// Reads the file again. One that lacks what stood in it before is not whole.
-    pub fn read_again(source: &Source, keys: &BTreeSet<String>) -> Result<Node, NodeError> {
+    pub fn read_again(
+        source: &Source, keys: &BTreeSet<String>, in_force: &InForce,
+    ) -> Result<Again, NodeError> {
         if let Some(path) = source.file.as_ref().filter(|path| path.exists() && !path.is_file()) {
             // A pipe would hold up all that runs until somebody writes to it.
             return Err(NodeError::Unreadable(path.clone(), io::Error::other("not a file")));
         }
-        let node = Node::read(source)?;
+        let (node, settings) = Node::parsed(parse(source, Want::Again)?)?;
         match keys.difference(&node.keys).next() {
             Some(key) => Err(NodeError::Settings(format!("{key}: missing"))),
-            None => Ok(node),
+            None => Ok(Again { node, change: in_force.change(&settings) }),
         }
     }
 
-    pub fn read(source: &Source) -> Result<Node, NodeError> {
-        let Parsed { file, keys, unknown } = parse(source)?;
+    /// Reads the file, and the settings that it puts in force at the start.
+    pub fn read(source: &Source) -> Result<(Node, InForce), NodeError> {
+        let (node, settings) = Node::parsed(parse(source, Want::Start)?)?;
+        let in_force = InForce::first(&settings).map_err(NodeError::Settings)?;
+        Ok((node, in_force))
+    }
+
+    fn parsed(parsed: Parsed) -> Result<(Node, Settings), NodeError> {
+        let Parsed { file, settings, keys, unknown } = parsed;
         if !unknown.is_empty() {
             return Err(NodeError::Unknown(unknown));
         }
@@ -417,10 +499,8 @@
             }
             _ => file.snapshot,
         };
-        let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
-        let config = config.checked().map_err(|e| NodeError::Settings(e.to_string()))?;
-        let network = settings::network(&file.settings).map_err(NodeError::Settings)?;
-        Ok(Node {
+        settings.first_error().map_or(Ok(()), Err).map_err(NodeError::Settings)?;
+        let node = Node {
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
@@ -428,14 +508,13 @@
             seed: seed(&file.seed).map_err(NodeError::Settings)?,
             sockets: file.limits.sockets.max(64),
             known: file.known,
-            config,
-            names,
-            network,
-            settings: file.settings,
+            settings: settings.digest(&[]),
+            shared: settings.digest(&snapshot::OWN),
             keys,
             snapshot,
             peers: file.peers,
             duties: file.duties,
-        })
+        };
+        Ok((node, settings))
     }
 }
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -162,17 +162,18 @@
         *self.tell.borrow_mut() = Some(tell);
     }
 
-    /// The names in force, with all numbers given so far.
+    /// The names in force, with all numbers given so far: shared, not copied.
     pub fn names(&self) -> Names {
         self.state.borrow().names.clone()
     }
 
-    /// Takes settings that were read against `names`.
+    /// Takes settings that were read against `names`, which the lists may have added to since.
     pub fn retune(self: &Rc<Self>, change: Change) {
-        let Change { config, retired, revived, heirs, names, .. } = change;
+        let Change { to, retired, revived, heirs, .. } = change;
+        let config = to.config;
         {
             let mut s = self.state.borrow_mut();
-            (s.names, s.classes) = (names, config.classes.clone());
+            (s.names, s.classes) = (to.names, config.classes.clone());
         }
         self.tell(Event::Settings { config: Box::new(config), retired, revived, heirs });
     }
--- a/src/net/keeper.rs
+++ b/src/net/keeper.rs
@@ -20,7 +20,7 @@
 }
 
 impl Keeper {
-    pub fn new(kept: Snapshots, host: Rc<Host>, owner: Owner, settings: &serde_json::Value) -> Rc<Keeper> {
+    pub fn new(kept: Snapshots, host: Rc<Host>, owner: Owner, settings: [u8; 32]) -> Rc<Keeper> {
         let stands = Cell::new(Stands::own(&owner, settings));
         Rc::new(Keeper { kept, host, owner: RefCell::new(owner), stands, failed: Cell::new(false) })
     }
@@ -66,7 +66,7 @@
 
     /// A reload changed whose the file is or what it holds for. The old one is not left behind: should discovery move
     /// back, it would tell nothing of the bans that began and ended since.
-    pub fn stand(&self, owner: Owner, settings: &serde_json::Value) {
+    pub fn stand(&self, owner: Owner, settings: [u8; 32]) {
         self.stands.set(Stands::own(&owner, settings));
         let old = self.owner.replace(owner);
         if old != *self.owner.borrow() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 pub mod list;
 pub mod maintenance;
 pub mod peers;
+pub mod reload;
 pub mod room;
 pub mod server;
 pub mod snapshot;
--- /dev/null
+++ b/src/net/reload.rs
@@ -0,0 +1,157 @@
+//! The configuration read again: off the request loop as far as it takes time, and put in force on it in one step.
+
+use super::config::{Again, Node, Source};
+use super::control::{Control, Keepers};
+use super::host::Host;
+use super::keeper::Keeper;
+use super::room::room;
+use super::server::{self, Rules, Server};
+use super::snapshot::Owner;
+use shaletide::settings::InForce;
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
+use tokio::sync::{oneshot, watch};
+use tokio::task::AbortHandle;
+use tracing::{info, warn};
+
+/// Does long work on a thread of its own, while the loop that waits for it goes on.
+pub async fn aside<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> Result<T, String> {
+    let (tell, told) = oneshot::channel();
+    let run = move || drop(tell.send(work()));
+    let thread = std::thread::Builder::new().name("configuration".into()).spawn(run);
+    thread.map_err(|e| format!("no thread to read the configuration on: {e}"))?;
+    told.await.map_err(|_| "the reading of the configuration broke off".into())
+}
+
+/// Gives up tables on a thread of its own: there may be a hundred thousand entries to free. Without one it is done here.
+fn discard(old: impl Send + 'static) {
+    let _ = std::thread::Builder::new().name("discard".into()).spawn(move || drop(old));
+}
+
+/// The operators' door, which the configuration may move.
+pub struct Door {
+    at: Option<SocketAddr>,
+    running: Option<AbortHandle>,
+    keepers: Keepers,
+}
+
+impl Door {
+    /// One that is not open yet.
+    pub fn closed(keepers: Keepers) -> Door {
+        Door { at: None, running: None, keepers }
+    }
+
+    /// Opens it there; where that cannot be, it stays where it was.
+    fn open(&mut self, at: SocketAddr) -> Result<(), String> {
+        let listener = server::listen(at).map_err(|e| format!("control: cannot listen on {at}: {e}"))?;
+        self.answer(at, listener);
+        Ok(())
+    }
+
+    pub fn answer(&mut self, at: SocketAddr, listener: TcpListener) {
+        info!("control on {}", listener.local_addr().unwrap_or(at));
+        let control = Control::new(self.keepers.clone());
+        self.close();
+        self.at = Some(at);
+        self.running = Some(tokio::task::spawn_local(control.run(listener)).abort_handle());
+    }
+
+    fn close(&mut self) {
+        self.running.take().into_iter().for_each(|task| task.abort());
+        self.at = None;
+    }
+
+    fn move_to(&mut self, at: Option<SocketAddr>) -> Result<(), String> {
+        match at {
+            _ if at == self.at => Ok(()),
+            Some(at) => self.open(at),
+            None => {
+                self.close();
+                Ok(())
+            }
+        }
+    }
+}
+
+/// What a new configuration may change, and what it is checked against.
+pub struct Reload {
+    pub host: Rc<Host>,
+    pub server: Rc<Server>,
+    /// Where it may move to; `None` where none is watched.
+    pub discovery: Option<watch::Sender<SocketAddr>>,
+    pub source: Source,
+    /// Its zones and kinds are those of the last reading: the host's names know of later ones.
+    pub in_force: InForce,
+    /// Digest of the settings that the fleet shares, for what peers learned under them.
+    pub shared: Rc<Cell<[u8; 32]>>,
+    pub keeper: Option<Rc<Keeper>>,
+    pub owner: Owner,
+    pub door: Door,
+    pub sockets: Rc<Cell<usize>>,
+    pub keys: Arc<BTreeSet<String>>,
+    pub listen: SocketAddr,
+}
+
+impl Reload {
+    /// On each SIGHUP reads the configuration again. It is taken as a whole, or nothing of it is. Of signals that come
+    /// while one reading goes on, one more follows it: so the last file counts, and never two are read at once.
+    pub async fn run(mut self, mut hangup: Signal) {
+        while hangup.recv().await.is_some() {
+            let taken = self.read().await.and_then(|again| self.take(again));
+            match taken {
+                Ok(told) => info!("configuration taken: {told}"),
+                Err(e) => warn!("configuration not taken, all stays as it was: {e}"),
+            }
+        }
+    }
+
+    /// Reads, checks and compares, while requests go on. Nothing but [`Reload::take`] changes what it compares with,
+    /// apart from places and kinds that lists name meanwhile, which that sees to.
+    async fn read(&self) -> Result<Again, String> {
+        let (source, keys) = (self.source.clone(), self.keys.clone());
+        let in_force = InForce { names: self.host.names(), ..self.in_force.clone() };
+        let read = aside(move || Node::read_again(&source, &keys, &in_force).map_err(|e| e.to_string()));
+        read.await?
+    }
+
+    /// Puts it in force: one step, in which nothing else runs, and none that takes time by the size of the tables.
+    fn take(&mut self, again: Again) -> Result<String, String> {
+        let Again { node, change } = again;
+        if node.discovery.is_some() != self.discovery.is_some() {
+            return Err("discovery: expected as before, it comes and goes only with a restart".into());
+        }
+        let mut change = change?;
+        // The last that can fail; from here on nothing does.
+        self.door.move_to(node.control)?;
+        let mut told = change.told.clone();
+        if let Some(at) = node.discovery {
+            told += &format!(", discovery at {at}");
+        }
+        if node.listen != self.listen {
+            told += &format!(", clients still at {}", self.listen);
+        }
+        change.place(&self.host.names());
+        let before = std::mem::replace(&mut self.in_force, change.to.clone());
+        self.keys = Arc::new(node.keys);
+        self.sockets.set(node.sockets);
+        let room = room(node.sockets);
+        self.host.pool.limit(room / 2);
+        self.server.limit(room - room / 2);
+        self.host.pool.retune(&self.in_force.network);
+        self.server.retune(Rules::new(&self.in_force.config, &self.in_force.network));
+        self.host.retune(change);
+        self.shared.set(node.shared);
+        self.owner.discovery = node.discovery;
+        self.keeper.iter().for_each(|k| k.stand(self.owner.clone(), node.settings));
+        if let Some((moved, to)) = self.discovery.as_ref().zip(node.discovery) {
+            moved.send_if_modified(|at| std::mem::replace(at, to) != to);
+        }
+        discard(before); // by now nobody else holds what is only there
+        Ok(told)
+    }
+}
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -48,8 +48,8 @@
 
 impl Stands {
     /// For a file, which only its own proxy takes back, under the very same settings.
-    pub fn own(owner: &Owner, settings: &serde_json::Value) -> Stands {
-        Stands { owner: Some(owner.hash()), settings: hash(settings) }
+    pub fn own(owner: &Owner, settings: [u8; 32]) -> Stands {
+        Stands { owner: Some(owner.hash()), settings }
     }
 
     /// For another proxy of the fleet, where `settings` are those that the fleet shares.
@@ -176,15 +176,9 @@
 
 impl std::error::Error for Refused {}
 
-/// The settings' hash: of their JSON, whose maps are ordered by key, so that equal settings hash the same. Left out
-/// is what differs between the proxies of one fleet, as they share what they learned.
-pub fn settings_hash(settings: &serde_json::Value) -> [u8; 32] {
-    let mut shared = settings.clone();
-    for own in ["position", "my_zone"] {
-        shared.as_object_mut().into_iter().for_each(|keys| drop(keys.remove(own)));
-    }
-    hash(&shared)
-}
+/// The keys of the settings that differ between the proxies of one fleet, which share what they learned under all the
+/// others.
+pub const OWN: [&str; 2] = ["position", "my_zone"];
 
 /// The file's bytes. Fails only where the body is over [`MOST`].
 pub fn encode(snapshot: &Snapshot) -> Result<Vec<u8>, Refused> {
--- /dev/null
+++ b/src/settings/change.rs
@@ -0,0 +1,260 @@
+//! Settings that take the place of others: read as a whole, or entry by entry.
+
+use super::key::{Key, Notes};
+use super::names::Names;
+use super::read::{customer, route, Customer, Route, Settings};
+use super::{Change, InForce, Network};
+use crate::interface::*;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+impl Change {
+    /// Gives the places that these settings named first their numbers anew, where lists have named others since they
+    /// were read: `now` are the names in force. Costs nothing where none have.
+    pub fn place(&mut self, now: &Names) {
+        if (now.zones.len(), now.kinds.len()) == self.places {
+            return;
+        }
+        let (mut zones, mut kinds) = (now.zones.clone(), now.kinds.clone());
+        let moved: Vec<ZoneId> = self.to.names.zones.iter().map(|z| ZoneId(zones.number(z))).collect();
+        for kind in self.to.names.kinds.iter() {
+            kinds.number(kind);
+        }
+        let to = |zone: &ZoneId| moved.get(zone.0 as usize).copied().unwrap_or(*zone);
+        let config = &self.to.config;
+        let regions: BTreeMap<_, _> =
+            config.regions.iter().map(|(zone, region)| (to(zone), *region)).collect();
+        let zone = to(&config.zone);
+        self.to.config.place(zone, regions);
+        self.places = (zones.len(), kinds.len());
+        (self.to.names.zones, self.to.names.kinds) = (zones, kinds);
+    }
+}
+
+/// What may be done with a request that came under one effect while another is in force.
+fn stricter(came: Effect, now: Effect) -> Effect {
+    let reach = |scope| match scope {
+        KeyScope::Cell => 0,
+        KeyScope::Zone => 1,
+        KeyScope::All => 2,
+    };
+    match (came, now) {
+        (came, Effect::Free) => came,
+        (Effect::Keyed(a, long), Effect::Keyed(b, short)) => {
+            Effect::Keyed(if reach(a) <= reach(b) { a } else { b }, long.min(short))
+        }
+        // One that came as free has no key by which a repeat would be dropped.
+        _ => Effect::Unsafe,
+    }
+}
+
+/// A change in the making. A class or tenant keeps its number; a class whose rules differ gets a new one.
+struct Draft {
+    /// Numbers of classes and tenants given before.
+    classes: usize,
+    tenants: usize,
+    to: InForce,
+    retired: BTreeSet<ClassId>,
+    revived: BTreeSet<ClassId>,
+    heirs: Vec<(ClassId, ClassId)>,
+    quotas: BTreeMap<TenantId, Tenant>,
+    told: Vec<String>,
+}
+
+impl Draft {
+    fn new(base: &InForce, to: InForce) -> Draft {
+        let (classes, tenants) = (base.config.classes.len(), base.config.tenants.len());
+        let (retired, revived, heirs) = Default::default();
+        Draft { classes, tenants, to, retired, revived, heirs, quotas: BTreeMap::new(), told: Vec::new() }
+    }
+
+    fn set_route(&mut self, route: &Route) -> Result<(), ConfigError> {
+        let (to, name) = (&mut self.to, route.name.as_str());
+        let old = to.names.classes.find(name);
+        let (classes, deadlines) = (&to.config.classes, &to.network.deadlines);
+        let same = |n: &usize| classes[*n] == route.class && deadlines[*n] == route.deadline;
+        let number = match to.names.classes.numbers(name).filter(same).min() {
+            Some(number) => {
+                to.names.classes.put_in_use(name, Some(number));
+                number
+            }
+            None => {
+                let number = to.names.classes.add(name);
+                to.config.put_class(ClassId(number), route.class.clone())?;
+                to.network.deadlines.push_back(route.deadline);
+                self.heirs.extend(old.map(|old| (ClassId(number), ClassId(old))));
+                number
+            }
+        };
+        // What is still open under an old number obeys the stricter of its rules and those that hold now.
+        let old_numbers: Vec<usize> = to.names.classes.numbers(name).filter(|n| *n != number).collect();
+        for n in old_numbers {
+            let class = &to.config.classes[n];
+            let effect = stricter(class.effect, route.class.effect);
+            if effect != class.effect {
+                let class = Class { effect, ..class.clone() };
+                to.config.put_class(ClassId(n), class)?;
+            }
+        }
+        if old != Some(number) {
+            self.told.push(format!("{} {name}", if old.is_some() { "changed" } else { "new" }));
+            self.retired.extend(old.map(ClassId));
+            self.revived.extend((number < self.classes).then_some(ClassId(number)));
+        }
+        Ok(())
+    }
+
+    /// False where there is none of that name.
+    fn remove_route(&mut self, name: &str) -> bool {
+        let Some(old) = self.to.names.classes.find(name) else { return false };
+        self.to.names.classes.put_in_use(name, None);
+        self.retired.insert(ClassId(old));
+        self.told.push(format!("dropped {name}"));
+        true
+    }
+
+    /// The customer's number.
+    fn set_customer(&mut self, customer: &Customer) -> usize {
+        let (tenants, name) = (&mut self.to.names.tenants, customer.name.as_str());
+        match tenants.number(name) {
+            Some(number) => {
+                tenants.put_in_use(name, true);
+                let id = TenantId(number);
+                if self.quotas.contains_key(&id)
+                    || self.to.config.tenants.get(number) != Some(&customer.tenant)
+                {
+                    self.quotas.insert(id, customer.tenant.clone());
+                }
+                number
+            }
+            None => {
+                let number = self.tenants;
+                self.tenants += 1;
+                tenants.add(name, number);
+                self.quotas.insert(TenantId(number), customer.tenant.clone());
+                number
+            }
+        }
+    }
+
+    fn finish(mut self, base: &InForce) -> Result<Change, ConfigError> {
+        self.to.config.put_tenants(self.quotas)?;
+        let told = if self.told.is_empty() { "classes as before".into() } else { self.told.join(", ") };
+        Ok(Change {
+            to: self.to,
+            retired: self.retired.into_iter().collect(),
+            revived: self.revived.into_iter().collect(),
+            heirs: self.heirs,
+            told,
+            places: (base.names.zones.len(), base.names.kinds.len()),
+        })
+    }
+}
+
+/// Settings that follow others as a whole.
+pub(super) fn change(settings: &Settings, base: &InForce) -> Result<Change, String> {
+    let bound = |e: ConfigError| e.to_string();
+    let InForce { config, names, network } = base.clone();
+    let mut places = Names { classes: Default::default(), tenants: Default::default(), ..names };
+    let (fresh, routes, customers) = settings.sound(&mut places)?;
+    let fresh_network = settings.network()?;
+    let fresh = fresh.checked().map_err(bound)?;
+    if fresh.discovery != config.discovery {
+        return Err("discovery: expected as before, it changes only with a restart".into());
+    }
+    let tables =
+        Config { classes: config.classes.clone(), tenants: config.tenants.clone(), ..(*fresh).clone() };
+    let to = InForce {
+        config: tables.checked().map_err(bound)?,
+        names: Names { classes: names.classes, tenants: names.tenants, ..places },
+        network: Network { deadlines: network.deadlines, ..fresh_network },
+    };
+    let mut draft = Draft::new(base, to);
+    routes.iter().try_for_each(|route| draft.set_route(route)).map_err(bound)?;
+    let kept: HashSet<&str> = routes.iter().map(|route| route.name.as_str()).collect();
+    for name in (0..base.names.classes.len()).filter_map(|n| base.names.classes.name(n)) {
+        if !kept.contains(name) {
+            draft.remove_route(name);
+        }
+    }
+    let mut stays = vec![false; config.tenants.len() + customers.len()];
+    customers.iter().for_each(|customer| stays[draft.set_customer(customer)] = true);
+    let dropped = base.names.tenants.in_use().filter(|(number, _)| !stays[*number]);
+    dropped.for_each(|(_, name)| draft.to.names.tenants.put_in_use(name, false));
+    draft.finish(base).map_err(bound)
+}
+
+/// One named entry of the settings, as operators change it without saying all the rest again.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Amendment {
+    /// A class of requests with all its keys, as it stands in `profiles`: a new one, or in the place of one of its name.
+    SetProfile(Value),
+    /// A class is no more; what is open under it ends as it came.
+    RemoveProfile(String),
+    /// A tenant with its quota, as it stands in `customers`.
+    SetCustomer(Value),
+    /// A tenant is no more: from now on a stranger.
+    RemoveCustomer(String),
+}
+
+impl Amendment {
+    /// Where the entry stands.
+    fn path(&self) -> String {
+        let name = |entry: &Value| entry.get("name").and_then(Value::as_str).unwrap_or_default().to_string();
+        match self {
+            Amendment::SetProfile(entry) => format!("profiles[{}]", name(entry)),
+            Amendment::RemoveProfile(name) => format!("profiles[{name}]"),
+            Amendment::SetCustomer(entry) => format!("customers[{}]", name(entry)),
+            Amendment::RemoveCustomer(name) => format!("customers[{name}]"),
+        }
+    }
+}
+
+/// The settings in force with these entries changed, all or none of them: else every error, each by its key. Costs by
+/// what it names: nothing by the size of the tables.
+pub(super) fn amend(base: &InForce, amendments: &[Amendment]) -> Result<Change, Vec<String>> {
+    let notes = Notes::new(false);
+    let mut draft = Draft::new(base, base.clone());
+    let mut named = BTreeSet::new();
+    for amendment in amendments {
+        let path = amendment.path();
+        let at = |value| Key::at(path.clone(), value, notes.clone());
+        let wrong = |text: &str| at(&Value::Null).wrong(text.into());
+        if !named.insert(path.clone()) {
+            wrong("the name stands twice");
+            continue;
+        }
+        match amendment {
+            Amendment::SetProfile(entry) => {
+                let route = route(&at(entry), |_| true);
+                if let Err(e) = route.class.validate().and_then(|()| draft.set_route(&route)) {
+                    wrong(&e.to_string());
+                }
+            }
+            Amendment::SetCustomer(entry) => {
+                let customer = customer(&at(entry));
+                match customer.tenant.validate() {
+                    Ok(()) => drop(draft.set_customer(&customer)),
+                    Err(e) => wrong(&e.to_string()),
+                }
+            }
+            Amendment::RemoveProfile(name) => {
+                if !draft.remove_route(name) {
+                    wrong("there is none of that name");
+                }
+            }
+            Amendment::RemoveCustomer(name) => match draft.to.names.tenants.find(name) {
+                Some(_) => draft.to.names.tenants.put_in_use(name, false),
+                None => wrong("there is none of that name"),
+            },
+        }
+    }
+    let mut texts = notes.texts();
+    if draft.to.names.classes.in_use() == 0 {
+        texts.push("profiles: expected at least one class".into());
+    }
+    match texts.is_empty() {
+        true => draft.finish(base).map_err(|e| vec![e.to_string()]),
+        false => Err(texts),
+    }
+}
--- /dev/null
+++ b/src/settings/read.rs
@@ -0,0 +1,396 @@
+//! From the settings' values to the module's configuration, its names, and the sockets' part.
+
+use super::key::{Key, Notes};
+use super::names::Names;
+use super::sift::{sift, Sink};
+use super::Network;
+use crate::interface::*;
+use compact_str::CompactString;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashSet};
+use std::fmt::Write;
+use std::rc::Rc;
+
+const PROFILES: &str = "profiles";
+const CUSTOMERS: &str = "customers";
+
+/// One of `profiles` as it was read.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Route {
+    pub name: CompactString,
+    pub class: Class,
+    pub deadline: Micros,
+}
+
+/// One of `customers` as it was read.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Customer {
+    pub name: CompactString,
+    pub tenant: Tenant,
+}
+
+/// A long list of the settings, read item by item.
+struct Long<T> {
+    name: &'static str,
+    items: Vec<T>,
+    /// Items so far, sound or not.
+    count: usize,
+    notes: Rc<Notes>,
+    /// Paths inside it that nothing reads.
+    unread: Vec<String>,
+    /// Its items as JSON, for the settings' digest.
+    text: String,
+}
+
+impl<T> Long<T> {
+    fn new(name: &'static str, strict: bool) -> Long<T> {
+        let (items, unread, text) = (Vec::new(), Vec::new(), String::new());
+        Long { name, items, count: 0, notes: Notes::new(strict), unread, text }
+    }
+
+    fn take(&mut self, value: &Value, digested: bool, read: impl FnOnce(&Key) -> T) {
+        let path = format!("{}[{}]", self.name, self.count);
+        self.items.push(read(&Key::at(path.clone(), value, self.notes.clone())));
+        if self.notes.strict() {
+            let mut paths = Vec::new();
+            leaves(&path, value, &mut paths);
+            self.unread.extend(self.notes.unread(paths));
+            self.notes.forget_seen();
+        }
+        if digested {
+            let comma = if self.count > 0 { "," } else { "" };
+            let _ = write!(self.text, "{comma}{value}"); // to a string, which does not fail
+        }
+        self.count += 1;
+    }
+}
+
+/// How much of the settings is wanted beside their meaning.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reading {
+    /// Which values nothing reads ([`Settings::unknown`]).
+    pub strict: bool,
+    /// Their digest ([`Settings::digest`]).
+    pub digested: bool,
+}
+
+/// The long lists of settings on their way in: each item is read as it comes, and its value is not kept.
+pub struct Lists {
+    reading: Reading,
+    profiles: Long<Route>,
+    names: HashSet<CompactString>,
+    customers: Long<Customer>,
+}
+
+impl Lists {
+    /// Their paths inside the settings.
+    pub const PATHS: [&'static str; 2] = [PROFILES, CUSTOMERS];
+
+    /// Lists of which nothing has come yet.
+    pub fn new(reading: Reading) -> Lists {
+        let (profiles, customers) =
+            (Long::new(PROFILES, reading.strict), Long::new(CUSTOMERS, reading.strict));
+        Lists { reading, profiles, names: HashSet::new(), customers }
+    }
+
+    /// One of [`Lists::PATHS`] begins; of one that stands twice the last counts.
+    pub fn begin(&mut self, list: &str) {
+        let new = Lists::new(self.reading);
+        match list {
+            PROFILES => (self.profiles, self.names) = (new.profiles, new.names),
+            _ => self.customers = new.customers,
+        }
+    }
+
+    /// The next item of a list.
+    pub fn item(&mut self, list: &str, value: &Value) {
+        let digested = self.reading.digested;
+        match list {
+            PROFILES => {
+                let names = &mut self.names;
+                self.profiles.take(value, digested, |key| route(key, |name| names.insert(name.into())));
+            }
+            _ => self.customers.take(value, digested, customer),
+        }
+    }
+}
+
+impl Sink for Lists {
+    fn lists(&self) -> &[&'static str] {
+        &Lists::PATHS
+    }
+    fn begin(&mut self, list: &'static str) {
+        Lists::begin(self, list);
+    }
+    fn item(&mut self, list: &'static str, item: Value) {
+        Lists::item(self, list, &item);
+    }
+}
+
+/// Settings whose long lists have been read, and the values of all else.
+pub struct Settings {
+    rest: Value,
+    lists: Lists,
+}
+
+impl Settings {
+    /// `rest`: the settings with an empty list in the place of each that `lists` took.
+    pub fn new(rest: Value, lists: Lists) -> Settings {
+        Settings { rest, lists }
+    }
+
+    /// The same from the whole of them.
+    pub fn of(whole: &Value, reading: Reading) -> Settings {
+        let mut lists = Lists::new(reading);
+        // A value that is at hand can always be walked through.
+        let rest = sift(whole, &mut lists).unwrap_or_default();
+        Settings { rest, lists }
+    }
+
+    fn root(&self) -> Key<'_> {
+        Key::root(&self.rest, Notes::new(self.lists.reading.strict))
+    }
+
+    /// The list, where the settings hold one of that name.
+    fn list<'a, T>(&self, root: &Key, list: &'a Long<T>) -> &'a [T] {
+        root.get(list.name).list(); // missing, or no list: noted there
+        if !self.rest[list.name].is_array() {
+            return &[];
+        }
+        root.notes.join(&list.notes);
+        &list.items
+    }
+
+    /// The module's configuration and the names that go with it, or what is wrong first.
+    pub fn config(&self) -> Result<(Config, Names), String> {
+        let root = self.root();
+        let mut names = Names::default();
+        let read = self.read(&root, &mut names);
+        let (config, routes, customers) = root.notes.sound(read)?;
+        for route in routes {
+            names.classes.add(&route.name);
+        }
+        customers.iter().enumerate().for_each(|(n, customer)| names.tenants.add(&customer.name, n));
+        Ok((config, names))
+    }
+
+    /// The part that concerns sockets, or what is wrong with it first.
+    pub fn network(&self) -> Result<Network, String> {
+        let root = self.root();
+        let read = self.read_network(&root);
+        root.notes.sound(read)
+    }
+
+    /// What [`Settings::config`] or [`Settings::network`] would say is wrong, first of the one and then of the other.
+    pub fn first_error(&self) -> Option<String> {
+        let root = self.root();
+        self.read(&root, &mut Names::default());
+        self.read_network(&root);
+        root.notes.sound(()).err()
+    }
+
+    /// All that is wrong, one text each: values that cannot be read, then such as break a bound.
+    pub fn errors(&self) -> Vec<String> {
+        let root = self.root();
+        let (config, ..) = self.read(&root, &mut Names::default());
+        self.read_network(&root);
+        let follows = |e: &ConfigError| e.field == "classes" && root.notes.misread(PROFILES);
+        let bounds = config.errors().into_iter().filter(|e| !follows(e)).map(|e| e.to_string());
+        root.notes.texts().into_iter().chain(bounds).collect()
+    }
+
+    /// Paths of values that nothing reads; known only to a strict [`Reading`].
+    pub fn unknown(&self) -> Vec<String> {
+        let root = self.root();
+        self.read(&root, &mut Names::default());
+        self.read_network(&root);
+        let mut all = Vec::new();
+        for (key, value) in self.rest.as_object().into_iter().flatten() {
+            match key.as_str() {
+                PROFILES if value.is_array() => all.extend(self.lists.profiles.unread.iter().cloned()),
+                CUSTOMERS if value.is_array() => all.extend(self.lists.customers.unread.iter().cloned()),
+                _ => {
+                    let mut paths = Vec::new();
+                    leaves(key, value, &mut paths);
+                    all.extend(root.notes.unread(paths));
+                }
+            }
+        }
+        all
+    }
+
+    /// BLAKE3 of the settings as JSON with ordered keys, so that equal settings have equal digests; the keys `without`
+    /// are left out. Known only to a digested [`Reading`].
+    pub fn digest(&self, without: &[&str]) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new();
+        let mut add = |text: &str| {
+            hasher.update(text.as_bytes());
+        };
+        let Some(keys) = self.rest.as_object() else {
+            add(&self.rest.to_string());
+            return *hasher.finalize().as_bytes();
+        };
+        add("{");
+        let kept = keys.iter().filter(|(key, _)| !without.contains(&key.as_str()));
+        for (n, (key, value)) in kept.enumerate() {
+            add(if n > 0 { "," } else { "" });
+            add(&Value::from(key.as_str()).to_string());
+            add(":");
+            let _ = match key.as_str() {
+                PROFILES if value.is_array() => ["[", &self.lists.profiles.text, "]"].map(&mut add),
+                CUSTOMERS if value.is_array() => ["[", &self.lists.customers.text, "]"].map(&mut add),
+                _ => [&*value.to_string(), "", ""].map(&mut add),
+            };
+        }
+        add("}");
+        *hasher.finalize().as_bytes()
+    }
+
+    /// The configuration and what it was made of. `names`: the places and kinds that have numbers already.
+    pub(super) fn read(&self, root: &Key, names: &mut Names) -> (Config, &[Route], &[Customer]) {
+        let (zones, listed) = (root.get("zones"), root.get("zones").list());
+        for zone in &listed {
+            names.zones.number(zone.text());
+        }
+        for kind in root.get("kinds").list() {
+            names.kinds.number(kind.text());
+        }
+        let my_zone = root.get("my_zone");
+        let zone = my_zone.value.and_then(Value::as_str);
+        let zones_unread = zones.notes.misread("zones");
+        let zone = match listed.is_empty() && !zones_unread {
+            // Without zones it has one to itself, whatever its name.
+            true => Some(names.zones.number(zone.unwrap_or_default())),
+            false => zone.and_then(|name| names.zones.get(name)),
+        };
+        if zone.is_some() || !zones_unread {
+            my_zone.want(zone, "one of zones", 0);
+        }
+        let routes = self.list(root, &self.lists.profiles);
+        let customers = self.list(root, &self.lists.customers);
+        let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
+        let must_ask = rules.get("must_ask_in_us");
+        let discovery = match root.get("discovery").text() {
+            "automatic" => Discovery::Push,
+            "subscribe" => Discovery::Subscribe(must_ask.micros()),
+            _ => root.get("discovery").want(None, "automatic or subscribe", Discovery::Push),
+        };
+        let config = Config {
+            proxies: root.get("group_size").count(u32::MAX),
+            position: root.get("position").count(0),
+            zone: ZoneId(zone.unwrap_or(0)),
+            classes: routes.iter().map(|route| route.class.clone()).collect(),
+            tenants: customers.iter().map(|customer| customer.tenant.clone()).collect(),
+            over_quota_worth: root.get("over_share_worth").real(),
+            goal_whole: goal.get("whole").real(),
+            goal_worst_class: goal.get("worst_class").real(),
+            cross_zone_cost: root.get("costs").get("cross_zone").real(),
+            discovery,
+            max_attempts: limits.get("max_attempts").count(1),
+            cancel: limits.get("cancel").flag(),
+            second_copies: limits.get("parallel_tries").flag(),
+            tick: root.get("granularity_us").micros(),
+            cold_from: rules.get("cold_from").real(),
+            ramp: rules.get("ramp_time_us").micros(),
+            fall_multiple: rules.get("fall_multiple").real(),
+            fall_window: rules.get("tip_after_us").micros(),
+            locality: locality(&root.get("locality")),
+            regions: regions(&root.get("locality").get("regions"), names),
+        };
+        (config, routes, customers)
+    }
+
+    fn read_network(&self, root: &Key) -> Network {
+        let limits = root.get("limits");
+        let routes = if self.rest[PROFILES].is_array() { &*self.lists.profiles.items } else { &[] };
+        Network {
+            connect_timeout: limits.get("dial_timeout_us").micros(),
+            conn_idle: limits.get("conn_idle_us").micros(),
+            max_retry_after: limits.get("max_retry_after_us").micros(),
+            deadlines: routes.iter().map(|route| route.deadline).collect(),
+        }
+    }
+
+    /// The settings as they stand in nobody's place: with numbers given to places on top of `places`.
+    pub(super) fn sound(&self, names: &mut Names) -> Result<(Config, &[Route], &[Customer]), String> {
+        let root = self.root();
+        let read = self.read(&root, names);
+        root.notes.sound(read)
+    }
+}
+
+/// Paths of the values inside; a list of plain values is one.
+fn leaves(path: &str, value: &Value, all: &mut Vec<String>) {
+    match value {
+        Value::Object(keys) if !keys.is_empty() => keys.iter().for_each(|(name, inner)| {
+            leaves(&format!("{path}.{name}"), inner, all);
+        }),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            items.iter().enumerate().for_each(|(i, v)| leaves(&format!("{path}[{i}]"), v, all));
+        }
+        _ => all.push(path.into()),
+    }
+}
+
+/// One of `profiles`; `new` tells whether its name stands there for the first time.
+pub(super) fn route(key: &Key, new: impl FnOnce(&str) -> bool) -> Route {
+    let name = key.get("name");
+    if !new(name.text()) {
+        name.wrong("the name stands twice".into());
+    }
+    let (scope, window) = (key.get("key_scope"), key.get("window_us"));
+    let effect = match key.get("effect").text() {
+        "free" => Effect::Free,
+        "guarded" => {
+            let scope = match scope.text() {
+                "all" => KeyScope::All,
+                "zone" => KeyScope::Zone,
+                "cell" => KeyScope::Cell,
+                _ => scope.want(None, "all, zone or cell", KeyScope::All),
+            };
+            Effect::Keyed(scope, window.micros())
+        }
+        "single_shot" => Effect::Unsafe,
+        _ => key.get("effect").want(None, "free, guarded or single_shot", Effect::Free),
+    };
+    let stretch = key.get("aim_stretch");
+    let (aim, deadline) = (key.get("aim_us"), key.get("deadline_us"));
+    if deadline.micros().0 == 0 {
+        deadline.want(None, "a time above 0", ());
+    } else if aim.whole().zip(deadline.whole()).is_some_and(|(aim, deadline)| aim > deadline) {
+        aim.wrong("expected no more than deadline_us".into());
+    }
+    let class = Class {
+        aim: aim.micros(),
+        aim_stretch: if stretch.value.is_some() { stretch.real() } else { 0.0 },
+        effect,
+        worth: key.get("gain").real(),
+        late_worth: key.get("late_worth").real(),
+    };
+    Route { name: name.text().into(), class, deadline: deadline.micros() }
+}
+
+/// One of `customers`.
+pub(super) fn customer(key: &Key) -> Customer {
+    let name = key.get("name").text().into();
+    Customer { name, tenant: Tenant { quota_per_s: key.get("quota_rps").real() } }
+}
+
+/// `locality`, where it stands: both keys, or an error that names the missing one.
+fn locality(key: &Key) -> Option<Locality> {
+    key.value?;
+    Some(Locality { leave_share: key.get("leave_share").real(), ramp: key.get("ramp_us").micros() })
+}
+
+/// `locality.regions`: zone names to region names. A zone that no list has named yet gets its number here.
+fn regions(key: &Key, names: &mut Names) -> BTreeMap<ZoneId, RegionId> {
+    let Some(value) = key.value else { return BTreeMap::new() };
+    let none = serde_json::Map::new();
+    let table = key.want(value.as_object(), "a table of zones and their regions", &none);
+    let mut known = super::names::Numbered::default();
+    let entry = |zone: &String| {
+        let region = RegionId(1 + known.number(key.get(zone).text()));
+        (ZoneId(names.zones.number(zone)), region)
+    };
+    table.keys().map(entry).collect()
+}
