--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::sync::{oneshot, watch};
@@ -102,9 +103,15 @@
     /// while one reading goes on, one more follows it: so the last file counts, and never two are read at once.
     pub async fn run(mut self, mut hangup: Signal) {
         while hangup.recv().await.is_some() {
-            let taken = self.read().await.and_then(|again| self.take(again));
+            let begun = Instant::now();
+            let read = self.read().await;
+            let (read_ms, step) = (begun.elapsed().as_millis(), Instant::now());
+            let taken = read.and_then(|again| self.take(again));
+            let step_us = step.elapsed().as_micros(); // so long nothing else ran
             match taken {
-                Ok(told) => info!("configuration taken: {told}"),
+                Ok(told) => {
+                    info!(event = "configuration_taken", read_ms, step_us, "configuration taken: {told}")
+                }
                 Err(e) => warn!("configuration not taken, all stays as it was: {e}"),
             }
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 mod change;
 mod key;
 mod names;
+mod numbered;
 mod read;
 mod sift;
 
--- a/src/settings/names.rs
+++ b/src/settings/names.rs
@@ -1,10 +1,9 @@
 //! Numbers by name and names by number. Every table is persistent: a clone shares all of it, and a change copies only
 //! what leads to the entry that it names.
 
+use super::numbered::Numbered;
 use crate::interface::*;
-use compact_str::CompactString;
-use imbl::{HashMap, Vector};
-use std::sync::Arc;
+use imbl::Vector;
 
 /// The names that go with a [`Config`]. Places and kinds met first in a list are numbered then.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -15,64 +14,31 @@
     pub(super) tenants: Tenants,
 }
 
-/// Names in the order of their numbers.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(super) struct Numbered {
-    names: Vector<Arc<str>>,
-    numbers: HashMap<Arc<str>, u32>,
-}
-
-impl Numbered {
-    pub fn len(&self) -> usize {
-        self.names.len()
-    }
-
-    pub fn iter(&self) -> impl Iterator<Item = &str> {
-        self.names.iter().map(|name| &**name)
-    }
-
-    pub fn get(&self, name: &str) -> Option<u32> {
-        self.numbers.get(name).copied()
-    }
-
-    pub fn name(&self, number: u32) -> Option<&str> {
-        self.names.get(number as usize).map(|name| &**name)
-    }
-
-    /// Its number: the next one where it has none yet.
-    pub fn number(&mut self, name: &str) -> u32 {
-        self.get(name).unwrap_or_else(|| {
-            let (number, name) = (self.names.len() as u32, Arc::<str>::from(name));
-            self.names.push_back(name.clone());
-            self.numbers.insert(name, number);
-            number
-        })
-    }
-}
-
 /// Classes by name. One whose rules change goes on under a new number, and the old one stays for what is still open
 /// under it: a name may have had many, of which one at most is in use.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Classes {
-    /// By number.
+    names: Numbered,
+    /// By the name's number.
+    of_name: Vector<OfName>,
+    /// By the class's number.
     given: Vector<Given>,
-    by_name: HashMap<Arc<str>, OfName>,
     in_use: usize,
 }
 
-#[derive(Clone, Debug, PartialEq)]
-struct Given {
-    name: Arc<str>,
-    /// The number that this name had before.
-    older: Option<u32>,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 struct OfName {
     newest: u32,
     in_use: Option<u32>,
 }
 
+#[derive(Clone, Debug, PartialEq)]
+struct Given {
+    name: u32,
+    /// The class's number that this name had before.
+    older: Option<u32>,
+}
+
 impl Classes {
     /// How many numbers were given.
     pub fn len(&self) -> usize {
@@ -84,78 +50,97 @@
         self.in_use
     }
 
+    fn of(&self, name: &str) -> Option<&OfName> {
+        self.of_name.get(self.names.get(name)? as usize)
+    }
+
     /// The number in use under that name.
     pub fn find(&self, name: &str) -> Option<usize> {
-        self.by_name.get(name).and_then(|of| of.in_use).map(|n| n as usize)
+        self.of(name)?.in_use.map(|n| n as usize)
     }
 
     /// The name of a number in use.
     pub fn name(&self, number: usize) -> Option<&str> {
-        self.given.get(number).map(|g| &*g.name).filter(|name| self.find(name) == Some(number))
+        let name = self.given.get(number)?.name;
+        let in_use = self.of_name.get(name as usize)?.in_use;
+        self.names.name(name).filter(|_| in_use == Some(number as u32))
     }
 
     /// Every number that the name has had, the newest first.
     pub fn numbers(&self, name: &str) -> impl Iterator<Item = usize> + '_ {
-        let newest = self.by_name.get(name).map(|of| of.newest);
         let older = |n: &u32| self.given.get(*n as usize).and_then(|g| g.older);
-        std::iter::successors(newest, older).map(|n| n as usize)
+        std::iter::successors(self.of(name).map(|of| of.newest), older).map(|n| n as usize)
     }
 
     /// Gives the name the next number, and puts that in use.
     pub fn add(&mut self, name: &str) -> usize {
         let number = self.given.len() as u32;
-        self.in_use += usize::from(self.find(name).is_none());
-        let held = self.by_name.get_key_value(name).map(|(name, of)| (name.clone(), of.newest));
-        let (name, older) = held.map_or_else(|| (name.into(), None), |(name, newest)| (name, Some(newest)));
-        self.given.push_back(Given { name: name.clone(), older });
-        self.by_name.insert(name, OfName { newest: number, in_use: Some(number) });
+        let name = self.names.number(name);
+        let now = OfName { newest: number, in_use: Some(number) };
+        let before = match (name as usize) < self.of_name.len() {
+            true => Some(self.of_name.set(name as usize, now)),
+            false => {
+                self.of_name.push_back(now);
+                None
+            }
+        };
+        self.in_use += usize::from(before.as_ref().is_none_or(|of| of.in_use.is_none()));
+        self.given.push_back(Given { name, older: before.map(|of| of.newest) });
         number as usize
     }
 
     /// Puts another number of that name in use, or none.
     pub fn put_in_use(&mut self, name: &str, number: Option<usize>) {
-        let before = self.find(name);
-        if before != number && self.by_name.contains_key(name) {
-            self.in_use = self.in_use + usize::from(number.is_some()) - usize::from(before.is_some());
-            let of = self.by_name.get_mut(name);
-            of.into_iter().for_each(|of| of.in_use = number.map(|n| n as u32));
+        let (Some(at), Some(of)) = (self.names.get(name), self.of(name).cloned()) else { return };
+        let in_use = number.map(|n| n as u32);
+        if of.in_use != in_use {
+            self.in_use = self.in_use + usize::from(in_use.is_some()) - usize::from(of.in_use.is_some());
+            self.of_name.set(at as usize, OfName { in_use, ..of });
         }
     }
 }
 
-/// Tenants by name: the name is stored here and nowhere else. One that the settings dropped keeps its number.
+/// Tenants by name. One that the settings dropped keeps its number.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Tenants {
-    /// With the number whether it is in use.
-    by_name: HashMap<CompactString, (u32, bool)>,
+    names: Numbered,
+    /// By the name's number: the tenant's, and whether it is in use. At the start a name may stand twice, and then only
+    /// the first is found, so that the numbers of names and of tenants part.
+    of_name: Vector<(u32, bool)>,
 }
 
 impl Tenants {
+    fn of(&self, name: &str) -> Option<(u32, bool)> {
+        self.of_name.get(self.names.get(name)? as usize).copied()
+    }
+
     /// The number in use under that name.
     pub fn find(&self, name: &str) -> Option<usize> {
-        self.by_name.get(name).filter(|of| of.1).map(|of| of.0 as usize)
+        self.of(name).filter(|of| of.1).map(|of| of.0 as usize)
     }
 
     /// The number that it has or had.
     pub fn number(&self, name: &str) -> Option<usize> {
-        self.by_name.get(name).map(|of| of.0 as usize)
+        self.of(name).map(|of| of.0 as usize)
     }
 
-    /// Numbers in use with their names, in no order.
-    pub fn in_use(&self) -> impl Iterator<Item = (usize, &CompactString)> {
-        self.by_name.iter().filter(|(_, of)| of.1).map(|(name, of)| (of.0 as usize, name))
+    /// Numbers in use with their names.
+    pub fn in_use(&self) -> impl Iterator<Item = (usize, &str)> {
+        let all = self.of_name.iter().zip(self.names.iter());
+        all.filter(|(of, _)| of.1).map(|(of, name)| (of.0 as usize, name))
     }
 
     /// Puts a number in use under the name; one that it has already stays its own.
     pub fn add(&mut self, name: &str, number: usize) {
-        if self.number(name).is_none() {
-            self.by_name.insert(name.into(), (number as u32, true));
+        if self.names.number(name) as usize == self.of_name.len() {
+            self.of_name.push_back((number as u32, true));
         }
     }
 
     pub fn put_in_use(&mut self, name: &str, in_use: bool) {
-        if self.by_name.get(name).is_some_and(|of| of.1 != in_use) {
-            self.by_name.get_mut(name).into_iter().for_each(|of| of.1 = in_use);
+        let Some((at, of)) = self.names.get(name).zip(self.of(name)) else { return };
+        if of.1 != in_use {
+            self.of_name.set(at as usize, (of.0, in_use));
         }
     }
 }
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -387,7 +387,7 @@
     let Some(value) = key.value else { return BTreeMap::new() };
     let none = serde_json::Map::new();
     let table = key.want(value.as_object(), "a table of zones and their regions", &none);
-    let mut known = super::names::Numbered::default();
+    let mut known = super::numbered::Numbered::default();
     let entry = |zone: &String| {
         let region = RegionId(1 + known.number(key.get(zone).text()));
         (ZoneId(names.zones.number(zone)), region)
--- a/tests/reloads.rs
+++ b/tests/reloads.rs
@@ -104,9 +104,12 @@
         assert_eq!(proxy.ask(&read(3.0)).status(), 200);
     }
     let _ = std::fs::remove_file(at);
-    std::fs::write(at, &sound).unwrap();
-    proxy.signal("-HUP");
-    until("a sound one was not taken", || proxy.logged("configuration taken") == 1);
+    let longest = vec![b' '; (64 << 20) - sound.len()];
+    for (n, text) in [&sound, &[&sound[..], &longest].concat()].into_iter().enumerate() {
+        std::fs::write(at, text).unwrap();
+        proxy.signal("-HUP");
+        until("a sound one was not taken", || proxy.logged("configuration taken") == n + 1);
+    }
     assert_eq!(proxy.logged("configuration not taken"), cases.len());
 }
 
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -6,7 +6,7 @@
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use serde_json::{json, Value};
 use shaletide::settings::{Amendment, Change, InForce, Names, Reading, Row, Settings};
-use shaletide::{Backend, BackendId, ClassId, Config};
+use shaletide::{Backend, BackendId, ClassId, Config, TenantId};
 use std::collections::BTreeSet;
 
 const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", ""];
@@ -322,16 +322,57 @@
     run.unwrap();
 }
 
+/// Settings with no class and no tenant.
+fn bare() -> Value {
+    json!({"blend":{"whole":0.6,"worst_class":0.2},"costs":{"cross_zone":0.0},"customers":[],
+        "discovery":"automatic","position":0,"group_size":1,"granularity_us":5000,"kinds":[],"zones":[],
+        "limits":{"cancel":true,"max_attempts":1,"parallel_tries":true,"dial_timeout_us":1,"conn_idle_us":1,
+        "max_retry_after_us":1},"over_share_worth":0.1,"profiles":[],
+        "rules":{"cold_from":0.3,"fall_multiple":2.5,"ramp_time_us":1,"tip_after_us":1}})
+}
+
+/// Each of many names is found under its own number, and none that is not there: read at once, added one by one, and in
+/// tables from before that share most with those.
+#[test]
+fn each_of_many_names_keeps_its_number() {
+    let class = |n: usize| json!({"name":format!("c{n}"),"aim_us":1,"deadline_us":9,"effect":"free","gain":1.0,"late_worth":0.0});
+    let tenant = |n: usize| json!({"name":format!("t{n}"),"quota_rps":1.0 + n as f64});
+    let found = |tables: &InForce, many: usize| {
+        assert_eq!((tables.config.classes.len(), tables.config.tenants.len()), (many, many));
+        for n in 0..many {
+            let (class, tenant) =
+                (tables.names.class(&format!("c{n}")), tables.names.tenant(&format!("t{n}")));
+            assert_eq!((class, tenant), (Some(ClassId(n)), Some(TenantId(n))));
+            assert_eq!(tables.names.class_name(ClassId(n)), Some(&*format!("c{n}")));
+            assert_eq!(tables.config.tenants[n].quota_per_s, 1.0 + n as f64);
+        }
+        for n in many..many + 200 {
+            assert_eq!(tables.names.class(&format!("c{n}")), None);
+            assert_eq!(tables.names.tenant(&format!("t{n}")), None);
+        }
+    };
+    for read_at_once in [1, 8, 9, 63, 1000, 3000] {
+        let mut file = bare();
+        file["profiles"] = (0..read_at_once).map(class).collect();
+        file["customers"] = (0..read_at_once).map(tenant).collect();
+        let first = InForce::first(&read(&file)).unwrap();
+        let mut tables = first.clone();
+        for n in read_at_once..read_at_once + 100 {
+            let both = [Amendment::SetCustomer(tenant(n)), Amendment::SetProfile(class(n))];
+            tables = tables.amend(&both).unwrap().to;
+        }
+        found(&tables, read_at_once + 100);
+        found(&first, read_at_once);
+    }
+}
+
 /// Each error under its key, all of them at once, and nothing is kept of the good ones beside them.
 #[test]
 fn amendments_are_taken_whole_or_told_by_key() {
     let route = |name: &str, gain: f64| json!({"name":name,"aim_us":1,"deadline_us":9,"effect":"free","gain":gain,"late_worth":0.0});
-    let mut first = json!({"blend":{"whole":0.6,"worst_class":0.2},"costs":{"cross_zone":0.0},
-        "customers":[{"name":"t","quota_rps":1.0}],"discovery":"automatic","position":0,"group_size":1,
-        "granularity_us":5000,"kinds":[],"zones":[],"limits":{"cancel":true,"max_attempts":1,"parallel_tries":true,
-        "dial_timeout_us":1,"conn_idle_us":1,"max_retry_after_us":1},"over_share_worth":0.1,"profiles":[],
-        "rules":{"cold_from":0.3,"fall_multiple":2.5,"ramp_time_us":1,"tip_after_us":1}});
-    first["profiles"] = json!([route("a", 1.0)]);
+    let mut first = bare();
+    (first["profiles"], first["customers"]) =
+        (json!([route("a", 1.0)]), json!([{"name":"t","quota_rps":1.0}]));
     let tables = InForce::first(&read(&first)).unwrap();
     let before = tables.clone();
     let mut late = route("c", 1.0);
