--- a/src/settings/change.rs
+++ b/src/settings/change.rs
@@ -48,6 +48,9 @@
     }
 }
 
+/// So many classes are named in the line on a change: it is one line, however many there are.
+const TOLD: usize = 50;
+
 /// A change in the making. A class or tenant keeps its number; a class whose rules differ gets a new one.
 struct Draft {
     /// Numbers of classes and tenants given before.
@@ -139,7 +142,11 @@
 
     fn finish(mut self, base: &InForce) -> Result<Change, ConfigError> {
         self.to.config.put_tenants(self.quotas)?;
-        let told = if self.told.is_empty() { "classes as before".into() } else { self.told.join(", ") };
+        let more = self.told.len().saturating_sub(TOLD);
+        self.told.truncate(TOLD);
+        let rest = (more > 0).then(|| format!("{more} more"));
+        let told: Vec<String> = self.told.into_iter().chain(rest).collect();
+        let told = if told.is_empty() { "classes as before".into() } else { told.join(", ") };
         Ok(Change {
             to: self.to,
             retired: self.retired.into_iter().collect(),
--- a/tests/reloads.rs
+++ b/tests/reloads.rs
@@ -140,6 +140,35 @@
     assert_eq!(proxy.ask(&read(3.0).replace("GET /read", "GET /c5")).status(), 404);
 }
 
+/// Requests do not wait for a configuration that takes long to read: the same client is answered again and again between
+/// the signal and the line that tells of it.
+#[test]
+fn requests_are_answered_while_a_long_configuration_is_read() {
+    let tenants: Vec<String> =
+        (0..60_000).map(|n| format!(r#"{{"name":"tenant-{n}","quota_rps":1.5}}"#)).collect();
+    let settings = SETTINGS.replace(
+        r#"{"name":"north","quota_rps":500.0}"#,
+        &format!(r#"{},{{"name":"north","quota_rps":500.0}}"#, tenants.join(",")),
+    );
+    let backend = BackendServer::start(|_| ok("x"));
+    let proxy = Proxy::with(&[entry("b0", backend.address, "SERVING")], 1024, &settings);
+    let text = std::fs::read_to_string(&proxy.config).unwrap();
+    std::fs::write(&proxy.config, text.replace("\"tenant-7\"", "\"tenant-new\"")).unwrap();
+    let mut client = proxy.client();
+    client.ask(&read(3.0));
+    proxy.signal("-HUP");
+    let mut answered = 0;
+    while proxy.logged("configuration taken") == 0 {
+        assert_eq!(client.ask(&read(3.0)).status(), 200);
+        answered += 1;
+    }
+    assert!(answered > 10, "{answered} answers while it was read");
+    let line = proxy.lines("configuration taken").pop().unwrap();
+    let figure =
+        |name: &str| -> f64 { line.split(name).nth(1).unwrap().split(' ').next().unwrap().parse().unwrap() };
+    assert!(figure("step_us=") / 1e3 < figure("read_ms=") / 4.0, "it was read on the loop: {line}");
+}
+
 /// Signals that come while the program ends: neither a second SIGTERM, nor SIGINT, nor a new configuration, sound or
 /// broken, takes the answer that is owed.
 #[test]
