--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 mod ask;
+mod checked;
 pub mod fleet;
 mod interface;
 mod rules;
