Keep a bucket for tenants with traffic only, and the quotas' sum

Change: the sum is kept from one settings to the next; buckets are made with a tenant's first request. One that is full again stays: a small quota's fresh bucket holds one token where a rested one has gathered five, so that forgetting it would decide otherwise.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -159,7 +159,9 @@
     overall: Mean,
     /// The part of all answers and breaks that were errors or breaks.
     errors: Mean,
-    buckets: Vec<Bucket>,
+    /// Requests a second of all quotas.
+    quotas: f64,
+    buckets: Buckets,
     requests: BTreeMap<RequestId, Request>,
     held: Vec<RequestId>,
     /// First tries worth less than this have found no room since the last event that could make some.
@@ -189,7 +191,7 @@
     /// A proxy that knows nothing yet but its configuration.
     pub fn new(cfg: Config, seed: u64) -> Result<Balancer, ConfigError> {
         cfg.validate()?;
-        Ok(Balancer {
+        let mut balancer = Balancer {
             dice: Dice::new(seed),
             peers: BTreeMap::new(),
             order: Vec::new(),
@@ -199,7 +201,8 @@
             classes: cfg.classes.iter().map(|_| ClassState { live: true, ..Default::default() }).collect(),
             overall: Mean::default(),
             errors: Mean::default(),
-            buckets: cfg.tenants.iter().map(|_| Bucket::new(RATE_MEMORY, FEW)).collect(),
+            quotas: 0.0,
+            buckets: Buckets::new(RATE_MEMORY, FEW),
             requests: BTreeMap::new(),
             held: Vec::new(),
             blocked: 0.0,
@@ -218,7 +221,9 @@
             born: None,
             actions: Vec::new(),
             cfg,
-        })
+        };
+        balancer.sum_up();
+        Ok(balancer)
     }
 
     /// Takes one event that happened at `now` and adds the actions it calls for.
@@ -377,17 +382,22 @@
     /// checked the configuration; one that is unsound or forgets a number all the same changes nothing.
     fn settings(&mut self, now: Time, cfg: Config, live: &[bool], heirs: &[(ClassId, ClassId)]) {
         let (classes, tenants) = (cfg.classes.len(), cfg.tenants.len());
-        if cfg.validate().is_err() || classes < self.classes.len() || tenants < self.buckets.len() {
+        if cfg.validate().is_err() || classes < self.classes.len() || tenants < self.cfg.tenants.len() {
             return self.log(now, "settings not taken".into());
         }
         self.classes.resize_with(classes, ClassState::default);
-        self.buckets.resize_with(tenants, || Bucket::new(RATE_MEMORY, FEW));
         for (new, old) in heirs {
             let latency = self.classes.get(old.0).map(|s| s.latency);
             self.classes.get_mut(new.0).zip(latency).into_iter().for_each(|(s, latency)| s.latency = latency);
         }
         self.classes.iter_mut().zip(live).for_each(|(s, live)| s.live = *live);
         (self.cfg, self.solve_at, self.look_at) = (cfg, now, now);
+        self.sum_up();
+    }
+
+    /// What is kept of all tenants together, so that no request has to go through them.
+    fn sum_up(&mut self) {
+        self.quotas = self.cfg.tenants.iter().map(|t| t.quota_per_s).sum();
     }
 
     fn request(&mut self, now: Time, new: Arrival) {
@@ -401,11 +411,11 @@
             self.firsts.add(now, 1.0);
         }
         let busy = self.busy();
-        let tenant = new.tenant.and_then(|t| self.cfg.tenants.get(t.0).zip(self.buckets.get_mut(t.0)));
+        let tenant = new.tenant.and_then(|t| Some((t, self.cfg.tenants.get(t.0)?)));
         // More traffic than others get is more of each quota; a repeat belongs to its first try, which took
         // its part.
         let part = |t: &Tenant| t.quota_per_s / f64::from(self.cfg.proxies) * busy;
-        let over_quota = !new.repeat && tenant.is_some_and(|(t, bucket)| !bucket.take(now, part(t)));
+        let over_quota = !new.repeat && tenant.is_some_and(|(id, t)| !self.buckets.take(id, now, part(t)));
         let aim = c.aim.0 + new.work_hint.unwrap_or_default().times(c.aim_stretch).0;
         let (aim, deadline) = (now + Micros(aim).min(new.time_left), now + new.time_left);
         // A client that comes again waited for its first try: what is left to earn is mostly the late worth,
@@ -919,7 +929,7 @@
     /// How many times an even part of all traffic comes here, one at least: the front spreads it unevenly.
     /// What the fleet is meant to carry, the quotas' sum, is the one figure on all of it that it is told.
     fn busy(&self) -> f64 {
-        let even = self.cfg.tenants.iter().map(|t| t.quota_per_s).sum::<f64>() / f64::from(self.cfg.proxies);
+        let even = self.quotas / f64::from(self.cfg.proxies);
         self.firsts.per_s().filter(|_| even > 0.0).map_or(1.0, |here| (here / even).max(1.0))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use std::collections::HashMap;
 
 /// The proxy's own random numbers, the same on every machine for the same seed.
 pub(crate) struct Dice(Pcg32);
@@ -138,30 +139,30 @@
     }
 }
 
-/// A tenant's quota: it holds what it is due over `memory` seconds, and starts with that; where that is
-/// less than `least` it may gather so much, as chance alone brings a few at once.
-pub(crate) struct Bucket {
+/// The tenants' quotas, of those that had traffic: each holds what it is due over `memory` seconds, and starts
+/// with that; where that is less than `least` it may gather so much, as chance alone brings a few at once. One that
+/// is full again stays: a small quota's fresh start holds less.
+pub(crate) struct Buckets {
     memory: f64,
     least: f64,
-    tokens: f64,
-    at: Option<Time>,
+    /// By tenant: what is left, and when that was.
+    used: HashMap<TenantId, (f64, Time)>,
 }
 
-impl Bucket {
-    pub fn new(memory: f64, least: f64) -> Bucket {
-        Bucket { memory, least, tokens: 0.0, at: None }
+impl Buckets {
+    pub fn new(memory: f64, least: f64) -> Buckets {
+        Buckets { memory, least, used: HashMap::new() }
     }
 
-    /// Takes a token if there is one, at so many a second.
-    pub fn take(&mut self, now: Time, rate: f64) -> bool {
+    /// Takes a tenant's token if there is one, at so many a second.
+    pub fn take(&mut self, tenant: TenantId, now: Time, rate: f64) -> bool {
         let due = rate * self.memory;
-        self.tokens = match self.at {
+        let left = match self.used.get(&tenant) {
             None => due.max(1.0),
-            Some(at) => (self.tokens + rate * (now - at).secs()).min(due.max(self.least)),
+            Some((left, at)) => (left + rate * (now - *at).secs()).min(due.max(self.least)),
         };
-        self.at = Some(now);
-        let within = self.tokens >= 1.0;
-        self.tokens -= f64::from(within);
+        let within = left >= 1.0;
+        self.used.insert(tenant, (left - f64::from(within), now));
         within
     }
 }
