--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -56,7 +56,7 @@
             connect_timeout: second,
             conn_idle: second,
             max_retry_after: second,
-            deadlines: vec![second],
+            deadlines: vec![second].into(),
         };
         let balancer = Balancer::new(Config::example(), 1).unwrap();
         Host::new(balancer, Names::default(), Clock::new(), Rc::new(Pool::new(&network, 4)))
@@ -162,19 +162,20 @@
         *self.tell.borrow_mut() = Some(tell);
     }
 
-    /// The names in force, with all numbers given so far.
+    /// The names in force, with all numbers given so far: shared, not copied.
     pub fn names(&self) -> Names {
         self.state.borrow().names.clone()
     }
 
-    /// Takes settings that were read against `names`.
+    /// Takes settings that were read against `names`, which the lists may have added to since.
     pub fn retune(self: &Rc<Self>, change: Change) {
-        let Change { config, live, heirs, names, .. } = change;
+        let Change { to, retired, revived, heirs, .. } = change;
+        let config = to.config;
         {
             let mut s = self.state.borrow_mut();
-            (s.names, s.effects) = (names, config.classes.iter().map(|c| c.effect).collect());
+            (s.names, s.classes) = (to.names, config.classes.clone());
         }
-        self.tell(Event::Settings { config: Box::new(config), live, heirs });
+        self.tell(Event::Settings { config: Box::new(config), retired, revived, heirs });
     }
 
     /// So many processes are this proxy now.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -147,7 +147,7 @@
 
 /// The decisions of one proxy. Give it every event in order; it answers with actions.
 pub struct Balancer {
-    cfg: Config,
+    cfg: Checked,
     dice: Dice,
     peers: Peers,
     kinds: BTreeMap<KindId, Kind>,
@@ -160,8 +160,6 @@
     overall: Mean,
     /// The part of all answers and breaks that were errors or breaks.
     errors: Mean,
-    /// Requests a second of all quotas.
-    quotas: f64,
     buckets: Buckets,
     requests: BTreeMap<RequestId, Request>,
     held: Vec<RequestId>,
@@ -191,7 +189,11 @@
 impl Balancer {
     /// A proxy that knows nothing yet but its configuration.
     pub fn new(cfg: Config, seed: u64) -> Result<Balancer, ConfigError> {
-        cfg.validate()?;
+        cfg.checked().map(|cfg| Balancer::of(cfg, seed))
+    }
+
+    /// The same with one that was checked before.
+    pub fn of(cfg: Checked, seed: u64) -> Balancer {
         let mut balancer = Balancer {
             dice: Dice::new(seed),
             peers: Peers::default(),
@@ -202,7 +204,6 @@
             tight: 0,
             overall: Mean::default(),
             errors: Mean::default(),
-            quotas: 0.0,
             buckets: Buckets::new(RATE_MEMORY, FEW),
             requests: BTreeMap::new(),
             held: Vec::new(),
@@ -224,7 +225,7 @@
             cfg,
         };
         balancer.sum_up();
-        Ok(balancer)
+        balancer
     }
 
     /// Takes one event that happened at `now` and adds the actions it calls for.
@@ -270,7 +271,9 @@
             Event::Beside { processes } => {
                 self.beside = (processes.max(1), self.beside.0, now + self.cfg.fall_window);
             }
-            Event::Settings { config, live, heirs } => self.settings(now, *config, &live, &heirs),
+            Event::Settings { config, retired, revived, heirs } => {
+                self.settings(now, *config, [(&retired, false), (&revived, true)], &heirs);
+            }
             Event::Recall { memory, age } => self.recall(now, *memory, age),
             Event::Heard(word) => self.heard(now, &word),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
@@ -358,30 +361,36 @@
         (self.solve_at, self.look_at) = (now, now);
     }
 
-    /// Classes and tenants keep their numbers, so that all that is open and learned goes on. The host has
-    /// checked the configuration; one that is unsound or forgets a number all the same changes nothing.
-    fn settings(&mut self, now: Time, cfg: Config, live: &[bool], heirs: &[(ClassId, ClassId)]) {
+    /// Classes and tenants keep their numbers, so that all that is open and learned goes on. The host sees to
+    /// that; a configuration that forgets a number all the same changes nothing.
+    fn settings(
+        &mut self, now: Time, cfg: Checked, turned: [(&Vec<ClassId>, bool); 2], heirs: &[(ClassId, ClassId)],
+    ) {
         let (classes, tenants) = (cfg.classes.len(), cfg.tenants.len());
-        if cfg.validate().is_err() || classes < self.classes.len() || tenants < self.cfg.tenants.len() {
+        if classes < self.classes.len() || tenants < self.cfg.tenants.len() {
             return self.log(now, "settings not taken".into());
         }
-        self.classes.resize_with(classes, ClassState::default);
+        self.classes.resize_with(classes, || ClassState { live: true, ..Default::default() });
         for (new, old) in heirs {
             let latency = self.classes.get(old.0).map(|s| s.latency);
             self.classes.get_mut(new.0).zip(latency).into_iter().for_each(|(s, latency)| s.latency = latency);
         }
-        self.classes.iter_mut().zip(live).for_each(|(s, live)| s.live = *live);
+        for (id, live) in turned.into_iter().flat_map(|(ids, live)| ids.iter().map(move |id| (id, live))) {
+            self.classes.get_mut(id.0).into_iter().for_each(|s| s.live = live);
+        }
+        if (cfg.ramp, cfg.fall_window) != (self.cfg.ramp, self.cfg.fall_window) {
+            self.peers.retune();
+        }
         (self.cfg, self.solve_at, self.look_at) = (cfg, now, now);
-        self.peers.retune();
         self.sum_up();
     }
 
-    /// What is kept of all classes and tenants together, so that no request has to go through them.
+    /// What is kept of all classes together, so that no request has to go through them.
     fn sum_up(&mut self) {
-        self.quotas = self.cfg.tenants.iter().map(|t| t.quota_per_s).sum();
-        let any_free = self.live().any(|(_, c)| c.effect == Effect::Free);
-        self.any_free = any_free;
-        self.tight = self.live().filter(|(n, _)| !self.quick(*n)).count();
+        let add = |(free, tight), (n, c): (usize, &Class)| {
+            (free || c.effect == Effect::Free, tight + usize::from(!self.quick(n)))
+        };
+        (self.any_free, self.tight) = self.live().fold((false, 0), add);
     }
 
     fn request(&mut self, now: Time, new: Arrival) {
@@ -954,7 +963,7 @@
     /// How many times an even part of all traffic comes here, one at least: the front spreads it unevenly.
     /// What the fleet is meant to carry, the quotas' sum, is the one figure on all of it that it is told.
     fn busy(&self) -> f64 {
-        let even = self.quotas / f64::from(self.cfg.proxies);
+        let even = self.cfg.quota_sum() / f64::from(self.cfg.proxies);
         self.firsts.per_s().filter(|_| even > 0.0).map_or(1.0, |here| (here / even).max(1.0))
     }
 
