--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod checked;
 pub mod fleet;
 mod interface;
+mod peers;
 mod rules;
 pub mod settings;
 mod state;
