Read the settings' lists straight into the tables that come into force

Entries read first and put into tables after left holes below the tables that the allocator could not give back.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -9,13 +9,15 @@
 use shaletide::Micros;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::fs;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
-/// A longer file is refused unread: five times a fleet of 25,000 backends, 21,000 classes and 130,000 tenants.
+/// A longer file is refused: five times a fleet of 25,000 backends, 21,000 classes and 130,000 tenants.
 const MOST: u64 = 64 * 1024 * 1024;
+const READ_AT_ONCE: usize = 32 * 1024;
 
 /// Where the configuration comes from.
 #[derive(Clone, Debug, Default)]
@@ -320,22 +322,73 @@
     path.extension().is_some_and(|e| e == "toml")
 }
 
-/// The file's text, and never more of it than a configuration may be long.
-fn text(path: &Path) -> io::Result<String> {
-    let mut text = String::new();
-    std::fs::File::open(path)?.take(MOST + 1).read_to_string(&mut text)?;
-    match text.len() as u64 <= MOST {
-        true => Ok(text),
-        false => Err(io::Error::other(format!("over {MOST} bytes"))),
+/// A file's bytes as they are read: text, and never more of it than a configuration may be long.
+struct Text<R> {
+    inner: R,
+    left: u64,
+    /// The first bytes of a character whose others are still to come.
+    begun: Vec<u8>,
+}
+
+impl Text<fs::File> {
+    fn open(path: &Path) -> io::Result<Text<fs::File>> {
+        Ok(Text { inner: fs::File::open(path)?, left: MOST, begun: Vec::new() })
     }
 }
 
+impl<R: Read> Text<R> {
+    /// Goes on with a piece; false where it cannot be text.
+    fn goes_on(&mut self, piece: &[u8]) -> bool {
+        let joined = [&self.begun[..], piece].concat();
+        let (sound, broken) = match std::str::from_utf8(&joined) {
+            Ok(_) => (joined.len(), false),
+            Err(e) => (e.valid_up_to(), e.error_len().is_some() || piece.is_empty()),
+        };
+        self.begun = joined[sound..].to_vec();
+        !broken
+    }
+}
+
+impl<R: Read> Read for Text<R> {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        let length = self.inner.read(to)?;
+        self.left = match self.left.checked_sub(length as u64) {
+            Some(left) => left,
+            None => return Err(io::Error::other(format!("over {MOST} bytes"))),
+        };
+        match self.goes_on(&to[..length]) {
+            true => Ok(length),
+            false => Err(io::Error::new(io::ErrorKind::InvalidData, "stream did not contain valid UTF-8")),
+        }
+    }
+}
+
+/// The whole of it.
+fn text(path: &Path) -> Result<String, NodeError> {
+    let mut text = String::new();
+    let read = Text::open(path).and_then(|mut file| file.read_to_string(&mut text));
+    read.map(|_| text).map_err(|e| NodeError::Unreadable(path.into(), e))
+}
+
+/// JSON as it is read, with its long lists taken out: the text is never in memory as a whole.
+fn stream(path: &Path, long: &mut Long) -> Result<Value, NodeError> {
+    let unreadable = |e| NodeError::Unreadable(path.into(), e);
+    let file = Text::open(path).map_err(unreadable)?;
+    let mut reader = serde_json::Deserializer::from_reader(io::BufReader::with_capacity(READ_AT_ONCE, file));
+    let sifted = sift(&mut reader, long).and_then(|value| reader.end().map(|()| value));
+    sifted.map_err(|e| match e.is_io() {
+        true => unreadable(e.into()),
+        false => NodeError::Malformed(path.into(), e.to_string()),
+    })
+}
+
 /// The file's value with what is put into it.
-fn whole(source: &Source, path: &Path, text: &str) -> Result<Value, NodeError> {
+fn whole(source: &Source, path: &Path) -> Result<Value, NodeError> {
+    let text = text(path)?;
     let malformed = |e: String| NodeError::Malformed(path.into(), e);
     let mut whole: Value = match is_toml(path) {
-        true => toml::from_str(text).map_err(|e| malformed(e.to_string()))?,
-        false => serde_json::from_str(text).map_err(|e| malformed(e.to_string()))?,
+        true => toml::from_str(&text).map_err(|e| malformed(e.to_string()))?,
+        false => serde_json::from_str(&text).map_err(|e| malformed(e.to_string()))?,
     };
     source.sets.iter().try_for_each(|set| set.put(&mut whole)).map_err(NodeError::Set)?;
     Ok(whole)
@@ -396,19 +449,17 @@
 
 fn parse(source: &Source, want: Want) -> Result<Parsed, NodeError> {
     let path = source.file.as_ref().ok_or(NodeError::Unset)?;
-    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
     // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
     let strict = is_toml(path) || !source.sets.is_empty();
     let reading = Reading { strict, digested: want != Want::Errors };
     let mut long = Long { settings: Lists::new(reading), endpoints: (want != Want::Again).then(Vec::new) };
-    let sifted = if strict {
-        sift(whole(source, path, &text)?, &mut long)
-    } else {
-        let mut reader = serde_json::Deserializer::from_str(&text);
-        sift(&mut reader, &mut long).and_then(|value| reader.end().map(|()| value))
+    let slim = match strict {
+        true => {
+            let sifted = sift(whole(source, path)?, &mut long);
+            sifted.map_err(|e| NodeError::Malformed(path.clone(), e.to_string()))?
+        }
+        false => stream(path, &mut long)?,
     };
-    drop(text);
-    let slim = sifted.map_err(|e| NodeError::Malformed(path.clone(), e.to_string()))?;
     let mut keys = BTreeSet::new();
     collect(&slim, "", &mut keys);
     let mut unknown = Vec::new();
@@ -440,8 +491,7 @@
 /// The configuration in force as TOML, with its defaults.
 pub fn show(source: &Source) -> Result<String, NodeError> {
     let path = source.file.as_ref().ok_or(NodeError::Unset)?;
-    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-    let file = shape(whole(source, path, &text)?, path, &mut Vec::new())?;
+    let file = shape(whole(source, path)?, path, &mut Vec::new())?;
     let failed = |e: String| NodeError::Malformed(path.clone(), e);
     // Through a table, which puts plain values before the tables inside it.
     let table = toml::Table::try_from(&file).map_err(|e| failed(e.to_string()))?;
--- a/src/settings/change.rs
+++ b/src/settings/change.rs
@@ -2,11 +2,11 @@
 
 use super::key::{Key, Notes};
 use super::names::Names;
-use super::read::{customer, route, Customer, Route, Settings};
+use super::read::{customer, route, Customer, Read, Route, Settings};
 use super::{Change, InForce, Network};
 use crate::interface::*;
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Change {
     /// Gives the places that these settings named first their numbers anew, where lists have named others since they
@@ -163,7 +163,7 @@
     let bound = |e: ConfigError| e.to_string();
     let InForce { config, names, network } = base.clone();
     let mut places = Names { classes: Default::default(), tenants: Default::default(), ..names };
-    let (fresh, routes, customers) = settings.sound(&mut places)?;
+    let Read { config: fresh, routes, customers } = settings.sound(&mut places)?;
     let fresh_network = settings.network()?;
     let fresh = fresh.checked().map_err(bound)?;
     if fresh.discovery != config.discovery {
@@ -177,15 +177,14 @@
         network: Network { deadlines: network.deadlines, ..fresh_network },
     };
     let mut draft = Draft::new(base, to);
-    routes.iter().try_for_each(|route| draft.set_route(route)).map_err(bound)?;
-    let kept: HashSet<&str> = routes.iter().map(|route| route.name.as_str()).collect();
+    routes.iter().try_for_each(|route| draft.set_route(&route)).map_err(bound)?;
     for name in (0..base.names.classes.len()).filter_map(|n| base.names.classes.name(n)) {
-        if !kept.contains(name) {
+        if !settings.has_profile(name) {
             draft.remove_route(name);
         }
     }
-    let mut stays = vec![false; config.tenants.len() + customers.len()];
-    customers.iter().for_each(|customer| stays[draft.set_customer(customer)] = true);
+    let mut stays = vec![false; config.tenants.len() + customers.tenants.len()];
+    customers.iter().for_each(|customer| stays[draft.set_customer(&customer)] = true);
     let dropped = base.names.tenants.in_use().filter(|(number, _)| !stays[*number]);
     dropped.for_each(|(_, name)| draft.to.names.tenants.put_in_use(name, false));
     draft.finish(base).map_err(bound)
--- a/src/settings/names.rs
+++ b/src/settings/names.rs
@@ -40,6 +40,14 @@
 }
 
 impl Classes {
+    /// Each name with the class of its own number.
+    pub fn first(names: Numbered) -> Classes {
+        let numbers = 0..names.len() as u32;
+        let of_name = numbers.clone().map(|n| OfName { newest: n, in_use: Some(n) }).collect();
+        let given = numbers.map(|name| Given { name, older: None }).collect();
+        Classes { in_use: names.len(), names, of_name, given }
+    }
+
     /// How many numbers were given.
     pub fn len(&self) -> usize {
         self.given.len()
@@ -110,6 +118,17 @@
 }
 
 impl Tenants {
+    /// Each name with the first tenant of that name; `names_of` has the name's number of each tenant.
+    pub fn first(names: Numbered, names_of: &Vector<u32>) -> Tenants {
+        let mut of_name = Vector::new();
+        for (tenant, name) in names_of.iter().enumerate() {
+            if *name as usize == of_name.len() {
+                of_name.push_back((tenant as u32, true));
+            }
+        }
+        Tenants { names, of_name }
+    }
+
     fn of(&self, name: &str) -> Option<(u32, bool)> {
         self.of_name.get(self.names.get(name)? as usize).copied()
     }
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -1,13 +1,15 @@
 //! From the settings' values to the module's configuration, its names, and the sockets' part.
 
 use super::key::{Key, Notes};
-use super::names::Names;
+use super::names::{Classes, Names, Tenants};
+use super::numbered::Numbered;
 use super::sift::{sift, Sink};
 use super::Network;
 use crate::interface::*;
 use compact_str::CompactString;
+use imbl::Vector;
 use serde_json::Value;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::rc::Rc;
 
@@ -29,28 +31,67 @@
     pub tenant: Tenant,
 }
 
-/// A long list of the settings, read item by item.
-struct Long<T> {
+/// All of `profiles`, in the form in which they come into force: what is read once is neither moved nor copied again.
+#[derive(Clone, Default)]
+pub(super) struct Routes {
+    pub names: Numbered,
+    classes: Vector<Class>,
+    deadlines: Vector<Micros>,
+}
+
+impl Routes {
+    /// Where no name stands twice.
+    pub fn iter(&self) -> impl Iterator<Item = Route> + '_ {
+        let each = self.names.iter().zip(&self.classes).zip(&self.deadlines);
+        each.map(|((name, class), deadline)| Route {
+            name: name.into(),
+            class: class.clone(),
+            deadline: *deadline,
+        })
+    }
+}
+
+/// All of `customers`.
+#[derive(Clone, Default)]
+pub(super) struct Customers {
+    names: Numbered,
+    /// The number of each one's name: a name may stand twice.
+    of: Vector<u32>,
+    pub tenants: Vector<Tenant>,
+}
+
+impl Customers {
+    pub fn iter(&self) -> impl Iterator<Item = Customer> + '_ {
+        let name = |of: &u32| self.names.name(*of).unwrap_or_default().into();
+        self.of.iter().zip(&self.tenants).map(move |(of, t)| Customer { name: name(of), tenant: t.clone() })
+    }
+}
+
+/// What is noted of a long list that is read item by item.
+struct Long {
     name: &'static str,
-    items: Vec<T>,
     /// Items so far, sound or not.
     count: usize,
     notes: Rc<Notes>,
     /// Paths inside it that nothing reads.
     unread: Vec<String>,
     /// Its items as JSON, for the settings' digest.
-    text: String,
+    text: Vec<String>,
 }
 
-impl<T> Long<T> {
-    fn new(name: &'static str, strict: bool) -> Long<T> {
-        let (items, unread, text) = (Vec::new(), Vec::new(), String::new());
-        Long { name, items, count: 0, notes: Notes::new(strict), unread, text }
+/// Bytes of a piece of text: so large that the allocator takes each from the system, and gives it back, by itself, and
+/// all of one size, as it keeps whatever is smaller than the largest that it gave back.
+const PIECE: usize = 1 << 20;
+const ROOM_FOR_ONE: usize = 16 * 1024;
+
+impl Long {
+    fn new(name: &'static str, strict: bool) -> Long {
+        Long { name, count: 0, notes: Notes::new(strict), unread: Vec::new(), text: Vec::new() }
     }
 
-    fn take(&mut self, value: &Value, digested: bool, read: impl FnOnce(&Key) -> T) {
+    fn take<T>(&mut self, value: &Value, digested: bool, read: impl FnOnce(&Key) -> T) -> T {
         let path = format!("{}[{}]", self.name, self.count);
-        self.items.push(read(&Key::at(path.clone(), value, self.notes.clone())));
+        let item = read(&Key::at(path.clone(), value, self.notes.clone()));
         if self.notes.strict() {
             let mut paths = Vec::new();
             leaves(&path, value, &mut paths);
@@ -58,10 +99,16 @@
             self.notes.forget_seen();
         }
         if digested {
+            if self.text.last().is_none_or(|piece| piece.len() > PIECE - ROOM_FOR_ONE) {
+                self.text.push(String::with_capacity(PIECE));
+            }
             let comma = if self.count > 0 { "," } else { "" };
-            let _ = write!(self.text, "{comma}{value}"); // to a string, which does not fail
+            if let Some(piece) = self.text.last_mut() {
+                let _ = write!(piece, "{comma}{value}"); // to a string, which does not fail
+            }
         }
         self.count += 1;
+        item
     }
 }
 
@@ -77,9 +124,10 @@
 /// The long lists of settings on their way in: each item is read as it comes, and its value is not kept.
 pub struct Lists {
     reading: Reading,
-    profiles: Long<Route>,
-    names: HashSet<CompactString>,
-    customers: Long<Customer>,
+    profiles: Long,
+    routes: Routes,
+    customers: Long,
+    tenants: Customers,
 }
 
 impl Lists {
@@ -90,15 +138,15 @@
     pub fn new(reading: Reading) -> Lists {
         let (profiles, customers) =
             (Long::new(PROFILES, reading.strict), Long::new(CUSTOMERS, reading.strict));
-        Lists { reading, profiles, names: HashSet::new(), customers }
+        Lists { reading, profiles, routes: Routes::default(), customers, tenants: Customers::default() }
     }
 
     /// One of [`Lists::PATHS`] begins; of one that stands twice the last counts.
     pub fn begin(&mut self, list: &str) {
         let new = Lists::new(self.reading);
         match list {
-            PROFILES => (self.profiles, self.names) = (new.profiles, new.names),
-            _ => self.customers = new.customers,
+            PROFILES => (self.profiles, self.routes) = (new.profiles, new.routes),
+            _ => (self.customers, self.tenants) = (new.customers, new.tenants),
         }
     }
 
@@ -107,10 +155,17 @@
         let digested = self.reading.digested;
         match list {
             PROFILES => {
-                let names = &mut self.names;
-                self.profiles.take(value, digested, |key| route(key, |name| names.insert(name.into())));
+                let names = &mut self.routes.names;
+                let new = |name: &str| names.len() == names.number(name) as usize;
+                let route = self.profiles.take(value, digested, |key| route(key, new));
+                self.routes.classes.push_back(route.class);
+                self.routes.deadlines.push_back(route.deadline);
+            }
+            _ => {
+                let customer = self.customers.take(value, digested, customer);
+                self.tenants.of.push_back(self.tenants.names.number(&customer.name));
+                self.tenants.tenants.push_back(customer.tenant);
             }
-            _ => self.customers.take(value, digested, customer),
         }
     }
 }
@@ -127,6 +182,13 @@
     }
 }
 
+/// A configuration and the entries that it was made of.
+pub(super) struct Read {
+    pub config: Config,
+    pub routes: Routes,
+    pub customers: Customers,
+}
+
 /// Settings whose long lists have been read, and the values of all else.
 pub struct Settings {
     rest: Value,
@@ -152,13 +214,13 @@
     }
 
     /// The list, where the settings hold one of that name.
-    fn list<'a, T>(&self, root: &Key, list: &'a Long<T>) -> &'a [T] {
+    fn list<T: Clone + Default>(&self, root: &Key, list: &Long, read: &T) -> T {
         root.get(list.name).list(); // missing, or no list: noted there
         if !self.rest[list.name].is_array() {
-            return &[];
+            return T::default();
         }
         root.notes.join(&list.notes);
-        &list.items
+        read.clone()
     }
 
     /// The module's configuration and the names that go with it, or what is wrong first.
@@ -166,11 +228,9 @@
         let root = self.root();
         let mut names = Names::default();
         let read = self.read(&root, &mut names);
-        let (config, routes, customers) = root.notes.sound(read)?;
-        for route in routes {
-            names.classes.add(&route.name);
-        }
-        customers.iter().enumerate().for_each(|(n, customer)| names.tenants.add(&customer.name, n));
+        let Read { config, routes, customers } = root.notes.sound(read)?;
+        names.classes = Classes::first(routes.names);
+        names.tenants = Tenants::first(customers.names, &customers.of);
         Ok((config, names))
     }
 
@@ -192,7 +252,7 @@
     /// All that is wrong, one text each: values that cannot be read, then such as break a bound.
     pub fn errors(&self) -> Vec<String> {
         let root = self.root();
-        let (config, ..) = self.read(&root, &mut Names::default());
+        let Read { config, .. } = self.read(&root, &mut Names::default());
         self.read_network(&root);
         let follows = |e: &ConfigError| e.field == "classes" && root.notes.misread(PROFILES);
         let bounds = config.errors().into_iter().filter(|e| !follows(e)).map(|e| e.to_string());
@@ -236,18 +296,23 @@
             add(if n > 0 { "," } else { "" });
             add(&Value::from(key.as_str()).to_string());
             add(":");
-            let _ = match key.as_str() {
-                PROFILES if value.is_array() => ["[", &self.lists.profiles.text, "]"].map(&mut add),
-                CUSTOMERS if value.is_array() => ["[", &self.lists.customers.text, "]"].map(&mut add),
-                _ => [&*value.to_string(), "", ""].map(&mut add),
+            let pieces = match key.as_str() {
+                PROFILES if value.is_array() => &self.lists.profiles.text,
+                CUSTOMERS if value.is_array() => &self.lists.customers.text,
+                _ => {
+                    add(&value.to_string());
+                    continue;
+                }
             };
+            add("[");
+            pieces.iter().for_each(|piece| add(piece));
+            add("]");
         }
         add("}");
         *hasher.finalize().as_bytes()
     }
 
-    /// The configuration and what it was made of. `names`: the places and kinds that have numbers already.
-    pub(super) fn read(&self, root: &Key, names: &mut Names) -> (Config, &[Route], &[Customer]) {
+    fn read(&self, root: &Key, names: &mut Names) -> Read {
         let (zones, listed) = (root.get("zones"), root.get("zones").list());
         for zone in &listed {
             names.zones.number(zone.text());
@@ -266,8 +331,8 @@
         if zone.is_some() || !zones_unread {
             my_zone.want(zone, "one of zones", 0);
         }
-        let routes = self.list(root, &self.lists.profiles);
-        let customers = self.list(root, &self.lists.customers);
+        let routes = self.list(root, &self.lists.profiles, &self.lists.routes);
+        let customers = self.list(root, &self.lists.customers, &self.lists.tenants);
         let (limits, rules, goal) = (root.get("limits"), root.get("rules"), root.get("blend"));
         let must_ask = rules.get("must_ask_in_us");
         let discovery = match root.get("discovery").text() {
@@ -279,8 +344,8 @@
             proxies: root.get("group_size").count(u32::MAX),
             position: root.get("position").count(0),
             zone: ZoneId(zone.unwrap_or(0)),
-            classes: routes.iter().map(|route| route.class.clone()).collect(),
-            tenants: customers.iter().map(|customer| customer.tenant.clone()).collect(),
+            classes: routes.classes.clone(),
+            tenants: customers.tenants.clone(),
             over_quota_worth: root.get("over_share_worth").real(),
             goal_whole: goal.get("whole").real(),
             goal_worst_class: goal.get("worst_class").real(),
@@ -297,22 +362,27 @@
             locality: locality(&root.get("locality")),
             regions: regions(&root.get("locality").get("regions"), names),
         };
-        (config, routes, customers)
+        Read { config, routes, customers }
     }
 
     fn read_network(&self, root: &Key) -> Network {
         let limits = root.get("limits");
-        let routes = if self.rest[PROFILES].is_array() { &*self.lists.profiles.items } else { &[] };
+        let routes = self.list(&self.root(), &self.lists.profiles, &self.lists.routes);
         Network {
             connect_timeout: limits.get("dial_timeout_us").micros(),
             conn_idle: limits.get("conn_idle_us").micros(),
             max_retry_after: limits.get("max_retry_after_us").micros(),
-            deadlines: routes.iter().map(|route| route.deadline).collect(),
+            deadlines: routes.deadlines,
         }
     }
 
-    /// The settings as they stand in nobody's place: with numbers given to places on top of `places`.
-    pub(super) fn sound(&self, names: &mut Names) -> Result<(Config, &[Route], &[Customer]), String> {
+    /// Whether one of the profiles has that name.
+    pub(super) fn has_profile(&self, name: &str) -> bool {
+        self.lists.routes.names.get(name).is_some()
+    }
+
+    /// What they come to, or what is wrong first. `names`: the places and kinds that have numbers already.
+    pub(super) fn sound(&self, names: &mut Names) -> Result<Read, String> {
         let root = self.root();
         let read = self.read(&root, names);
         root.notes.sound(read)
@@ -387,7 +457,7 @@
     let Some(value) = key.value else { return BTreeMap::new() };
     let none = serde_json::Map::new();
     let table = key.want(value.as_object(), "a table of zones and their regions", &none);
-    let mut known = super::numbered::Numbered::default();
+    let mut known = Numbered::default();
     let entry = |zone: &String| {
         let region = RegionId(1 + known.number(key.get(zone).text()));
         (ZoneId(names.zones.number(zone)), region)
