--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -37,6 +37,7 @@
         copies: true,
         cancel: true,
         cold: false,
+        moves: false,
     };
     vec![
         plain.clone(),
@@ -84,6 +85,18 @@
             churn_us: 40_000,
             ..plain
         },
+        Stream {
+            name: "moves",
+            seed: 12,
+            proxies: 30,
+            backends: 40,
+            kinds: 4,
+            zones: 5,
+            near: true,
+            moves: true,
+            churn_us: 40_000,
+            ..plain
+        },
         Stream { name: "careful", seed: 8, proxies: 9, backends: 30, ask: true, copies: false, ..plain },
         Stream { name: "no cancel", seed: 9, backends: 20, zones: 2, ask: true, cancel: false, ..plain },
         Stream { name: "tables", seed: 10, proxies: 60, tenants: 3_000, classes: 300, backends: 40, ..plain },
--- a/tests/golden/world.rs
+++ b/tests/golden/world.rs
@@ -29,6 +29,8 @@
     pub cancel: bool,
     /// Backends begin cold and start again often.
     pub cold: bool,
+    /// Lines come with other zones, kinds and marks than before.
+    pub moves: bool,
 }
 
 /// What a backend does with what it is sent.
@@ -515,7 +517,18 @@
             };
             let (what, ago) = (self.below(8), self.below(500_000));
             let now = self.now;
+            let place = (self.stream.moves && self.one_in(2)).then(|| {
+                let zone = self.below(u64::from(self.stream.zones)) as u32;
+                (zone, self.below(u64::from(self.stream.kinds)) as u32, self.draw.next_u32())
+            });
             let (b, mood) = self.list.get_mut(&id).expect("listed");
+            if let Some((zone, kind, mark)) = place {
+                // Whatever has another name is another backend: only those that start anew have another mark.
+                (b.zone, b.kind) = (ZoneId(zone), KindId(kind));
+                if (2..=4).contains(&what) {
+                    b.mark = u64::from(mark) << 12 | u64::from(id);
+                }
+            }
             match what {
                 0 => b.state = BackendState::Draining,
                 1 => b.state = BackendState::Gone,
