Touch what a list names on the host's side, and forget backends that are gone

Change: the pool is told of a backend as it is shut or opened again. Backends are held by number in an ordered map. One that left the list is forgotten once no reason keeps it out, no attempt is open there (an answer that streams on included) and the module remembers nothing of it, such as what it was sent cold. Numbers are not given again, so that what comes late names nothing; a name that comes back gets a new one. listed_once is now called knows, which it means.

--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -24,7 +24,7 @@
             Payload::Coming(coming) => now + coming.left,
         };
         let deadline = self.clock.instant(deadline);
-        let Some(to) = s.backends.get(backend.0 as usize).map(|b| b.address) else { return };
+        let Some(to) = s.backends.get(&backend).map(|b| b.address) else { return };
         let host = self.clone();
         let task = tokio::task::spawn_local(async move {
             let leg = Rc::new(Leg { host: host.clone(), request, attempt, backend, to });
@@ -45,7 +45,7 @@
             self.client_gone(request);
         }
         let s = self.state.borrow();
-        s.backends.get(backend.0 as usize).is_some_and(|b| b.open() && b.address == to)
+        s.backends.get(&backend).is_some_and(|b| b.open() && b.address == to)
             && s.requests.contains_key(&request)
             && s.repeat_until(request, attempt).is_none_or(|at| self.clock.now() < at)
     }
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -5,7 +5,7 @@
 use super::state::{Known, State, Why};
 use super::Host;
 use shaletide::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::{debug, info};
@@ -30,18 +30,33 @@
 }
 
 impl State {
+    /// The number that goes with the name, a new one where it has none.
+    fn number(&mut self, name: &str, address: SocketAddr) -> BackendId {
+        if let Some(id) = self.numbers.get(name) {
+            return *id;
+        }
+        let id = BackendId(self.next);
+        self.next += 1;
+        self.numbers.insert(name.into(), id);
+        let (name, reasons) = (name.into(), BTreeSet::new());
+        self.backends.insert(id, Known { name, address, entry: None, reasons, shut: false });
+        self.unlisted.insert(id);
+        id
+    }
+
     /// Takes a line of the list.
-    fn listed(&mut self, line: Endpoint) -> Backend {
-        let next = BackendId(self.backends.len() as u32);
-        let id = *self.numbers.entry(line.name.clone()).or_insert(next);
+    fn listed(&mut self, line: &Endpoint) -> Backend {
+        let next = self.next;
+        let id = self.number(&line.name, line.address);
+        if id.0 == next {
+            // The module's lines speak of numbers.
+            info!("backend {} is {} at {}", id.0, line.name, line.address);
+        }
         let entry = self.names.entry(&line.row, id);
-        match self.backends.get_mut(id.0 as usize) {
-            Some(b) => (b.address, b.entry) = (line.address, Some(entry.clone())),
-            None => {
-                // The module's lines speak of numbers.
-                info!("backend {} is {} at {}", id.0, line.name, line.address);
-                let (name, address, reasons) = (line.name, line.address, BTreeSet::new());
-                self.backends.push(Known { name, address, entry: Some(entry.clone()), reasons });
+        if let Some(known) = self.backends.get_mut(&id) {
+            known.address = line.address;
+            if known.entry.as_ref() != Some(&entry) {
+                known.entry = Some(entry.clone());
             }
         }
         entry
@@ -50,41 +65,62 @@
     /// Takes one that does not make sense, where its backend is known.
     fn unclear(&mut self, name: &str) -> Option<Backend> {
         let id = self.numbers.get(name)?;
-        let entry = self.backends.get_mut(id.0 as usize)?.entry.as_mut()?;
+        let entry = self.backends.get_mut(id)?.entry.as_mut()?;
         entry.state = BackendState::Draining;
         Some(entry.clone())
     }
+
+    /// What a whole list does not hold is gone. `held` is in the order of numbers.
+    fn drop_absent(&mut self, held: &[Backend]) -> Vec<BackendId> {
+        let (mut held, mut gone) = (held.iter().map(|b| b.id).peekable(), Vec::new());
+        for (id, known) in &mut self.backends {
+            while held.next_if(|h| h < id).is_some() {}
+            let entry = known.entry.as_mut().filter(|e| e.state != BackendState::Gone);
+            if let Some(entry) = entry.filter(|_| held.peek() != Some(id)) {
+                entry.state = BackendState::Gone;
+                gone.push(*id);
+            }
+        }
+        gone
+    }
+}
+
+/// The entries in the order of numbers; of several on one backend the last.
+fn last_of_each(mut entries: Vec<Backend>) -> Vec<Backend> {
+    entries.reverse();
+    entries.sort_by_key(|e| e.id);
+    entries.dedup_by_key(|e| e.id);
+    entries
 }
 
 impl Host {
     /// News of the list. Of several lines on one backend the last counts. One that is known and whose line does not
     /// make sense gets nothing new: whatever the line means, it does not say that the backend serves.
     pub fn members(self: &Rc<Self>, update: ListUpdate, list: &List) {
-        let lines = list.lines();
-        let mut backends = BTreeMap::new();
-        {
+        self.take(update, &list.lines());
+    }
+
+    /// The same with the lines read before.
+    pub fn take(self: &Rc<Self>, update: ListUpdate, lines: &[Line]) {
+        let backends = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
-            if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
-                let entries = s.backends.iter_mut().filter_map(|b| b.entry.as_mut());
-                entries.for_each(|e| e.state = BackendState::Gone);
+            let entry = |line: &Line| match line {
+                Line::Entry(e) => Some(s.listed(e)),
+                Line::Unclear(name) => s.unclear(name),
+            };
+            let backends = last_of_each(lines.iter().filter_map(entry).collect());
+            if update != ListUpdate::Cached {
+                backends.iter().for_each(|b| debug!("backend {} is {:?}", b.id.0, b.state));
             }
-            for line in lines {
-                let entry = match line {
-                    Line::Entry(e) => Some(s.listed(e)),
-                    Line::Unclear(name) => s.unclear(&name),
-                };
-                if let Some(entry) = entry {
-                    if update != ListUpdate::Cached {
-                        debug!("backend {} is {:?}", entry.id.0, entry.state);
-                    }
-                    backends.insert(entry.id, entry);
-                }
+            if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
+                s.drop_absent(&backends).into_iter().for_each(|id| self.shut(s, id));
             }
-            self.shut(s);
-        }
-        let backends = backends.into_values().collect();
+            backends.iter().for_each(|b| self.shut(s, b.id));
+            backends
+        };
         self.tell(Event::Members { update, backends });
+        self.forget();
         if matches!(update, ListUpdate::Full | ListUpdate::Changes) {
             self.listed.send_replace(true);
         }
@@ -96,29 +132,60 @@
         self.members(ListUpdate::Lost, &List::default());
     }
 
-    /// No connection is kept to a backend that is to get nothing new.
-    fn shut(&self, s: &State) {
-        let shut = s.backends.iter().enumerate().filter(|(_, b)| !b.open());
-        self.pool.shut(shut.map(|(n, _)| BackendId(n as u32)).collect());
+    /// No connection is kept to a backend that is to get nothing new. Called after each change of its line or reasons.
+    fn shut(&self, s: &mut State, id: BackendId) {
+        let Some(known) = s.backends.get_mut(&id) else { return };
+        match (known.open(), known.shut) {
+            (false, false) => self.pool.shut(id),
+            (true, true) => self.pool.reopen(id),
+            _ => {}
+        }
+        known.shut = !known.open();
+        match known.state() {
+            BackendState::Gone => s.unlisted.insert(id),
+            _ => s.unlisted.remove(&id),
+        };
     }
 
-    /// Whether the list ever held a backend of that name.
-    pub fn listed_once(&self, name: &str) -> bool {
+    /// Forgets what left the list, once no reason keeps it out, nothing is open there and the module remembers nothing
+    /// of it. A name that comes back gets a new number.
+    fn forget(&self) {
+        let mut s = self.state.borrow_mut();
+        let s = &mut *s;
+        if s.unlisted.is_empty() {
+            return;
+        }
+        let open: HashSet<BackendId> = s.attempts.values().map(|flight| flight.backend).collect();
+        let (balancer, backends) = (&s.balancer, &mut s.backends);
+        let over = |id: &BackendId| {
+            let free = backends.get(id).is_none_or(|known| known.reasons.is_empty());
+            free && !open.contains(id) && !balancer.knows(*id)
+        };
+        let over: Vec<BackendId> = s.unlisted.iter().copied().filter(over).collect();
+        for id in over {
+            s.unlisted.remove(&id);
+            self.pool.forget(id);
+            if let Some(known) = s.backends.remove(&id) {
+                s.numbers.remove(&known.name);
+                debug!("backend {} is forgotten", id.0);
+            }
+        }
+    }
+
+    /// Whether the list holds a backend of that name, or held one that is not forgotten.
+    pub fn knows(&self, name: &str) -> bool {
         self.state.borrow().numbers.contains_key(name)
     }
 
     /// Whether the backend is kept out for that reason, another or not.
     pub fn withdrawn(&self, name: &str, why: Why) -> bool {
         let s = self.state.borrow();
-        s.numbers
-            .get(name)
-            .and_then(|id| s.backends.get(id.0 as usize))
-            .is_some_and(|b| b.reasons.contains(&why))
+        s.numbers.get(name).and_then(|id| s.backends.get(id)).is_some_and(|b| b.reasons.contains(&why))
     }
 
-    /// Takes the backend out of use; false where none of that name was ever listed.
+    /// Takes the backend out of use; false where none of that name is known.
     pub fn withdraw(self: &Rc<Self>, name: &str, why: Why) -> bool {
-        let known = self.listed_once(name);
+        let known = self.knows(name);
         if known {
             self.withdraw_unheard(name, why);
         }
@@ -130,20 +197,18 @@
         let backend = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
-            let next = BackendId(s.backends.len() as u32);
-            let id = *s.numbers.entry(name.into()).or_insert(next);
-            if id == next {
+            let next = s.next;
+            let id = s.number(name, SocketAddr::from(([0, 0, 0, 0], 0)));
+            if id.0 == next {
                 info!("backend {} is {name}, not listed yet", id.0);
-                let address = SocketAddr::from(([0, 0, 0, 0], 0));
-                s.backends.push(Known { name: name.into(), address, entry: None, reasons: BTreeSet::new() });
             }
-            let Some(known) = s.backends.get_mut(id.0 as usize) else { return };
+            let Some(known) = s.backends.get_mut(&id) else { return };
             let first = known.reasons.is_empty();
             known.reasons.insert(why);
             if !first {
                 return; // it is out already
             }
-            self.shut(s);
+            self.shut(s, id);
             id
         };
         self.tell(Event::Withdraw { backend });
@@ -155,7 +220,7 @@
         let held = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
-            let known = s.numbers.get(name).and_then(|id| s.backends.get_mut(id.0 as usize));
+            let known = s.numbers.get(name).and_then(|id| s.backends.get_mut(id));
             known.is_some_and(|b| b.reasons.remove(&why))
         };
         if held {
@@ -168,14 +233,14 @@
     /// as one that started then.
     pub fn returned(self: &Rc<Self>, name: &str, since: Time) {
         let backend = {
-            let s = self.state.borrow();
+            let mut s = self.state.borrow_mut();
             let Some(&id) = s.numbers.get(name) else { return };
-            let reasons = s.backends.get(id.0 as usize).map(|b| b.reasons.clone()).unwrap_or_default();
+            let reasons = s.backends.get(&id).map(|b| b.reasons.clone()).unwrap_or_default();
             if !reasons.is_empty() {
                 info!("{name} stays out: {reasons:?}");
                 return;
             }
-            self.shut(&s);
+            self.shut(&mut s, id);
             id
         };
         self.tell(Event::Restore { backend, since });
@@ -201,7 +266,7 @@
                 open: open.get(&entry.id).copied().unwrap_or(0),
             })
         };
-        s.backends.iter().filter_map(row).collect()
+        s.backends.values().filter_map(row).collect()
     }
 
     /// Until discovery has answered for the first time.
@@ -213,7 +278,7 @@
     pub fn recollect(&self) -> Saved {
         let s = self.state.borrow();
         let memory = s.balancer.recollect(self.clock.now());
-        let backend = |id: BackendId| s.backends.get(id.0 as usize).map(|b| b.name.clone());
+        let backend = |id: BackendId| s.backends.get(&id).map(|b| b.name.clone());
         Saved {
             kinds: memory
                 .kinds
@@ -229,7 +294,7 @@
             backends: memory.backends.iter().filter_map(|(b, m)| Some((backend(*b)?, *m))).collect(),
             withdrawn: s
                 .backends
-                .iter()
+                .values()
                 .filter(|b| b.reasons.contains(&Why::Hand))
                 .map(|b| b.name.clone())
                 .collect(),
--- a/src/net/host/backends/tests.rs
+++ b/src/net/host/backends/tests.rs
@@ -1,5 +1,6 @@
 //! Lines of the list, and reasons for which backends are out.
 
+use super::super::super::upstream::{Content, Served};
 use super::*;
 
 fn host() -> Rc<Host> {
@@ -72,7 +73,7 @@
         host.members(update, &list(vec![line(bad.clone()), other]));
         let out = row(&host);
         assert!(out.listed && !out.serving && out.ready == 0.0, "{bad} {update:?}: {out:?}");
-        assert!(!host.listed_once("never"));
+        assert!(!host.knows("never"));
         host.members(update, &list(vec![line(serde_json::json!({}))]));
         let back = row(&host);
         assert!(back.serving && back.ready == 1.0, "{bad} {update:?}: {back:?}");
@@ -113,3 +114,151 @@
     assert!(started(now) < 1.0);
     assert!(started(now) < 1.0);
 }
+
+fn lines(of: impl IntoIterator<Item = serde_json::Value>, snapshot: bool) -> List {
+    List { index: 2, snapshot, endpoints: of.into_iter().collect() }
+}
+
+fn named(name: &str, status: &str) -> serde_json::Value {
+    line(serde_json::json!({"name": name, "status": status}))
+}
+
+fn kept(host: &Host) -> Vec<String> {
+    let s = host.state.borrow();
+    assert_eq!(s.numbers.len(), s.backends.len());
+    assert!(s.unlisted.iter().all(|id| s.backends.contains_key(id)));
+    s.backends.values().map(|b| b.name.clone()).collect()
+}
+
+/// A day's replacements, by lines and by whole lists, leave nothing behind, and no number means two backends.
+#[test]
+fn replaced_backends_are_forgotten() {
+    let host = host();
+    let mut numbers = BTreeSet::new();
+    for n in 0..500 {
+        let (old, new) = (format!("r{n}"), format!("r{}", n + 1));
+        host.members(ListUpdate::Changes, &lines([named(&old, "SERVING")], false));
+        assert!(numbers.insert(host.state.borrow().numbers[&old]) || n > 0);
+        match n % 2 {
+            0 => host.members(
+                ListUpdate::Changes,
+                &lines([named(&old, "DELETED"), named(&new, "SERVING")], false),
+            ),
+            _ => {
+                host.members(ListUpdate::Full, &lines([named("b", "SERVING"), named(&new, "SERVING")], true))
+            }
+        }
+        assert_eq!(kept(&host), vec!["b".to_string(), new]);
+        assert!(!host.knows(&old));
+    }
+    assert_eq!(host.state.borrow().next, 502, "each name had a number of its own");
+}
+
+/// One that left stays known while a reason keeps it out: it is out if it comes back.
+#[test]
+fn a_reason_outlives_the_list() {
+    for why in [Why::Hand, Why::Window] {
+        let host = host();
+        assert!(host.withdraw("b", why));
+        host.members(ListUpdate::Full, &lines([], true));
+        assert_eq!(kept(&host), vec!["b"]);
+        host.members(ListUpdate::Changes, &lines([named("b", "SERVING")], false));
+        assert_eq!(row(&host).ready, 0.0);
+        host.members(ListUpdate::Changes, &lines([named("b", "DELETED")], false));
+        assert!(host.restore("b", why, host.clock.now()));
+        host.members(ListUpdate::Changes, &lines([], false));
+        assert!(kept(&host).is_empty());
+    }
+}
+
+/// One that left stays known while an attempt is open there, so that its end still finds it; and while the module
+/// remembers what it was sent cold.
+#[tokio::test]
+async fn what_is_open_or_was_sent_cold_outlives_the_list() {
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            for cold in [false, true] {
+                let host = host();
+                let started = if cold { host.clock.now().0 as f64 / 1e3 } else { 0.0 };
+                let serving = line(serde_json::json!({"since_ms": started}));
+                host.members(ListUpdate::Changes, &lines([serving.clone()], false));
+                let number = host.state.borrow().numbers["b"];
+                let (id, _wait) = host.example_request();
+                assert_eq!(host.state.borrow().attempts.len(), 1);
+                host.members(ListUpdate::Full, &lines([], true));
+                assert_eq!(kept(&host), vec!["b"], "its attempt is open");
+                host.client_gone(id);
+                assert_eq!(host.state.borrow().attempts.len(), 0);
+                host.members(ListUpdate::Changes, &lines([], false));
+                assert_eq!(kept(&host).len(), usize::from(cold), "what it was sent cold weighs still");
+                host.members(ListUpdate::Changes, &lines([serving], false));
+                let after = host.state.borrow().numbers["b"];
+                assert_eq!(after == number, cold, "a number is never given again");
+            }
+        })
+        .await;
+}
+
+/// The same lists told whole and by what changed lead to the same backends, in any order of lines.
+#[test]
+fn whole_lists_and_changes_lead_to_the_same_backends() {
+    let mut seed = 7u64;
+    let mut draw = |below: u64| {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (seed >> 33) % below
+    };
+    let (whole, changes) = (host(), host());
+    let mut list: BTreeMap<u64, serde_json::Value> = BTreeMap::new();
+    whole.members(ListUpdate::Full, &lines([], true));
+    changes.members(ListUpdate::Full, &lines([], true));
+    for _ in 0..300 {
+        let mut changed = Vec::new();
+        for _ in 0..=draw(4) {
+            let n = draw(12);
+            let status = ["SERVING", "SERVING", "DRAINING", "DELETED"][draw(4) as usize];
+            let new = line(serde_json::json!({"name": format!("n{n}"), "status": status,
+                "zone": format!("z{}", n % 3), "since_ms": draw(3) * 1_000}));
+            match status {
+                "DELETED" => drop(list.remove(&n)),
+                _ => drop(list.insert(n, new.clone())),
+            }
+            changed.push(new);
+        }
+        changes.members(ListUpdate::Changes, &lines(changed, false));
+        let mut all: Vec<serde_json::Value> = list.values().cloned().collect();
+        if draw(2) == 0 {
+            all.reverse();
+        }
+        whole.members(ListUpdate::Full, &lines(all, true));
+        let rows = |host: &Host| {
+            let mut rows = host.roster();
+            rows.retain(|r| r.listed); // what is gone had no line of its own in a whole list
+            rows.sort_by(|a, b| a.name.cmp(&b.name));
+            rows
+        };
+        assert_eq!(rows(&whole), rows(&changes));
+        assert_eq!(kept(&whole).len(), list.len());
+        assert_eq!(kept(&changes).len(), list.len());
+    }
+}
+
+/// The module has no part in an answer that streams on: its backend stays known all the same.
+#[tokio::test]
+async fn an_answer_that_streams_on_outlives_the_list() {
+    let scope = tokio::task::LocalSet::new();
+    scope
+        .run_until(async {
+            let host = host();
+            let (id, _wait) = host.example_request();
+            let body = Content::Whole(bytes::Bytes::new());
+            host.streams(id, AttemptNo(0), Served { headers: hyper::HeaderMap::new(), body });
+            host.members(ListUpdate::Full, &lines([], true));
+            assert!(!host.state.borrow().balancer.knows(BackendId(0)), "its work is done");
+            assert_eq!(kept(&host), vec!["b"]);
+            host.attempt_ended(id, AttemptNo(0), (Outcome::Ok, None));
+            host.members(ListUpdate::Full, &lines([], true));
+            assert!(kept(&host).is_empty());
+        })
+        .await;
+}
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -234,7 +234,7 @@
             }
             Action::Follow => self.follow.notify_one(),
             Action::Tell { backend, verdict } => {
-                let known = s.backends.get(backend.0 as usize);
+                let known = s.backends.get(&backend);
                 if let Some((tell, b)) = self.tell.borrow().as_ref().zip(known) {
                     // A full queue drops the newest: a verdict late by so many is of no use.
                     let _ = tell.try_send((b.name.clone(), verdict));
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -5,7 +5,7 @@
 use shaletide::settings::Names;
 use shaletide::*;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -58,6 +58,8 @@
     /// Its line of the list; `None` for one that no list has held yet.
     pub entry: Option<Backend>,
     pub reasons: BTreeSet<Why>,
+    /// The pool knows that no connection to it is to be kept.
+    pub shut: bool,
 }
 
 impl Known {
@@ -115,7 +117,12 @@
     /// The classes as they stand now, once settings have changed.
     pub classes: Vector<Class>,
     pub numbers: HashMap<String, BackendId>,
-    pub backends: Vec<Known>,
+    /// By number. No number is ever given again, so that what comes late on one that was forgotten names nothing.
+    pub backends: BTreeMap<BackendId, Known>,
+    /// The next number.
+    pub next: u32,
+    /// Those that the list does not hold.
+    pub unlisted: BTreeSet<BackendId>,
     pub requests: HashMap<RequestId, Live>,
     pub attempts: HashMap<(RequestId, AttemptNo), Flight>,
     pub timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
@@ -156,7 +163,9 @@
             names,
             classes: Vector::new(),
             numbers: HashMap::new(),
-            backends: Vec::new(),
+            backends: BTreeMap::new(),
+            next: 0,
+            unlisted: BTreeSet::new(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
             timers: BinaryHeap::new(),
--- a/src/net/maintenance.rs
+++ b/src/net/maintenance.rs
@@ -68,7 +68,7 @@
         self.keeper.iter().for_each(|k| k.write());
     }
 
-    /// Nothing more to that backend; false where none of that name was ever listed.
+    /// Nothing more to that backend; false where none of that name is known.
     pub fn enter(&self, name: &str) -> bool {
         if !self.host.withdraw(name, Why::Hand) {
             return false;
@@ -79,9 +79,9 @@
         true
     }
 
-    /// Use it again; false where none of that name was ever listed.
+    /// Use it again; false where none of that name is known.
     pub fn exit(&self, name: &str) -> bool {
-        if !self.host.listed_once(name) {
+        if !self.host.knows(name) {
             return false;
         }
         let at = self.dir.as_ref().map(|dir| dir.join(file(OUT, name)));
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -224,11 +224,22 @@
         self.idle.borrow_mut().entry(id).or_default().push(c);
     }
 
-    /// These backends are to get nothing new: no connection to them is kept idle.
-    pub fn shut(&self, ids: HashSet<BackendId>) {
-        self.idle.borrow_mut().retain(|id, _| !ids.contains(id));
-        self.heard.borrow_mut().retain(|id, _| !ids.contains(id));
-        *self.shut.borrow_mut() = ids;
+    /// The backend is to get nothing new: no connection to it is kept idle until it is opened again.
+    pub fn shut(&self, id: BackendId) {
+        self.shut.borrow_mut().insert(id);
+        self.idle.borrow_mut().remove(&id);
+        self.heard.borrow_mut().remove(&id);
+    }
+
+    /// It may get requests again.
+    pub fn reopen(&self, id: BackendId) {
+        self.shut.borrow_mut().remove(&id);
+    }
+
+    /// Nothing will be sent to it ever again, and nothing is out there.
+    pub fn forget(&self, id: BackendId) {
+        self.shut(id);
+        self.reopen(id);
     }
 
     /// An attempt sent at `sent` was given up unanswered. Where nothing at all was heard of the backend since,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -306,6 +306,11 @@
         }
     }
 
+    /// Whether it remembers anything of the backend.
+    pub fn knows(&self, backend: BackendId) -> bool {
+        self.peers.find(backend).is_some()
+    }
+
     /// The hold of each kind: requests that all proxies together keep on one of its backends.
     pub fn holds(&self) -> impl Iterator<Item = (KindId, f64)> + '_ {
         self.kinds.iter().map(|(id, k)| (*id, k.hold))
