Read long lists beside the event loop, entry by entry

Need: parsing discovery's whole list of 25,000 (3.7 MB) took 23 ms of the request loop and held all of it in memory as values; 4 MiB would not hold the next thousand backends with longer names. Change: an answer of 32 KiB and more is read on a thread of the runtime's, each entry as it comes; its lines are the same. The bound on answers is 16 MiB, four times what 25,000 backends need. A line that is as before is no change to the pool.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the watch that keeps the backend list up to date.
 
 use super::host::Host;
-use super::list::List;
+use super::list::{Answer, Unread};
 use super::stream::Stream;
 use super::upstream::driven;
 use bytes::Bytes;
@@ -42,19 +42,19 @@
 const OVERDUE: Duration = Duration::from_secs(10);
 /// ... and so many at once, of which the oldest makes way: each holds a descriptor, and maybe half a list.
 const LISTENED: usize = 4;
-/// A list may be longer than a request's body, but not without bound.
-const MAX_LIST: usize = 4 * 1024 * 1024;
+/// A list may be longer than a request's body, but not without bound: four times that of 25,000 backends.
+const MAX_LIST: usize = 16 * 1024 * 1024;
+/// Longer ones are read beside the event loop: this much takes it half a millisecond.
+const READ_ASIDE: usize = 32 * 1024;
 
 #[derive(Debug)]
 enum WatchError {
     Connect(std::io::Error),
     Http(Box<dyn std::error::Error + Send + Sync>),
     Status(u16),
-    Json(serde_json::Error),
+    Unread(Unread),
     /// Only changes, to a call for the whole list.
     Part,
-    /// A list of entries none of which makes sense.
-    Garbled,
     Ended,
     Silent,
 }
@@ -65,9 +65,9 @@
             WatchError::Connect(e) => write!(f, "no connection: {e}"),
             WatchError::Http(e) => write!(f, "call broken: {e}"),
             WatchError::Status(code) => write!(f, "answered {code}"),
-            WatchError::Json(e) => write!(f, "answer not understood: {e}"),
+            WatchError::Unread(Unread::Json(e)) => write!(f, "answer not understood: {e}"),
             WatchError::Part => write!(f, "changes in answer to a call for the whole list"),
-            WatchError::Garbled => write!(f, "no entry of the whole list makes sense"),
+            WatchError::Unread(Unread::Garbled) => write!(f, "no entry of the whole list makes sense"),
             WatchError::Ended => write!(f, "connection ended"),
             WatchError::Silent => write!(f, "silent"),
         }
@@ -107,7 +107,7 @@
 }
 
 /// What a call came to, and its connection where that can be used again.
-type Fetched = (Option<Link>, Result<List, WatchError>);
+type Fetched = (Option<Link>, Result<Answer, WatchError>);
 
 /// A call, by what was known as it began.
 struct Asked {
@@ -172,7 +172,7 @@
     /// Takes an answer if it is newer than the list in force. Of two answers whose calls were out at the same time the
     /// higher index is the newer; an index may only go back in the answer to a call that began after the list in
     /// force came: then discovery has begun anew.
-    fn take(&self, call: &Asked, list: &List) -> News {
+    fn take(&self, call: &Asked, list: &Answer) -> News {
         let (era, index) = (self.era.get(), self.index.get());
         let crossed = call.taken != self.taken.get() && list.index <= index;
         if call.era < era || (call.era == era && crossed) {
@@ -189,12 +189,12 @@
         }
         self.taken.set(self.taken.get() + 1);
         self.index.set(list.index);
-        self.host.members(if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes }, list);
+        self.host.take(if list.snapshot { ListUpdate::Full } else { ListUpdate::Changes }, &list.lines);
         News::Taken
     }
 
     /// What came of a call in time.
-    fn answered(&self, call: &Asked, list: &List) -> Result<News, WatchError> {
+    fn answered(&self, call: &Asked, list: &Answer) -> Result<News, WatchError> {
         match self.take(call, list) {
             News::Gap if call.whole => Err(WatchError::Part),
             news => Ok(news),
@@ -334,7 +334,7 @@
     Ok(Link { sender, conn })
 }
 
-async fn ask(live: &mut Link, at: SocketAddr, uri: &str) -> Result<List, WatchError> {
+async fn ask(live: &mut Link, at: SocketAddr, uri: &str) -> Result<Answer, WatchError> {
     let request = Request::get(uri).header("host", at.to_string()).body(Empty::new()).map_err(boxed)?;
     let Link { sender, conn } = live;
     let answer = async {
@@ -348,11 +348,15 @@
     if status != 200 {
         return Err(WatchError::Status(status));
     }
-    let list: List = serde_json::from_slice(&body).map_err(WatchError::Json)?;
-    if list.garbled() {
-        return Err(WatchError::Garbled);
-    }
-    Ok(list)
+    read(body).await
+}
+
+async fn read(body: Bytes) -> Result<Answer, WatchError> {
+    let answer = match body.len() {
+        ..READ_ASIDE => Answer::read(&body),
+        _ => tokio::task::spawn_blocking(move || Answer::read(&body)).await.map_err(boxed)?,
+    };
+    answer.map_err(WatchError::Unread)
 }
 
 fn boxed(e: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> WatchError {
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,5 +1,6 @@
 //! The watch's arithmetic (docs/design.md, "One clock for the list of servers"), with the module's own pauses.
 
+use super::super::list::{Line, List};
 use super::*;
 use shaletide::{Action, Balancer, Config, Event, Micros, Time};
 use std::cmp::Reverse;
@@ -219,3 +220,35 @@
         })
         .await;
 }
+
+/// Long answers are read beside the event loop and come to the same as short ones read on it.
+#[tokio::test]
+async fn long_and_short_answers_are_read_alike() {
+    let body = |whole: bool, good: usize, bad: usize| {
+        let of = |n: usize| match n < good {
+            true => {
+                serde_json::json!({"name": format!("b{n}"), "address": "127.0.0.1:9", "status": "SERVING"})
+            }
+            false => serde_json::json!({"name": format!("b{n}"), "address": "nowhere", "status": "SERVING"}),
+        };
+        let endpoints: Vec<serde_json::Value> = (0..good + bad).map(of).collect();
+        let list = List { index: 7, snapshot: whole, endpoints };
+        Bytes::from(serde_json::to_vec(&list).unwrap())
+    };
+    for many in [2, 1_000] {
+        assert_eq!(body(true, many, 0).len() >= READ_ASIDE, many > 2);
+        let answer = read(body(true, many, many)).await.unwrap();
+        assert_eq!((answer.index, answer.snapshot, answer.lines.len()), (7, true, 2 * many));
+        let named = |line: &Line| matches!(line, Line::Entry(e) if e.name.starts_with('b'));
+        assert_eq!(answer.lines.iter().filter(|line| named(line)).count(), many);
+        assert!(
+            matches!(answer.lines.last(), Some(Line::Unclear(name)) if *name == format!("b{}", 2 * many - 1))
+        );
+        assert!(matches!(read(body(true, 0, many)).await, Err(WatchError::Unread(Unread::Garbled))));
+        assert_eq!(read(body(false, 0, many)).await.unwrap().lines.len(), many, "changes may be all unclear");
+        let cut = body(true, many, 0);
+        let cut = cut.slice(..cut.len() - 2);
+        assert!(matches!(read(cut).await, Err(WatchError::Unread(Unread::Json(_)))));
+    }
+    assert!(read(body(true, 0, 0)).await.unwrap().lines.is_empty(), "an empty list is a list");
+}
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -44,8 +44,8 @@
         id
     }
 
-    /// Takes a line of the list.
-    fn listed(&mut self, line: &Endpoint) -> Backend {
+    /// Takes a line of the list; whose line is another than before is `changed`.
+    fn listed(&mut self, line: &Endpoint, changed: &mut Vec<BackendId>) -> Backend {
         let next = self.next;
         let id = self.number(&line.name, line.address);
         if id.0 == next {
@@ -57,31 +57,32 @@
             known.address = line.address;
             if known.entry.as_ref() != Some(&entry) {
                 known.entry = Some(entry.clone());
+                changed.push(id);
             }
         }
         entry
     }
 
     /// Takes one that does not make sense, where its backend is known.
-    fn unclear(&mut self, name: &str) -> Option<Backend> {
+    fn unclear(&mut self, name: &str, changed: &mut Vec<BackendId>) -> Option<Backend> {
         let id = self.numbers.get(name)?;
+        changed.push(*id);
         let entry = self.backends.get_mut(id)?.entry.as_mut()?;
         entry.state = BackendState::Draining;
         Some(entry.clone())
     }
 
     /// What a whole list does not hold is gone. `held` is in the order of numbers.
-    fn drop_absent(&mut self, held: &[Backend]) -> Vec<BackendId> {
-        let (mut held, mut gone) = (held.iter().map(|b| b.id).peekable(), Vec::new());
+    fn drop_absent(&mut self, held: &[Backend], changed: &mut Vec<BackendId>) {
+        let mut held = held.iter().map(|b| b.id).peekable();
         for (id, known) in &mut self.backends {
             while held.next_if(|h| h < id).is_some() {}
             let entry = known.entry.as_mut().filter(|e| e.state != BackendState::Gone);
             if let Some(entry) = entry.filter(|_| held.peek() != Some(id)) {
                 entry.state = BackendState::Gone;
-                gone.push(*id);
+                changed.push(*id);
             }
         }
-        gone
     }
 }
 
@@ -105,18 +106,19 @@
         let backends = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
+            let mut changed = Vec::new();
             let entry = |line: &Line| match line {
-                Line::Entry(e) => Some(s.listed(e)),
-                Line::Unclear(name) => s.unclear(name),
+                Line::Entry(e) => Some(s.listed(e, &mut changed)),
+                Line::Unclear(name) => s.unclear(name, &mut changed),
             };
             let backends = last_of_each(lines.iter().filter_map(entry).collect());
             if update != ListUpdate::Cached {
                 backends.iter().for_each(|b| debug!("backend {} is {:?}", b.id.0, b.state));
             }
             if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
-                s.drop_absent(&backends).into_iter().for_each(|id| self.shut(s, id));
+                s.drop_absent(&backends, &mut changed);
             }
-            backends.iter().for_each(|b| self.shut(s, b.id));
+            changed.into_iter().for_each(|id| self.shut(s, id));
             backends
         };
         self.tell(Event::Members { update, backends });
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -1,6 +1,7 @@
 //! The backend list in its JSON form.
 
-use serde::Deserialize;
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use shaletide::settings::Row;
 use shaletide::{Backend, BackendState, CellId, Time};
@@ -62,30 +63,96 @@
     Unclear(String),
 }
 
-impl List {
-    /// The lines that say at least which backend they are of. Of those that do not make sense one is logged, with
-    /// their number: a list may be long.
-    pub fn lines(&self) -> Vec<Line> {
-        let (mut unclear, mut sample) = (0, None);
-        let read = |value: &Value| match Endpoint::read(value) {
-            Ok(entry) => Some(Line::Entry(entry)),
+/// The lines that say at least which backend they are of.
+#[derive(Default)]
+pub struct Lines {
+    lines: Vec<Line>,
+    /// How many do not make sense, and the first of those.
+    unclear: usize,
+    sample: Option<String>,
+}
+
+impl Lines {
+    fn read(&mut self, value: &Value) {
+        match Endpoint::read(value) {
+            Ok(entry) => self.lines.push(Line::Entry(entry)),
             Err(e) => {
-                unclear += 1;
-                sample.get_or_insert_with(|| format!("{e}: {value:.200}"));
-                value.get("name").and_then(Value::as_str).map(|name| Line::Unclear(name.into()))
+                self.unclear += 1;
+                self.sample.get_or_insert_with(|| format!("{e}: {value:.200}"));
+                let name = value.get("name").and_then(Value::as_str);
+                self.lines.extend(name.map(|name| Line::Unclear(name.into())));
             }
-        };
-        let lines = self.endpoints.iter().filter_map(read).collect();
-        if let Some(sample) = sample {
-            warn!("{unclear} discovery entries not understood, the first: {sample:.400}");
         }
-        lines
     }
 
+    /// Of those that do not make sense one is logged, with their number: a list may be long.
+    fn told(self) -> Vec<Line> {
+        if let Some(sample) = self.sample {
+            warn!("{} discovery entries not understood, the first: {sample:.400}", self.unclear);
+        }
+        self.lines
+    }
+}
+
+/// Each entry is read as it comes, so that a long list is never in memory as values.
+impl<'de> Deserialize<'de> for Lines {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Lines, D::Error> {
+        struct Each;
+        impl<'de> Visitor<'de> for Each {
+            type Value = Lines;
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("an array of entries")
+            }
+            fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Lines, A::Error> {
+                let mut lines = Lines::default();
+                while let Some(value) = entries.next_element::<Value>()? {
+                    lines.read(&value);
+                }
+                Ok(lines)
+            }
+        }
+        from.deserialize_seq(Each)
+    }
+}
+
+impl List {
+    /// Its lines, as far as they make sense.
+    pub fn lines(&self) -> Vec<Line> {
+        let mut lines = Lines::default();
+        self.endpoints.iter().for_each(|value| lines.read(value));
+        lines.told()
+    }
+}
+
+/// A list as discovery answers with it, its lines read.
+pub struct Answer {
+    pub index: u64,
+    pub snapshot: bool,
+    pub lines: Vec<Line>,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    index: u64,
+    snapshot: bool,
+    endpoints: Lines,
+}
+
+/// Why an answer cannot be used.
+#[derive(Debug)]
+pub enum Unread {
+    Json(serde_json::Error),
     /// A whole list none of whose entries makes sense is no list, rather than all backends gone at once.
-    pub fn garbled(&self) -> bool {
-        self.snapshot
-            && !self.endpoints.is_empty()
-            && !self.endpoints.iter().any(|e| Endpoint::read(e).is_ok())
+    Garbled,
+}
+
+impl Answer {
+    pub fn read(body: &[u8]) -> Result<Answer, Unread> {
+        let Body { index, snapshot, endpoints } = serde_json::from_slice(body).map_err(Unread::Json)?;
+        let sense = endpoints.lines.iter().any(|line| matches!(line, Line::Entry(_)));
+        if snapshot && endpoints.unclear > 0 && !sense {
+            return Err(Unread::Garbled);
+        }
+        Ok(Answer { index, snapshot, lines: endpoints.told() })
     }
 }
