Read readiness beside the backends for the roster, without a map of it

Need: the roster of 25,000 backends, four times a second where state is shared, took 3.3 ms of the request loop. Change: readiness comes in the order of numbers as backends do; the two are read side by side.

--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -253,8 +253,10 @@
         let s = self.state.borrow();
         let mut open: BTreeMap<BackendId, u32> = BTreeMap::new();
         s.attempts.values().for_each(|flight| *open.entry(flight.backend).or_default() += 1);
-        let ready: BTreeMap<BackendId, f64> = s.balancer.readiness(self.clock.now()).collect();
-        let row = |known: &Known| {
+        let mut ready = s.balancer.readiness(self.clock.now()).peekable(); // in the order of numbers as well
+        let row = |(id, known): (&BackendId, &Known)| {
+            while ready.next_if(|r| r.0 < *id).is_some() {}
+            let part = ready.next_if(|r| r.0 == *id).map_or(0.0, |r| r.1);
             let entry = known.entry.as_ref()?;
             Some(RosterRow {
                 name: known.name.clone(),
@@ -263,12 +265,12 @@
                 cell: entry.cell.0,
                 listed: entry.state != BackendState::Gone,
                 serving: entry.state == BackendState::Ready,
-                ready: ready.get(&entry.id).copied().unwrap_or(0.0),
+                ready: part,
                 by_hand: known.reasons.contains(&Why::Hand),
                 open: open.get(&entry.id).copied().unwrap_or(0),
             })
         };
-        s.backends.values().filter_map(row).collect()
+        s.backends.iter().filter_map(row).collect()
     }
 
     /// Until discovery has answered for the first time.
