--- a/src/main.rs
+++ b/src/main.rs
@@ -16,7 +16,7 @@
 use net::keeper::Keeper;
 use net::maintenance::Maintenance;
 use net::peers::Peers;
-use net::reload::{aside, Door, Reload};
+use net::reload::{aside, discard, Door, Reload};
 use net::room::{room, share};
 use net::server::{Rules, Server};
 use net::snapshot::Owner;
@@ -117,9 +117,10 @@
     let host = Host::new(balancer, in_force.names.clone(), clock, pool.clone());
     // The list from before the restart is in place before anything is served, and before what was learned.
     let known = std::mem::take(&mut node.known);
-    host.members(ListUpdate::Cached, &known);
-    let (known, index) = (known.endpoints.len(), known.index); // long as it may be, it is not kept
-                                                               // Only where operators or the platform take part may there be a second process.
+    host.take(ListUpdate::Cached, &known.lines);
+    let (index, listed) = (known.index, known.lines.len());
+    discard(known); // it may be long
+                    // Only where operators or the platform take part may there be a second process.
     let paired = passed.is_some() || node.control.is_some();
     let at = passed.as_ref().and_then(|s| s.local_addr().ok()).unwrap_or(node.listen);
     let owner = Owner { name: node.name.clone(), listen: at, discovery: node.discovery };
@@ -182,7 +183,7 @@
     if let Some(at) = node.control {
         door.answer(at, claimed("control: ", at, server::listen).await?);
     }
-    info!("{} listens on {bound}, {known} backends known", node.name);
+    info!("{} listens on {bound}, {listed} backends known", node.name);
     if tracing::enabled!(tracing::Level::DEBUG) {
         let told = host.clone();
         tokio::task::spawn_local(async move {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: what this proxy is told at its start, as JSON by the platform or as TOML by operators.
 
-use super::list::List;
+use super::list::{Line, Lines, List};
 use super::snapshot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -69,6 +69,13 @@
     }
 }
 
+/// The list at hand at the start, which a file read again leaves alone.
+#[derive(Default)]
+pub struct Known {
+    pub index: u64,
+    pub lines: Vec<Line>,
+}
+
 /// Everything that the program starts with.
 pub struct Node {
     pub name: String,
@@ -81,7 +88,7 @@
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// The list as this proxy last had it.
-    pub known: List,
+    pub known: Known,
     /// Digest of the settings.
     pub settings: [u8; 32],
     /// The same of what the proxies of one fleet share of them.
@@ -311,8 +318,9 @@
 
 /// A file that has the schema's shape, and its keys that the schema does not know.
 struct Parsed {
-    /// Without the settings.
+    /// Without the settings and the list at hand.
     file: File,
+    known: Known,
     settings: Settings,
     keys: BTreeSet<String>,
     unknown: Vec<String>,
@@ -398,7 +406,7 @@
 struct Long {
     settings: Lists,
     /// `known.endpoints`, where they are wanted.
-    endpoints: Option<Vec<Value>>,
+    endpoints: Option<Lines>,
 }
 
 impl Long {
@@ -414,13 +422,13 @@
     fn begin(&mut self, list: &'static str) {
         match list.strip_prefix(Long::SETTINGS) {
             Some(list) => self.settings.begin(list),
-            None => self.endpoints.iter_mut().for_each(Vec::clear),
+            None => self.endpoints.iter_mut().for_each(|lines| *lines = Lines::default()),
         }
     }
     fn item(&mut self, list: &'static str, item: Value) {
         match (list.strip_prefix(Long::SETTINGS), &mut self.endpoints) {
             (Some(list), _) => self.settings.item(list, &item),
-            (None, Some(endpoints)) => endpoints.push(item),
+            (None, Some(lines)) => lines.read(&item),
             (None, None) => {}
         }
     }
@@ -452,7 +460,8 @@
     // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
     let strict = is_toml(path) || !source.sets.is_empty();
     let reading = Reading { strict, digested: want != Want::Errors };
-    let mut long = Long { settings: Lists::new(reading), endpoints: (want != Want::Again).then(Vec::new) };
+    let mut long =
+        Long { settings: Lists::new(reading), endpoints: (want == Want::Start).then(Lines::default) };
     let slim = match strict {
         true => {
             let sifted = sift(whole(source, path)?, &mut long);
@@ -464,7 +473,7 @@
     collect(&slim, "", &mut keys);
     let mut unknown = Vec::new();
     let mut file = shape(slim, path, &mut unknown)?;
-    file.known.endpoints = long.endpoints.unwrap_or_default();
+    let known = Known { index: file.known.index, lines: long.endpoints.map_or_else(Vec::new, Lines::told) };
     let settings = Settings::new(std::mem::take(&mut file.settings), long.settings);
     if strict {
         unknown.extend(settings.unknown().into_iter().map(|key| format!("settings.{key}")));
@@ -472,7 +481,7 @@
     if !is_toml(path) {
         unknown.retain(|key| source.sets.iter().any(|set| set.path == *key));
     }
-    Ok(Parsed { file, settings, keys, unknown })
+    Ok(Parsed { file, known, settings, keys, unknown })
 }
 
 /// Every error of a configuration, one a line; empty where it can be run.
@@ -533,7 +542,7 @@
     }
 
     fn parsed(parsed: Parsed) -> Result<(Node, Settings), NodeError> {
-        let Parsed { file, settings, keys, unknown } = parsed;
+        let Parsed { file, known, settings, keys, unknown } = parsed;
         if !unknown.is_empty() {
             return Err(NodeError::Unknown(unknown));
         }
@@ -557,7 +566,7 @@
             control,
             seed: seed(&file.seed).map_err(NodeError::Settings)?,
             sockets: file.limits.sockets.max(64),
-            known: file.known,
+            known,
             settings: settings.digest(&[]),
             shared: settings.digest(&snapshot::OWN),
             keys,
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -73,7 +73,8 @@
 }
 
 impl Lines {
-    fn read(&mut self, value: &Value) {
+    /// Takes one entry more.
+    pub fn read(&mut self, value: &Value) {
         match Endpoint::read(value) {
             Ok(entry) => self.lines.push(Line::Entry(entry)),
             Err(e) => {
@@ -86,7 +87,7 @@
     }
 
     /// Of those that do not make sense one is logged, with their number: a list may be long.
-    fn told(self) -> Vec<Line> {
+    pub fn told(self) -> Vec<Line> {
         if let Some(sample) = self.sample {
             warn!("{} discovery entries not understood, the first: {sample:.400}", self.unclear);
         }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -30,7 +30,7 @@
 }
 
 /// Gives up tables on a thread of its own: there may be a hundred thousand entries to free. Without one it is done here.
-fn discard(old: impl Send + 'static) {
+pub fn discard(old: impl Send + 'static) {
     let _ = std::thread::Builder::new().name("discard".into()).spawn(move || drop(old));
 }
 
@@ -144,7 +144,9 @@
         }
         change.place(&self.host.names());
         let before = std::mem::replace(&mut self.in_force, change.to.clone());
-        self.keys = Arc::new(node.keys);
+        if *self.keys != node.keys {
+            self.keys = Arc::new(node.keys.clone());
+        }
         self.sockets.set(node.sockets);
         let room = room(node.sockets);
         self.host.pool.limit(room / 2);
@@ -158,7 +160,7 @@
         if let Some((moved, to)) = self.discovery.as_ref().zip(node.discovery) {
             moved.send_if_modified(|at| std::mem::replace(at, to) != to);
         }
-        discard(before); // by now nobody else holds what is only there
+        discard((before, node)); // by now nobody else holds what is only there
         Ok(told)
     }
 }
