--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -1,10 +1,11 @@
 //! What the host keeps between events: requests, attempts, backends, timers and counts.
 
 use super::super::upstream::{Call, Served};
+use imbl::Vector;
 use shaletide::settings::Names;
 use shaletide::*;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -57,6 +58,8 @@
     /// Its line of the list; `None` for one that no list has held yet.
     pub entry: Option<Backend>,
     pub reasons: BTreeSet<Why>,
+    /// The pool knows that no connection to it is to be kept.
+    pub shut: bool,
 }
 
 impl Known {
@@ -111,10 +114,15 @@
 pub struct State {
     pub balancer: Balancer,
     pub names: Names,
-    /// What a second run would do, by class, once settings have changed.
-    pub effects: Vec<Effect>,
+    /// The classes as they stand now, once settings have changed.
+    pub classes: Vector<Class>,
     pub numbers: HashMap<String, BackendId>,
-    pub backends: Vec<Known>,
+    /// By number. No number is ever given again, so that what comes late on one that was forgotten names nothing.
+    pub backends: BTreeMap<BackendId, Known>,
+    /// The next number.
+    pub next: u32,
+    /// Those that the list does not hold.
+    pub unlisted: BTreeSet<BackendId>,
     pub requests: HashMap<RequestId, Live>,
     pub attempts: HashMap<(RequestId, AttemptNo), Flight>,
     pub timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
@@ -135,7 +143,8 @@
             Effect::Keyed(_, window) => Some(*window),
             Effect::Unsafe => Some(Micros(0)),
         };
-        [Some(&live.effect), self.effects.get(live.class.0)].into_iter().flatten().filter_map(window).min()
+        let now = self.classes.get(live.class.0).map(|class| &class.effect);
+        [Some(&live.effect), now].into_iter().flatten().filter_map(window).min()
     }
 
     /// Until when a copy of a keyed request is still dropped, where any other copy may have run or may yet. That one
@@ -152,9 +161,11 @@
         State {
             balancer,
             names,
-            effects: Vec::new(),
+            classes: Vector::new(),
             numbers: HashMap::new(),
-            backends: Vec::new(),
+            backends: BTreeMap::new(),
+            next: 0,
+            unlisted: BTreeSet::new(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
             timers: BinaryHeap::new(),
