Find who makes room in a crowd without asking the kernel of every client

Cause: `close_quietest` asked the kernel (peek) of every client at each choice. They had no time left to take in who came. So not what was read in the code (steps of 20 ms), though on loopback, with clients that never end, these count.

Change: clients are ordered by what was read of them, and the kernel is asked only of the first ones. Who has never brought a request goes before who has. `accept` goes on once a chosen one has begun to part, and need not wait for the other side. At the hard bound 20 ms of silence are enough. Out of descriptors it tries again once someone has left, not after 5 ms in any case.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -16,7 +16,8 @@
 use shaletide::settings::Network;
 use shaletide::*;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io::ErrorKind;
@@ -38,14 +39,17 @@
 const BACKLOG: u32 = 1024;
 /// A head that began and of which nothing more came for so long holds its connection no more where room is needed.
 const HEAD_PAUSE: Duration = Duration::from_secs(1);
-/// One that has just come is not quiet: its request is on its way.
+/// The request of one that has just come is on its way.
 const JUST_NOW: Duration = Duration::from_millis(200);
 /// A peer without a whole head so long after connecting is let go: within three seconds it is owed an end.
 const FIRST_HEAD: Duration = Duration::from_millis(2_500);
-/// What the kernel has is read within this time: a head that came before the end of the wait is not too late.
+/// What the kernel has is read within this time: a head that came before the end of the wait is not too late, and one
+/// who has said nothing for as long came without a request.
 const ONE_TURN: Duration = Duration::from_millis(20);
 /// A connection that was told to end and has not is cut after this time: its client reads nothing.
 const CLOSE_PATIENCE: Duration = Duration::from_secs(1);
+/// Out of descriptors with nobody who leaves, a listener is tried again after this time.
+const RETRY_ACCEPT: Duration = Duration::from_millis(5);
 /// Lines about a failing listener come no faster.
 const ACCEPT_LOG: Micros = Micros(1_000_000);
 
@@ -86,12 +90,43 @@
     close: Notify,
 }
 
+/// Who gives way first where room is needed.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Quiet {
+    /// It has ended but for its other side.
+    Parting,
+    /// It has never brought a request.
+    Silent,
+    /// It is between two requests, or stopped half way in a head.
+    Resting,
+    /// It has just come.
+    New,
+}
+
 impl Client {
-    /// Ends the connection, on which nothing is owed any more, and gives way at once where room is needed.
-    async fn part(&self) {
+    /// Nothing is owed on it any more.
+    fn done(&self) {
         self.parting.set(true);
         self.busy.set(false);
         self.leaving.set(false);
+    }
+
+    /// How it is quiet and since when, as far as this side has read: the kernel is asked of none but the one chosen.
+    fn quiet(&self, now: Instant, since: Instant) -> Option<(Quiet, Instant)> {
+        if self.busy.get() || self.leaving.get() {
+            return None;
+        }
+        match self.stream.heard_at() {
+            _ if self.parting.get() => Some((Quiet::Parting, since)),
+            Some(at) => (now - at >= HEAD_PAUSE).then_some((Quiet::Resting, at)),
+            None if !self.fresh.get() => Some((Quiet::Resting, since)),
+            None if now - since >= JUST_NOW => Some((Quiet::Silent, since)),
+            None => Some((Quiet::New, since)),
+        }
+    }
+
+    /// Ends the connection and gives way at once where room is needed.
+    async fn part(&self) {
         let room_needed = async {
             while !self.leaving.get() {
                 self.close.notified().await; // a shutdown notifies as well
@@ -231,46 +266,46 @@
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         while self.clients() >= self.max.get() + OVER_BOUND {
             // Until it has gone, who was told to go still holds a descriptor, and a queue of others would take the rest.
-            self.close_quietest(JUST_NOW);
-            let _ = tokio::time::timeout(Duration::from_millis(20), self.left.notified()).await;
+            self.close_quietest(ONE_TURN);
+            let _ = tokio::time::timeout(ONE_TURN, self.left.notified()).await;
         }
         match listener.accept().await {
             Ok((tcp, _)) => self.take_in(tcp),
+            Err(e) if e.kind() == ErrorKind::ConnectionAborted => {} // it left in the queue
             Err(e) => {
-                // Out of descriptors, or a client that left in the queue: never the end of the program.
-                let made_room = self.close_quietest(Duration::ZERO) || self.host.pool.close_oldest();
+                // Out of descriptors: never the end of the program.
                 let now = self.host.clock.now();
                 if now - self.told.get() >= ACCEPT_LOG {
                     self.told.set(now);
                     warn!("accept: {e}; {} clients, {} upstreams", self.clients(), self.host.pool.open());
                 }
-                if !made_room || e.kind() != ErrorKind::ConnectionAborted {
-                    tokio::time::sleep(Duration::from_millis(5)).await;
+                if self.close_quietest(Duration::ZERO) || !self.host.pool.close_oldest() {
+                    let _ = tokio::time::timeout(RETRY_ACCEPT, self.left.notified()).await;
                 }
             }
         }
     }
 
-    /// One that has ended but for its other side leaves, else the one that was quiet longest: between requests,
-    /// before its first and that for `least` at least, or stopped half way in a head.
+    /// Lets one go, of those who have been there for `least` at least: the first kind of the quiet that there is,
+    /// and of these the one that was quiet longest.
     fn close_quietest(&self, least: Duration) -> bool {
         let now = Instant::now();
         let clients = self.clients.borrow();
-        let quiet = |c: &&Rc<Client>| match c.stream.stopped_since() {
-            _ if c.parting.get() => Some(self.host.clock.instant(c.since.get())),
-            Some(at) => (now - at >= HEAD_PAUSE).then_some(at),
-            None => {
-                let since = self.host.clock.instant(c.since.get());
-                let early = c.fresh.get() && now - since < least;
-                (!early && !c.stream.stirred()).then_some(since)
+        let quiet = clients.iter().filter_map(|(key, client)| {
+            let (kind, at) = client.quiet(now, self.host.clock.instant(client.since.get()))?;
+            (kind != Quiet::New || now - at >= least).then_some(Reverse((kind, at, *key)))
+        });
+        // The kernel is asked one by one: to ask it of all of a crowd at each accept costs more than the accepts.
+        let mut quiet: BinaryHeap<_> = quiet.collect();
+        while let Some(Reverse((kind, _, key))) = quiet.pop() {
+            let client = &clients[&key];
+            if kind == Quiet::Parting || !client.stream.unread() {
+                client.leaving.set(true); // another call at the same moment chooses another
+                client.close.notify_one();
+                return true;
             }
-        };
-        let free = clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
-        let quietest = free.filter_map(|c| quiet(&c).map(|at| ((!c.parting.get(), at), c)));
-        let Some((_, client)) = quietest.min_by_key(|(order, _)| *order) else { return false };
-        client.leaving.set(true); // another call at the same moment chooses another
-        client.close.notify_one();
-        true
+        }
+        false
     }
 
     fn take_in(self: &Rc<Self>, tcp: TcpStream) {
@@ -287,6 +322,8 @@
         let server = self.clone();
         tokio::task::spawn_local(async move {
             server.serve(&client).await;
+            client.done();
+            server.left.notify_one(); // whoever waits for room need not wait for the other side
             client.part().await;
             server.clients.borrow_mut().remove(&key);
             server.left.notify_one();
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -1,5 +1,6 @@
 //! What meets between two steps of the server that no other process can part.
 
+use super::super::stream::tests::ASKED;
 use super::*;
 use std::io::{Read, Write};
 
@@ -96,3 +97,59 @@
         assert!(heard(&mut resting, "ready\n").await.0.ends_with("ready\n"), "the other stays");
     });
 }
+
+/// To find who gives way in a crowd, the kernel is asked of who is chosen and of who has a request waiting, and of none
+/// twice: to ask it of everyone for each that comes leaves no processor time to take them in.
+#[test]
+fn a_crowd_makes_room_without_the_kernel_being_asked_of_everyone() {
+    const CROWD: usize = 100;
+    with_server(async |server, listener| {
+        let mut asking = client(&server, &listener).await;
+        asking.write_all(READY).unwrap();
+        let mut silent = Vec::new();
+        for _ in 0..CROWD {
+            silent.push(client(&server, &listener).await);
+        }
+        let before = ASKED.get();
+        assert!((0..8).all(|_| server.close_quietest(Duration::ZERO)));
+        assert_eq!(ASKED.get() - before, 8 + 8, "one with a request, at each, and one that goes");
+        let (answer, _) = heard(&mut asking, "ready\n").await;
+        assert!(answer.ends_with("ready\n"), "{answer}");
+        for gone in &mut silent[..8] {
+            assert_eq!(heard(gone, "").await, (String::new(), true));
+        }
+    });
+}
+
+/// One that has rested longer is kept where another has never said a word.
+#[test]
+fn who_has_brought_a_request_stays_before_who_is_silent() {
+    with_server(async |server, listener| {
+        let mut resting = client(&server, &listener).await;
+        resting.write_all(READY).unwrap();
+        heard(&mut resting, "ready\n").await;
+        let mut silent = client(&server, &listener).await;
+        tokio::time::sleep(JUST_NOW).await; // so long it may be on its way
+        assert!(server.close_quietest(JUST_NOW));
+        assert_eq!(heard(&mut silent, "").await, (String::new(), true));
+        resting.write_all(READY).unwrap();
+        assert!(heard(&mut resting, "ready\n").await.0.ends_with("ready\n"));
+    });
+}
+
+/// A chosen one is out of the way with its turn, though its other side never ends.
+#[test]
+fn room_is_made_without_waiting_for_the_other_side() {
+    with_server(async |server, listener| {
+        let mut silent = Vec::new();
+        for _ in 0..8 + OVER_BOUND {
+            silent.push(client(&server, &listener).await);
+        }
+        assert!(server.close_quietest(Duration::ZERO));
+        server.left.notified().await; // it parts
+        assert_eq!(server.clients(), 8 + OVER_BOUND, "its other side has not ended");
+        assert!(server.close_quietest(Duration::ZERO));
+        server.left.notified().await;
+        assert_eq!(server.clients(), 8 + OVER_BOUND - 1);
+    });
+}
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -131,9 +131,14 @@
         self.0.heard.set(false);
     }
 
+    /// When the last bytes since `mark_idle` were read, if any were.
+    pub fn heard_at(&self) -> Option<Instant> {
+        self.0.heard.get().then(|| self.0.at.get())
+    }
+
     /// The other side began something and has said nothing more since that time; nothing waits in the kernel.
     pub fn stopped_since(&self) -> Option<Instant> {
-        (self.0.heard.get() && !self.unread()).then(|| self.0.at.get())
+        self.heard_at().filter(|_| !self.unread())
     }
 
     /// Bytes came since `mark_idle`, or wait in the kernel, or the other side has closed. Asks the kernel
@@ -144,6 +149,8 @@
 
     /// Bytes wait in the kernel, or the other side has closed.
     pub fn unread(&self) -> bool {
+        #[cfg(test)]
+        tests::ASKED.with(|asked| asked.set(asked.get() + 1));
         let mut byte = [std::mem::MaybeUninit::uninit()];
         let quiet = |e: io::Error| e.kind() == io::ErrorKind::WouldBlock;
         !socket2::SockRef::from(&self.0.tcp).peek(&mut byte).is_err_and(quiet)
@@ -197,4 +204,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub mod tests;
--- a/src/net/stream/tests.rs
+++ b/src/net/stream/tests.rs
@@ -1,6 +1,11 @@
 use super::*;
 use std::io::{Read as _, Write as _};
 
+thread_local! {
+    /// How often the kernel was asked for what waits unread.
+    pub static ASKED: Cell<usize> = const { Cell::new(0) };
+}
+
 async fn pair() -> (Stream, std::net::TcpStream) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let tcp = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -3,6 +3,8 @@
 
 mod rig;
 
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
 use rig::*;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -253,6 +255,46 @@
     }
 }
 
+/// A thousand connections that never speak and never end, more than the descriptors allow, and clients with requests
+/// among them, most in the listener's queue at once: the queue moves on however slowly the crowd leaves, and each request
+/// is answered within its client's time.
+#[test]
+fn clients_among_a_silent_crowd_are_answered_in_time() {
+    const SILENT: usize = 1000;
+    const ASKING: usize = 40;
+    const LEFT: Duration = Duration::from_secs(1);
+    let backend = BackendServer::start(|_| ok("x"));
+    let known = [entry("b0", backend.address, "SERVING")];
+    let proxy = Proxy::launched(&known, SOCKETS, SETTINGS, SOCKETS);
+    let most = Most::of(proxy.child.id());
+    let mut dice = Pcg32::seed_from_u64(28);
+    let connect = || TcpStream::connect(proxy.address).unwrap();
+    let mut silent: Vec<TcpStream> = (0..SOCKETS).map(|_| connect()).collect();
+    assert_eq!(proxy.ask(&read(3.0)).status(), 200, "behind a crowd that was taken in");
+    proxy.hold();
+    let mut asking = Vec::new();
+    while silent.len() < SILENT || asking.len() < ASKING {
+        let (quiet, loud) = (SILENT - silent.len(), ASKING - asking.len());
+        if (dice.next_u32() as usize) % (quiet + loud) < quiet {
+            silent.push(connect());
+        } else {
+            let mut client = proxy.client();
+            client.send(&read(LEFT.as_secs_f64()));
+            asking.push(client);
+        }
+    }
+    let from = Instant::now();
+    proxy.go_on();
+    for client in &mut asking {
+        let status = client.answer().map(|answer| answer.status());
+        assert_eq!((status, from.elapsed() < LEFT), (Some(200), true), "after {:?}", from.elapsed());
+    }
+    eprintln!("all answered after {:?}", from.elapsed());
+    assert_eq!(backend.count() as usize, 1 + ASKING);
+    assert!(most.seen.load(Ordering::SeqCst) <= SOCKETS as usize);
+    assert_eq!(proxy.logged("accept:"), 0);
+}
+
 /// Fewer descriptors than the process is told of, all taken by clients that are still sending: neither listener fills the
 /// log or the processor, and operators are heard once there is room.
 #[test]
