Take settings in the module by the classes that come and go

They change by the classes that are retired, revived or new, as a class in use keeps its rules under its number.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 use crate::interface::*;
 use crate::peers::{Group, Load, Peers};
 use crate::state::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The shares are solved this often, s: far faster than the rate's memory.
 const SOLVE_EVERY: f64 = 0.1;
@@ -153,8 +153,8 @@
     kinds: BTreeMap<KindId, Kind>,
     zones: BTreeMap<ZoneId, Zone>,
     classes: Vec<ClassState>,
-    /// Some class in use is free to repeat.
-    any_free: bool,
+    /// Classes in use that are free to repeat.
+    free: usize,
     /// Classes in use whose usual answer is not well inside its aim.
     tight: usize,
     overall: Mean,
@@ -200,7 +200,7 @@
             kinds: BTreeMap::new(),
             zones: BTreeMap::new(),
             classes: cfg.classes.iter().map(|_| ClassState { live: true, ..Default::default() }).collect(),
-            any_free: false,
+            free: 0,
             tight: 0,
             overall: Mean::default(),
             errors: Mean::default(),
@@ -292,6 +292,7 @@
             self.actions.push(Action::SetTimer { token: TimerToken(self.timer.0), after });
         }
         actions.append(&mut self.actions);
+        debug_assert_eq!((self.free, self.tight), self.sums(&self.numbers()), "sums of classes went astray");
     }
 
     /// What was learned and outlives a second, for a later process of this proxy (see [`Memory`]).
@@ -375,6 +376,12 @@
         if classes < self.classes.len() || tenants < self.cfg.tenants.len() {
             return self.log(now, "settings not taken".into());
         }
+        // A class in use keeps its rules under its number: only those that come or go change the sums.
+        let come_or_go = turned.iter().flat_map(|(ids, _)| ids.iter().map(|id| id.0));
+        let new = self.classes.len()..classes;
+        let touched: BTreeSet<usize> = come_or_go.filter(|n| *n < classes).chain(new).collect();
+        let (free, tight) = self.sums(&touched);
+        (self.free, self.tight) = (self.free - free, self.tight - tight);
         self.classes.resize_with(classes, || ClassState { live: true, ..Default::default() });
         for (new, old) in heirs {
             let latency = self.classes.get(old.0).map(|s| s.latency);
@@ -387,15 +394,27 @@
             self.peers.retune();
         }
         (self.cfg, self.solve_at, self.look_at) = (cfg, now, now);
-        self.sum_up();
+        let (free, tight) = self.sums(&touched);
+        (self.free, self.tight) = (self.free + free, self.tight + tight);
+    }
+
+    /// How many of these classes, as far as in use, may be repeated at will, and how many are tight: kept of
+    /// all together, so that no request has to go through them.
+    fn sums<'a>(&self, classes: impl IntoIterator<Item = &'a usize>) -> (usize, usize) {
+        let live = classes.into_iter().filter(|n| self.classes.get(**n).is_some_and(|s| s.live));
+        live.fold((0, 0), |(free, tight), n| {
+            let repeats = self.cfg.classes[*n].effect == Effect::Free;
+            (free + usize::from(repeats), tight + usize::from(!self.quick(*n)))
+        })
     }
 
-    /// What is kept of all classes together, so that no request has to go through them.
+    /// The same of all.
     fn sum_up(&mut self) {
-        let add = |(free, tight), (n, c): (usize, &Class)| {
-            (free || c.effect == Effect::Free, tight + usize::from(!self.quick(n)))
-        };
-        (self.any_free, self.tight) = self.live().fold((false, 0), add);
+        (self.free, self.tight) = self.sums(&self.numbers());
+    }
+
+    fn numbers(&self) -> Vec<usize> {
+        (0..self.classes.len()).collect()
     }
 
     fn request(&mut self, now: Time, new: Arrival) {
@@ -925,7 +944,7 @@
         self.peers.settle(now, &self.cfg);
         let mut sure = BTreeMap::new();
         let mut cold = |at: usize| self.budget(now, at, &mut sure) < work * (1.0 - self.peers.loads[at].coin);
-        if r.sent.is_empty() && (effect == Effect::Free || !self.any_free) {
+        if r.sent.is_empty() && (effect == Effect::Free || self.free == 0) {
             // Its term is over: one request at a time that may fail without harm tries it.
             let mut tries = |at: usize| {
                 let (p, l) = (self.peers.record(at), &self.peers.loads[at]);
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -73,6 +73,32 @@
     assert!(ids.iter().all(|id| host.requests[id].answer == Some("served")));
 }
 
+/// Classes whose answers come late in their aim leave, come anew with what was learned of the old one, and come back:
+/// after each event the module holds its sums over all classes against the classes themselves (a debug assertion).
+#[test]
+fn sums_over_classes_follow_those_that_come_and_go() {
+    let mut host = Host::new(config(), 6);
+    host.members(ListUpdate::Full, (0..6).map(|n| backend(n, 0, 0)).collect());
+    for _ in 0..10 {
+        host.burst(3, 1, 400_000);
+        host.serve_all(300_000);
+    }
+    let taken = |retired: usize, revived: usize, heirs| Event::Settings {
+        config: Box::new(Config { max_attempts: 3, ..changed() }.checked().unwrap()),
+        retired: vec![ClassId(retired)],
+        revived: if revived < 2 { vec![ClassId(revived)] } else { Vec::new() },
+        heirs,
+    };
+    host.cfg = changed();
+    host.event(taken(1, 2, vec![(ClassId(2), ClassId(1))]));
+    host.event(taken(2, 1, Vec::new()));
+    host.event(taken(1, 2, Vec::new()));
+    host.event(taken(0, 1, Vec::new()));
+    let ids = host.burst(2, 1, 400_000);
+    host.serve_all(20_000);
+    assert!(ids.iter().all(|id| host.requests[id].answer == Some("served")));
+}
+
 #[test]
 fn settings_that_forget_a_number_are_not_taken() {
     let mut host = host(5);
