--- a/benches/tables.rs
+++ b/benches/tables.rs
@@ -193,7 +193,7 @@
     let begun = Instant::now();
     let started = std::panic::catch_unwind(|| Proxy::with(&known, 1024, &settings(size, 1.0)));
     let Ok(proxy) = started else {
-        println!("| {name} | refused | | | | | | | | |");
+        println!("| {name} | refused | | | | | | | | | |");
         return;
     };
     let ready = begun.elapsed().as_secs_f64();
@@ -208,6 +208,7 @@
     let each = (used(&proxy) - spent) / took.len() as f64;
     let rate = took.len() as f64 / clock.elapsed().as_secs_f64();
     took.sort_by(f64::total_cmp);
+    let loaded = resident(&proxy);
     let still = quiet(&proxy, size);
     let same = std::fs::read_to_string(&proxy.config).unwrap();
     let with_same = reload(&proxy, size, &same);
@@ -219,7 +220,7 @@
     let with_other = reload(&proxy, size, &other);
     std::thread::sleep(AROUND);
     println!(
-        "| {name} | {ready:.2} | {at_start:.1} | {:.1} | {still:.1} | {with_same} | {with_other} | {rate:.0} | \
+        "| {name} | {ready:.2} | {at_start:.1} | {loaded:.1} | {:.1} | {still:.1} | {with_same} | {with_other} | {rate:.0} | \
          {:.2} / {:.2} | {each:.3} |",
         resident(&proxy),
         percentile(&took, 0.5),
@@ -231,10 +232,10 @@
     let named: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with("--")).collect();
     let servers: Vec<BackendServer> = (0..SERVERS).map(|_| BackendServer::start(|_| ok("x"))).collect();
     println!(
-        "| state | ready, s | resident, MB | after two reloads | slowest request: no reload, ms | same file (taken after, step) | \
+        "| state | ready, s | resident, MB | after the load | after two reloads | slowest request: no reload, ms | same file (taken after, step) | \
          one entry changed (the same) | requests a second | p50 / p99, ms | processor a request, ms |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let states = states(&named);
     states.iter().for_each(|(name, size)| run(name, *size, &servers));
     println!("\n| state | one amended entry, ms: p50 | p99 | most of {AMENDMENTS} |");
