--- a/src/peers.rs
+++ b/src/peers.rs
@@ -384,6 +384,15 @@
     fn add(&mut self, fresh: BTreeMap<BackendId, Backend>) {
         let last = self.ids.last().copied();
         let behind = fresh.keys().next() > last.as_ref();
+        // A whole fleet comes at once: room for it and not for twice as many.
+        let more = fresh.len();
+        self.ids.reserve(more);
+        self.records.reserve(more);
+        self.loads.reserve(more);
+        self.pull.reserve(more);
+        self.slice.reserve(more);
+        self.marks.reserve(more);
+        self.order.reserve(more);
         for (id, entry) in fresh {
             let (kind, zone) = (entry.kind, entry.zone);
             self.order.push(self.ids.len() as u32);
