--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: what this proxy is told at its start, as JSON by the platform or as TOML by operators.
 
-use super::list::List;
+use super::list::{Line, Lines, List};
 use super::snapshot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -9,13 +9,15 @@
 use shaletide::Micros;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::fs;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
-/// A longer file is refused unread: five times a fleet of 25,000 backends, 21,000 classes and 130,000 tenants.
+/// A longer file is refused: five times a fleet of 25,000 backends, 21,000 classes and 130,000 tenants.
 const MOST: u64 = 64 * 1024 * 1024;
+const READ_AT_ONCE: usize = 32 * 1024;
 
 /// Where the configuration comes from.
 #[derive(Clone, Debug, Default)]
@@ -67,6 +69,13 @@
     }
 }
 
+/// The list at hand at the start, which a file read again leaves alone.
+#[derive(Default)]
+pub struct Known {
+    pub index: u64,
+    pub lines: Vec<Line>,
+}
+
 /// Everything that the program starts with.
 pub struct Node {
     pub name: String,
@@ -79,7 +88,7 @@
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// The list as this proxy last had it.
-    pub known: List,
+    pub known: Known,
     /// Digest of the settings.
     pub settings: [u8; 32],
     /// The same of what the proxies of one fleet share of them.
@@ -309,8 +318,9 @@
 
 /// A file that has the schema's shape, and its keys that the schema does not know.
 struct Parsed {
-    /// Without the settings.
+    /// Without the settings and the list at hand.
     file: File,
+    known: Known,
     settings: Settings,
     keys: BTreeSet<String>,
     unknown: Vec<String>,
@@ -320,22 +330,73 @@
     path.extension().is_some_and(|e| e == "toml")
 }
 
-/// The file's text, and never more of it than a configuration may be long.
-fn text(path: &Path) -> io::Result<String> {
-    let mut text = String::new();
-    std::fs::File::open(path)?.take(MOST + 1).read_to_string(&mut text)?;
-    match text.len() as u64 <= MOST {
-        true => Ok(text),
-        false => Err(io::Error::other(format!("over {MOST} bytes"))),
+/// A file's bytes as they are read: text, and never more of it than a configuration may be long.
+struct Text<R> {
+    inner: R,
+    left: u64,
+    /// The first bytes of a character whose others are still to come.
+    begun: Vec<u8>,
+}
+
+impl Text<fs::File> {
+    fn open(path: &Path) -> io::Result<Text<fs::File>> {
+        Ok(Text { inner: fs::File::open(path)?, left: MOST, begun: Vec::new() })
     }
 }
 
+impl<R: Read> Text<R> {
+    /// Goes on with a piece; false where it cannot be text.
+    fn goes_on(&mut self, piece: &[u8]) -> bool {
+        let joined = [&self.begun[..], piece].concat();
+        let (sound, broken) = match std::str::from_utf8(&joined) {
+            Ok(_) => (joined.len(), false),
+            Err(e) => (e.valid_up_to(), e.error_len().is_some() || piece.is_empty()),
+        };
+        self.begun = joined[sound..].to_vec();
+        !broken
+    }
+}
+
+impl<R: Read> Read for Text<R> {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        let length = self.inner.read(to)?;
+        self.left = match self.left.checked_sub(length as u64) {
+            Some(left) => left,
+            None => return Err(io::Error::other(format!("over {MOST} bytes"))),
+        };
+        match self.goes_on(&to[..length]) {
+            true => Ok(length),
+            false => Err(io::Error::new(io::ErrorKind::InvalidData, "stream did not contain valid UTF-8")),
+        }
+    }
+}
+
+/// The whole of it.
+fn text(path: &Path) -> Result<String, NodeError> {
+    let mut text = String::new();
+    let read = Text::open(path).and_then(|mut file| file.read_to_string(&mut text));
+    read.map(|_| text).map_err(|e| NodeError::Unreadable(path.into(), e))
+}
+
+/// JSON as it is read, with its long lists taken out: the text is never in memory as a whole.
+fn stream(path: &Path, long: &mut Long) -> Result<Value, NodeError> {
+    let unreadable = |e| NodeError::Unreadable(path.into(), e);
+    let file = Text::open(path).map_err(unreadable)?;
+    let mut reader = serde_json::Deserializer::from_reader(io::BufReader::with_capacity(READ_AT_ONCE, file));
+    let sifted = sift(&mut reader, long).and_then(|value| reader.end().map(|()| value));
+    sifted.map_err(|e| match e.is_io() {
+        true => unreadable(e.into()),
+        false => NodeError::Malformed(path.into(), e.to_string()),
+    })
+}
+
 /// The file's value with what is put into it.
-fn whole(source: &Source, path: &Path, text: &str) -> Result<Value, NodeError> {
+fn whole(source: &Source, path: &Path) -> Result<Value, NodeError> {
+    let text = text(path)?;
     let malformed = |e: String| NodeError::Malformed(path.into(), e);
     let mut whole: Value = match is_toml(path) {
-        true => toml::from_str(text).map_err(|e| malformed(e.to_string()))?,
-        false => serde_json::from_str(text).map_err(|e| malformed(e.to_string()))?,
+        true => toml::from_str(&text).map_err(|e| malformed(e.to_string()))?,
+        false => serde_json::from_str(&text).map_err(|e| malformed(e.to_string()))?,
     };
     source.sets.iter().try_for_each(|set| set.put(&mut whole)).map_err(NodeError::Set)?;
     Ok(whole)
@@ -345,7 +406,7 @@
 struct Long {
     settings: Lists,
     /// `known.endpoints`, where they are wanted.
-    endpoints: Option<Vec<Value>>,
+    endpoints: Option<Lines>,
 }
 
 impl Long {
@@ -361,13 +422,13 @@
     fn begin(&mut self, list: &'static str) {
         match list.strip_prefix(Long::SETTINGS) {
             Some(list) => self.settings.begin(list),
-            None => self.endpoints.iter_mut().for_each(Vec::clear),
+            None => self.endpoints.iter_mut().for_each(|lines| *lines = Lines::default()),
         }
     }
     fn item(&mut self, list: &'static str, item: Value) {
         match (list.strip_prefix(Long::SETTINGS), &mut self.endpoints) {
             (Some(list), _) => self.settings.item(list, &item),
-            (None, Some(endpoints)) => endpoints.push(item),
+            (None, Some(lines)) => lines.read(&item),
             (None, None) => {}
         }
     }
@@ -396,24 +457,23 @@
 
 fn parse(source: &Source, want: Want) -> Result<Parsed, NodeError> {
     let path = source.file.as_ref().ok_or(NodeError::Unset)?;
-    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
     // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
     let strict = is_toml(path) || !source.sets.is_empty();
     let reading = Reading { strict, digested: want != Want::Errors };
-    let mut long = Long { settings: Lists::new(reading), endpoints: (want != Want::Again).then(Vec::new) };
-    let sifted = if strict {
-        sift(whole(source, path, &text)?, &mut long)
-    } else {
-        let mut reader = serde_json::Deserializer::from_str(&text);
-        sift(&mut reader, &mut long).and_then(|value| reader.end().map(|()| value))
+    let mut long =
+        Long { settings: Lists::new(reading), endpoints: (want == Want::Start).then(Lines::default) };
+    let slim = match strict {
+        true => {
+            let sifted = sift(whole(source, path)?, &mut long);
+            sifted.map_err(|e| NodeError::Malformed(path.clone(), e.to_string()))?
+        }
+        false => stream(path, &mut long)?,
     };
-    drop(text);
-    let slim = sifted.map_err(|e| NodeError::Malformed(path.clone(), e.to_string()))?;
     let mut keys = BTreeSet::new();
     collect(&slim, "", &mut keys);
     let mut unknown = Vec::new();
     let mut file = shape(slim, path, &mut unknown)?;
-    file.known.endpoints = long.endpoints.unwrap_or_default();
+    let known = Known { index: file.known.index, lines: long.endpoints.map_or_else(Vec::new, Lines::told) };
     let settings = Settings::new(std::mem::take(&mut file.settings), long.settings);
     if strict {
         unknown.extend(settings.unknown().into_iter().map(|key| format!("settings.{key}")));
@@ -421,7 +481,7 @@
     if !is_toml(path) {
         unknown.retain(|key| source.sets.iter().any(|set| set.path == *key));
     }
-    Ok(Parsed { file, settings, keys, unknown })
+    Ok(Parsed { file, known, settings, keys, unknown })
 }
 
 /// Every error of a configuration, one a line; empty where it can be run.
@@ -440,8 +500,7 @@
 /// The configuration in force as TOML, with its defaults.
 pub fn show(source: &Source) -> Result<String, NodeError> {
     let path = source.file.as_ref().ok_or(NodeError::Unset)?;
-    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-    let file = shape(whole(source, path, &text)?, path, &mut Vec::new())?;
+    let file = shape(whole(source, path)?, path, &mut Vec::new())?;
     let failed = |e: String| NodeError::Malformed(path.clone(), e);
     // Through a table, which puts plain values before the tables inside it.
     let table = toml::Table::try_from(&file).map_err(|e| failed(e.to_string()))?;
@@ -483,7 +542,7 @@
     }
 
     fn parsed(parsed: Parsed) -> Result<(Node, Settings), NodeError> {
-        let Parsed { file, settings, keys, unknown } = parsed;
+        let Parsed { file, known, settings, keys, unknown } = parsed;
         if !unknown.is_empty() {
             return Err(NodeError::Unknown(unknown));
         }
@@ -507,7 +566,7 @@
             control,
             seed: seed(&file.seed).map_err(NodeError::Settings)?,
             sockets: file.limits.sockets.max(64),
-            known: file.known,
+            known,
             settings: settings.digest(&[]),
             shared: settings.digest(&snapshot::OWN),
             keys,
