Check in debug builds that what is kept beside the backends' records says what they do

Need: counts, sets and weights are derived from records; a change that forgets to mark one would show only as a slightly wrong draw. Change: after every event, with up to 200 backends, a debug assertion derives all of it anew and compares. Leaving out the mark as a backend is put to rest, or the reset of the count of attempts as places change, fails it.

--- a/src/peers.rs
+++ b/src/peers.rs
@@ -270,6 +270,31 @@
         self.stale.push(at as u32);
     }
 
+    /// Whether what is kept beside the records says what they do, but for those that are to be read again.
+    pub fn sound(&self) -> bool {
+        let stale: BTreeSet<u32> = self.stale.iter().copied().collect();
+        let mut all = self.records.iter().zip(&self.loads).enumerate();
+        let same = all.all(|(at, (p, l))| {
+            let (n, g) = (at as u32, &self.groups[l.group as usize]);
+            let placed = p.entry.id == self.ids[at]
+                && (p.entry.kind, p.entry.zone, p.entry.mark) == (l.kind, l.zone, self.marks[at])
+                && (g.kind, self.zones[l.place as usize]) == (l.kind, l.zone)
+                && g.members[l.weigh_at as usize] == n;
+            let read = (p.out, p.silent, p.ejected.is_some(), self.offered(p), 1.0 - p.errors)
+                == (l.out, l.silent, l.ejected, l.offered, l.health)
+                && l.counted == if l.ready > 0.0 && !l.silent { l.out } else { 0 }
+                && g.weights[l.weigh_at as usize]
+                    == if !l.odd && self.fits(at, false) { self.weight(at) } else { 0.0 };
+            let sets = (l.out > 0, l.ejected, l.odd)
+                == (self.busy.contains(&n), self.ejected.contains(&n), self.odd.contains(&n));
+            placed && sets && (read || stale.contains(&n))
+        });
+        let counted: u64 = self.loads.iter().map(|l| u64::from(l.counted)).sum();
+        let open = |g: &Group| g.open == g.weights.iter().filter(|w| **w > 0.0).count();
+        let marks = self.order.iter().map(|at| (self.marks[*at as usize], *at));
+        same && counted == self.in_use && self.groups.iter().all(open) && marks.is_sorted()
+    }
+
     /// Which kinds have one to draw.
     pub fn open_kinds(&self) -> impl Iterator<Item = (usize, KindId)> + '_ {
         self.groups.iter().enumerate().filter(|(_, g)| g.open > 0).map(|(n, g)| (n, g.kind))
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -292,6 +292,10 @@
             self.actions.push(Action::SetTimer { token: TimerToken(self.timer.0), after });
         }
         actions.append(&mut self.actions);
+        debug_assert!(
+            self.peers.len() > 200 || self.peers.sound(),
+            "what is kept of the backends went astray"
+        );
         debug_assert_eq!((self.free, self.tight), self.sums(&self.numbers()), "sums of classes went astray");
     }
 
