--- a/src/peers.rs
+++ b/src/backends.rs
@@ -3,7 +3,8 @@
 //! No decisions.
 
 use crate::interface::*;
-use crate::state::{Dice, Peer};
+use crate::rules;
+use crate::state::{Dice, Record};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What each look over all backends reads of one: what its record says, and what was last solved for it.
@@ -11,7 +12,7 @@
 pub(crate) struct Load {
     pub kind: KindId,
     pub zone: ZoneId,
-    /// Which of [`Peers::groups`] and which of [`Peers::zones`] it is in.
+    /// Which of [`Backends::groups`] and which of [`Backends::zones`] it is in.
     pub group: u32,
     pub place: u32,
     /// Its place among its group's weights.
@@ -54,9 +55,9 @@
 
 /// All backends, by number.
 #[derive(Default)]
-pub(crate) struct Peers {
+pub(crate) struct Backends {
     ids: Vec<BackendId>,
-    records: Vec<Peer>,
+    records: Vec<Record>,
     pub loads: Vec<Load>,
     /// Each one's part of this proxy's traffic.
     pub pull: Vec<f64>,
@@ -88,7 +89,7 @@
     seated: (u32, u32),
 }
 
-impl Peers {
+impl Backends {
     pub fn len(&self) -> usize {
         self.ids.len()
     }
@@ -102,25 +103,25 @@
         self.ids[at]
     }
 
-    pub fn record(&self, at: usize) -> &Peer {
+    pub fn record(&self, at: usize) -> &Record {
         &self.records[at]
     }
 
-    pub fn get(&self, id: BackendId) -> Option<&Peer> {
+    pub fn get(&self, id: BackendId) -> Option<&Record> {
         self.find(id).map(|at| &self.records[at])
     }
 
     /// To change; its load follows.
-    pub fn get_mut(&mut self, id: BackendId) -> Option<&mut Peer> {
+    pub fn get_mut(&mut self, id: BackendId) -> Option<&mut Record> {
         self.find(id).map(|at| self.record_mut(at))
     }
 
-    pub fn record_mut(&mut self, at: usize) -> &mut Peer {
+    pub fn record_mut(&mut self, at: usize) -> &mut Record {
         self.stale.push(at as u32);
         &mut self.records[at]
     }
 
-    pub fn records(&self) -> impl Iterator<Item = (BackendId, &Peer)> {
+    pub fn records(&self) -> impl Iterator<Item = (BackendId, &Record)> {
         self.ids.iter().copied().zip(self.records.iter())
     }
 
@@ -137,7 +138,7 @@
         let Some(at) = self.find(id) else { return };
         let p = self.record_mut(at);
         let (entry, spent, out) = (std::mem::take(&mut p.entry), std::mem::take(&mut p.spent), p.out);
-        *p = Peer { entry, spent, out, back, ..Peer::default() };
+        *p = Record { entry, spent, out, back, ..Record::default() };
         let l = &mut self.loads[at];
         (l.ready, l.room, l.due, l.coin) = (0.0, 0.0, 0.0, 0.0);
         (self.pull[at], self.slice[at]) = (0.0, 0.0);
@@ -154,7 +155,7 @@
     }
 
     /// Listed as ready, and not taken out by hand.
-    pub fn offered(&self, p: &Peer) -> bool {
+    pub fn offered(&self, p: &Record) -> bool {
         p.entry.state == BackendState::Ready && !self.withdrawn.contains(&p.entry.id)
     }
 
@@ -164,7 +165,7 @@
     }
 
     /// All, with what is kept of each.
-    pub fn each(&mut self) -> impl Iterator<Item = (&mut Load, &Peer)> {
+    pub fn each(&mut self) -> impl Iterator<Item = (&mut Load, &Record)> {
         self.loads.iter_mut().zip(self.records.iter())
     }
 
@@ -203,8 +204,7 @@
         let anew = self.seated != (position, proxies);
         self.seated = (position, proxies);
         for (l, mark) in self.loads.iter_mut().zip(&self.marks).filter(|(l, _)| anew || l.coin == 0.0) {
-            let turn = mark.wrapping_add(u64::from(position));
-            l.coin = ((turn % u64::from(proxies)) as f64 + 0.5) / f64::from(proxies);
+            l.coin = rules::coin(*mark, position, proxies);
         }
     }
 
@@ -233,7 +233,7 @@
     /// What follows from its load.
     fn reckon(&mut self, at: usize, now: Time) {
         let l = &mut self.loads[at];
-        let used = if l.ready > 0.0 && !l.silent { l.out } else { 0 };
+        let used = rules::crowding(l);
         self.in_use = self.in_use + u64::from(used) - u64::from(l.counted);
         l.counted = used;
         let odd = now < l.plain_at;
@@ -245,14 +245,12 @@
 
     /// Whether it may hold one more, of half of its room or all.
     pub fn fits(&self, at: usize, half: bool) -> bool {
-        let l = &self.loads[at];
-        let room = if half { (l.room / 2.0).ceil() } else { l.room };
-        l.offered && !l.silent && l.ready > 0.0 && f64::from(l.out) < room
+        rules::fits(&self.loads[at], half)
     }
 
     /// What it weighs in a draw: its slice, and for the rest a last resort.
     pub fn weight(&self, at: usize) -> f64 {
-        self.slice[at] + self.pull[at] * 1e-6
+        rules::weight(self.slice[at], self.pull[at])
     }
 
     /// Lets it weigh so much.
@@ -282,7 +280,7 @@
                 && g.members[l.weigh_at as usize] == n;
             let read = (p.out, p.silent, p.ejected.is_some(), self.offered(p), 1.0 - p.errors)
                 == (l.out, l.silent, l.ejected, l.offered, l.health)
-                && l.counted == if l.ready > 0.0 && !l.silent { l.out } else { 0 }
+                && l.counted == rules::crowding(l)
                 && g.weights[l.weigh_at as usize]
                     == if !l.odd && self.fits(at, false) { self.weight(at) } else { 0.0 };
             let sets = (l.out > 0, l.ejected, l.odd)
@@ -308,7 +306,7 @@
     }
 
     /// Takes lines of a list; `whole`: what it does not hold is gone. Then drops what is gone, unless it is `kept`.
-    pub fn take(&mut self, whole: bool, list: Vec<Backend>, kept: impl Fn(&Peer) -> bool) {
+    pub fn take(&mut self, whole: bool, list: Vec<Backend>, kept: impl Fn(&Record) -> bool) {
         if whole {
             self.drop_absent(&list);
         }
@@ -426,7 +424,7 @@
             self.loads.push(Load { kind, zone, ..Load::default() });
             self.pull.push(0.0);
             self.slice.push(0.0);
-            self.records.push(Peer { entry, ..Peer::default() });
+            self.records.push(Record { entry, ..Record::default() });
         }
         if !behind {
             self.sort();
@@ -437,7 +435,7 @@
     fn sort(&mut self) {
         let mut from: Vec<usize> = (0..self.len()).collect();
         from.sort_by_key(|at| self.ids[*at]);
-        let mut records: Vec<Option<Peer>> =
+        let mut records: Vec<Option<Record>> =
             std::mem::take(&mut self.records).into_iter().map(Some).collect();
         self.records = from.iter().filter_map(|at| records[*at].take()).collect();
         fn sorted<T: Copy>(all: &mut Vec<T>, from: &[usize]) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,10 +6,10 @@
 #![warn(missing_docs)]
 
 mod ask;
+mod backends;
 mod checked;
 pub mod fleet;
 mod interface;
-mod peers;
 mod rules;
 pub mod settings;
 mod state;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,12 +1,12 @@
 //! Every decision of the proxy. Its whole interface (events, actions, settings) is `src/interface.rs`;
-//! what it remembers of backends, kinds, classes and requests is in `src/state.rs` and `src/peers.rs`.
+//! what it remembers of backends, kinds, classes and requests is in `src/state.rs` and `src/backends.rs`.
 //!
 //! Ordinary path: `solve` turns the arrival rate and the learned speeds into a share per kind (HALB),
 //! `draw` picks a kind by share and a backend inside it at random. All else is a departure for trouble.
 
 use crate::ask::Ask;
+use crate::backends::{Backends, Group, Load};
 use crate::interface::*;
-use crate::peers::{Group, Load, Peers};
 use crate::state::*;
 use std::collections::BTreeMap;
 
@@ -134,7 +134,7 @@
 }
 
 /// The part of its capacity that a backend has at least.
-fn warmth(cfg: &Config, now: Time, p: &Peer) -> f64 {
+fn warmth(cfg: &Config, now: Time, p: &Record) -> f64 {
     let age =
         p.entry.booted.max(p.back).map_or(f64::MAX, |boot| (now - boot).secs() / cfg.ramp.secs().max(1e-6));
     from_cold(cfg, age)
@@ -145,11 +145,37 @@
     cfg.cold_from + (1.0 - cfg.cold_from) * part.min(1.0)
 }
 
+/// A backend's place in the turns that the proxies take where a part is less than one: evenly from 0 to 1.
+pub(crate) fn coin(mark: u64, position: u32, proxies: u32) -> f64 {
+    let turn = mark.wrapping_add(u64::from(position));
+    ((turn % u64::from(proxies)) as f64 + 0.5) / f64::from(proxies)
+}
+
+/// Whether it may hold one more, of half of its room or all.
+pub(crate) fn fits(l: &Load, half: bool) -> bool {
+    let room = if half { (l.room / 2.0).ceil() } else { l.room };
+    l.offered && !l.silent && l.ready > 0.0 && f64::from(l.out) < room
+}
+
+/// What a backend weighs in a draw: its slice, and for the rest a last resort.
+pub(crate) fn weight(slice: f64, pull: f64) -> f64 {
+    slice + pull * 1e-6
+}
+
+/// The attempts on it that crowd the others: what is out where it is in use.
+pub(crate) fn crowding(l: &Load) -> u32 {
+    if l.ready > 0.0 && !l.silent {
+        l.out
+    } else {
+        0
+    }
+}
+
 /// The decisions of one proxy. Give it every event in order; it answers with actions.
 pub struct Balancer {
     cfg: Checked,
     dice: Dice,
-    peers: Peers,
+    backends: Backends,
     kinds: BTreeMap<KindId, Kind>,
     zones: BTreeMap<ZoneId, Zone>,
     classes: Vec<ClassState>,
@@ -196,7 +222,7 @@
     pub fn of(cfg: Checked, seed: u64) -> Balancer {
         let mut balancer = Balancer {
             dice: Dice::new(seed),
-            peers: Peers::default(),
+            backends: Backends::default(),
             kinds: BTreeMap::new(),
             zones: BTreeMap::new(),
             classes: cfg.classes.iter().map(|_| ClassState { live: true, ..Default::default() }).collect(),
@@ -235,7 +261,7 @@
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
         // What is out on backends that drain, are gone or out of use crowds none of the others.
-        self.crowd.pass(now, self.peers.in_use(now, &self.cfg));
+        self.crowd.pass(now, self.backends.in_use(now, &self.cfg));
         if now >= self.solve_at && (matches!(event, Event::Request(_)) || !self.held.is_empty()) {
             self.solve(now); // never for an idle proxy: a thousand of them would cost all the CPU there is
         }
@@ -261,11 +287,11 @@
             Event::AttemptEnded(end) => self.ended(now, end),
             Event::ClientGone { request } => self.close(request),
             Event::Withdraw { backend } => {
-                self.peers.withdraw(backend);
+                self.backends.withdraw(backend);
                 self.solve_at = now;
             }
             Event::Restore { backend, since } => {
-                self.peers.restore(backend, since);
+                self.backends.restore(backend, since);
                 self.solve_at = now;
             }
             Event::Beside { processes } => {
@@ -293,7 +319,7 @@
         }
         actions.append(&mut self.actions);
         debug_assert!(
-            self.peers.len() > 200 || self.peers.sound(),
+            self.backends.len() > 200 || self.backends.sound(),
             "what is kept of the backends went astray"
         );
         debug_assert_eq!((self.free, self.tight), self.sums(&self.numbers()), "sums of classes went astray");
@@ -302,7 +328,7 @@
     /// What was learned and outlives a second, for a later process of this proxy (see [`Memory`]).
     pub fn recollect(&self, now: Time) -> Memory {
         let live = self.classes.iter().enumerate().filter(|(_, c)| c.live && c.latency.count > 0.0);
-        let backends = self.peers.records().map(|(id, p)| (id, p.memory(now)));
+        let backends = self.backends.records().map(|(id, p)| (id, p.memory(now)));
         Memory {
             kinds: self.kinds.iter().map(|(id, k)| (*id, k.memory())).collect(),
             classes: live.map(|(n, c)| (ClassId(n), c.latency.sampled())).collect(),
@@ -313,7 +339,7 @@
 
     /// Whether it remembers anything of the backend.
     pub fn knows(&self, backend: BackendId) -> bool {
-        self.peers.find(backend).is_some()
+        self.backends.find(backend).is_some()
     }
 
     /// The hold of each kind: requests that all proxies together keep on one of its backends.
@@ -323,16 +349,16 @@
 
     /// The part of its capacity that each backend is good for: 0 where it drains, is out by hand or ejected.
     pub fn readiness(&self, now: Time) -> impl Iterator<Item = (BackendId, f64)> + '_ {
-        let usable = |p: &Peer| self.peers.offered(p) && p.ejected.is_none();
-        let part = move |p: &Peer| if usable(p) { warmth(&self.cfg, now, p) } else { 0.0 };
-        self.peers.records().map(move |(id, p)| (id, part(p)))
+        let usable = |p: &Record| self.backends.offered(p) && p.ejected.is_none();
+        let part = move |p: &Record| if usable(p) { warmth(&self.cfg, now, p) } else { 0.0 };
+        self.backends.records().map(move |(id, p)| (id, part(p)))
     }
 
     /// Takes a memory `age` old: its samples weigh less the older it is, so that new answers soon outweigh
     /// it; what the list no longer names is dropped.
     fn recall(&mut self, now: Time, memory: Memory, age: Micros) {
         let weight = 0.5f64.powf(age.secs() / RECALL_HALF_LIFE);
-        for (id, m) in memory.kinds.into_iter().filter(|(id, _)| self.peers.group(*id).is_some()) {
+        for (id, m) in memory.kinds.into_iter().filter(|(id, _)| self.backends.group(*id).is_some()) {
             // Beside the process that learned it, which goes on holding as much, a hold would count twice.
             self.kinds.entry(id).or_default().recall(&m, weight, self.beside.0 == 1);
         }
@@ -345,7 +371,7 @@
             }
         }
         for (id, m) in memory.backends {
-            self.peers.get_mut(id).into_iter().for_each(|p| p.recall(&m, now, age));
+            self.backends.get_mut(id).into_iter().for_each(|p| p.recall(&m, now, age));
         }
         self.sum_up();
         (self.solve_at, self.look_at) = (now, now);
@@ -365,9 +391,9 @@
         }
         // What a cold one was sent weighs still if it is back within the fall window.
         let (cfg, window) = (&self.cfg, self.cfg.fall_window);
-        let recent = |p: &Peer| p.spent.last().is_some_and(|s| now - s.0 < window);
-        let kept = |p: &Peer| p.out > 0 || recent(p) && warmth(cfg, now, p) < 1.0;
-        self.peers.take(matches!(update, ListUpdate::Full | ListUpdate::Cached), list, kept);
+        let recent = |p: &Record| p.spent.last().is_some_and(|s| now - s.0 < window);
+        let kept = |p: &Record| p.out > 0 || recent(p) && warmth(cfg, now, p) < 1.0;
+        self.backends.take(matches!(update, ListUpdate::Full | ListUpdate::Cached), list, kept);
         (self.solve_at, self.look_at) = (now, now);
     }
 
@@ -397,7 +423,7 @@
             self.classes.get_mut(id.0).into_iter().for_each(|s| s.live = live);
         }
         if (cfg.ramp, cfg.fall_window) != (self.cfg.ramp, self.cfg.fall_window) {
-            self.peers.retune();
+            self.backends.retune();
         }
         (self.cfg, self.solve_at, self.look_at) = (cfg, now, now);
         let (free, tight) = self.sums(&touched);
@@ -487,7 +513,7 @@
         let begun = sent_as.is_some_and(|s| s.begun);
         if begun && matches!(end.outcome, Outcome::Error | Outcome::Reset) {
             // It was counted as served with its first bytes, and gave more until now: the break comes on top.
-            let peer = self.peers.get_mut(backend);
+            let peer = self.backends.get_mut(backend);
             peer.into_iter().for_each(|p| (p.out, p.answered) = (p.out + 1, now));
         }
         if !begun || matches!(end.outcome, Outcome::Error | Outcome::Reset) {
@@ -520,7 +546,7 @@
         let (limit, alive) = (ERROR_LIMIT + STAND_OUT * self.errors.value, self.usual(class).times(ALIVE));
         let long = end.latency > self.usual(class).times(SILENT_AFTER);
         let was_tight = !self.quick(class);
-        let Some(p) = self.peers.get_mut(id) else { return };
+        let Some(p) = self.backends.get_mut(id) else { return };
         // A zone that is cut off may answer some: what it leaves unanswered counts for the zone as a whole.
         let unanswered = match end.outcome {
             Outcome::Ok => Some(0.0),
@@ -584,14 +610,14 @@
 
     fn eject(&mut self, now: Time, id: BackendId, why: Outcome) {
         let term = EJECT_TERM * (0.75 + 0.5 * self.dice.unit());
-        let Some(p) = self.peers.get_mut(id) else { return };
+        let Some(p) = self.backends.get_mut(id) else { return };
         p.failed = now;
         if p.ejected.is_none_or(|until| now >= until) {
             let term = Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2());
             (p.ejected, p.hearsay) = (Some(now + term), None);
             (p.strikes, p.trials) = (p.strikes + 1, 0);
             let strikes = p.strikes.clamp(0, 255) as u8;
-            self.peers.rest(id);
+            self.backends.rest(id);
             self.actions.push(Action::Tell { backend: id, verdict: Verdict::Out { term, strikes } });
             self.look_at = now;
             self.log(now, format!("backend {} ejected: {why:?}", id.0));
@@ -603,7 +629,7 @@
     /// first term later, so that one's word reaches the others first, and no broken link holds it for long.
     fn heard(&mut self, now: Time, word: &Heard) {
         let (born, id) = (now - word.age, word.backend);
-        let Some(p) = self.peers.get_mut(id).filter(|_| word.age <= word.bound) else { return };
+        let Some(p) = self.backends.get_mut(id).filter(|_| word.age <= word.bound) else { return };
         p.heard.retain(|h| Some(h.0) != word.origin && now - h.1 <= word.bound);
         let Verdict::Out { term, strikes } = word.verdict else {
             if p.ejected.is_some() && born > p.failed {
@@ -628,7 +654,7 @@
             (p.ejected, p.hearsay, p.strikes) = (Some(p.word.1), Some(now), i32::from(strikes));
             (p.trials, self.look_at) = (0, now);
             let words = p.heard.len();
-            self.peers.rest(id);
+            self.backends.rest(id);
             self.log(now, format!("backend {} ejected on the word of {words} peers", id.0));
         }
     }
@@ -646,17 +672,17 @@
         for &(backend, class, sent) in self.attempts.values() {
             let quiet = sent + self.usual(class).times(SILENT_AFTER); // far off for what is still uploaded
             next = if quiet > now { next.min(quiet) } else { next };
-            if now >= quiet && self.peers.get(backend).is_some_and(|p| p.answered <= sent) {
+            if now >= quiet && self.backends.get(backend).is_some_and(|p| p.answered <= sent) {
                 silent.push(backend);
             }
         }
-        self.peers.set_silent(silent);
+        self.backends.set_silent(silent);
         let mut over = Vec::new();
         for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming && !r.uploading) {
             let usual = self.usual(r.class);
             let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !r.sent.is_empty();
             let last_start = if late_pays { r.deadline } else { r.aim };
-            let lost = |s: &Sent| s.out && self.peers.get(s.to.id).is_none_or(|p| p.ejected.is_some());
+            let lost = |s: &Sent| s.out && self.backends.get(s.to.id).is_none_or(|p| p.ejected.is_some());
             let lost = matches!(&r.sent[..], [only] if lost(only));
             // The deadline's own tick would be too late to answer; a request that was held so long
             // that it cannot make it is refused while that is still harmless.
@@ -704,13 +730,13 @@
 
     /// Readiness of every backend, speed and share of every kind.
     fn solve(&mut self, now: Time) {
-        self.peers.settle(now, &self.cfg);
+        self.backends.settle(now, &self.cfg);
         self.learn_holds(now - self.solved_at);
         self.solved_at = now;
         let few = FEW / self.rate.per_s().unwrap_or(FEW / SOLVE_EVERY).max(1.0);
         self.solve_at = now + Micros::from_secs(SOLVE_EVERY.max(few));
         self.blocked = 0.0;
-        let listed = self.peers.loads.iter().filter(|l| l.offered);
+        let listed = self.backends.loads.iter().filter(|l| l.offered);
         let (all, out) = listed.fold((0u32, 0u32), |n, l| (n.0 + 1, n.1 + u32::from(l.ejected)));
         let proxies = f64::from(self.cfg.proxies);
         self.kinds.values_mut().for_each(|k| {
@@ -718,11 +744,11 @@
             k.served.add(now, 0.0);
         });
         let zones = self.zones(now);
-        let zones = self.peers.zones.iter().map(|z| zones.get(z).copied().unwrap_or(1.0));
+        let zones = self.backends.zones.iter().map(|z| zones.get(z).copied().unwrap_or(1.0));
         let (zones, warm): (Vec<f64>, f64) = (zones.collect(), from_cold(&self.cfg, 1.0));
         let ill = f64::from(f64::from(out) > f64::from(all) * PANIC);
-        let mut ready = vec![0.0; self.peers.groups.len()];
-        for (l, p) in self.peers.each() {
+        let mut ready = vec![0.0; self.backends.groups.len()];
+        for (l, p) in self.backends.each() {
             let health = match l.ejected {
                 _ if !l.offered => 0.0,
                 true => ill,
@@ -732,7 +758,7 @@
             l.ready = zones[l.place as usize] * health * warmth;
             ready[l.group as usize] += l.ready;
         }
-        for (g, ready) in self.peers.groups.iter().zip(ready) {
+        for (g, ready) in self.backends.groups.iter().zip(ready) {
             self.kinds.entry(g.kind).or_default().ready = ready;
         }
         self.rate.add(now, 0.0);
@@ -749,22 +775,22 @@
         let shares = halb_shares(&table, rate.filter(|_| count > 0.0));
         self.kinds.values_mut().zip(shares).for_each(|(k, share)| k.share = share);
         self.allot();
-        self.peers.reckon_all(now);
+        self.backends.reckon_all(now);
     }
 
     /// How many requests a backend of each kind is worth holding. A kind whose rooms are full and whose
     /// answers take no longer than uncrowded has cores to spare; where they take longer it holds too many.
     fn learn_holds(&mut self, gap: Micros) {
         let gap = gap.secs().min(1.0);
-        let mut crowds = vec![(0.0, 0.0); self.peers.groups.len()];
-        for l in self.peers.loads.iter().filter(|l| l.ready > 0.0) {
+        let mut crowds = vec![(0.0, 0.0); self.backends.groups.len()];
+        for l in self.backends.loads.iter().filter(|l| l.ready > 0.0) {
             let (out, room) = &mut crowds[l.group as usize];
             (*out, *room) = (*out + f64::from(l.out), *room + l.room);
         }
         for (kind, k) in &mut self.kinds {
             k.hold = k.hold.max(HOLD);
             let Some(quick) = k.quick.get().filter(|_| k.quick.count >= QUICK_SAMPLES) else { continue };
-            let (out, room) = self.peers.group(*kind).map_or((0.0, 0.0), |g| crowds[g]);
+            let (out, room) = self.backends.group(*kind).map_or((0.0, 0.0), |g| crowds[g]);
             k.alone = if k.alone > 0.0 { quick.min(k.alone * (1.0 + FORGET * gap)) } else { quick };
             if out < room * 0.8 {
                 continue; // not the hold's doing
@@ -782,18 +808,18 @@
     /// traffic stays near so far as all proxies together still give every backend the same part: a zone
     /// whose backends are due less than its proxies bring sends its surplus to the zones due more.
     fn allot(&mut self) {
-        let (proxies, peers) = (f64::from(self.cfg.proxies), &mut self.peers);
+        let (proxies, backends) = (f64::from(self.cfg.proxies), &mut self.backends);
         let kind = |g: &Group| {
             self.kinds.get(&g.kind).map_or((0.0, 1e-9, HOLD), |k| (k.share, k.ready.max(1e-9), k.hold))
         };
-        let kinds: Vec<(f64, f64, f64)> = peers.groups.iter().map(kind).collect();
+        let kinds: Vec<(f64, f64, f64)> = backends.groups.iter().map(kind).collect();
         let part = |l: &Load| kinds[l.group as usize].0 * l.ready / kinds[l.group as usize].1;
         // A zone that is out brings its traffic all the same.
-        let mut sums = vec![self.cfg.locality.map(|_| 0.0); peers.zones.len()];
-        for l in peers.loads.iter().filter(|l| l.ready > 0.0) {
+        let mut sums = vec![self.cfg.locality.map(|_| 0.0); backends.zones.len()];
+        for l in backends.loads.iter().filter(|l| l.ready > 0.0) {
             *sums[l.place as usize].get_or_insert(0.0) += part(l);
         }
-        let due = peers.zones.iter().zip(&sums).filter_map(|(z, due)| Some((*z, (*due)?)));
+        let due = backends.zones.iter().zip(&sums).filter_map(|(z, due)| Some((*z, (*due)?)));
         let due: BTreeMap<ZoneId, f64> = due.collect();
         let zones = due.len() as f64;
         // With fewer proxies than zones some zone has none, and nobody is told which: whatever stays near
@@ -810,10 +836,10 @@
                 1.0
             }
         };
-        let biases: Vec<f64> = peers.zones.iter().map(bias).collect();
+        let biases: Vec<f64> = backends.zones.iter().map(bias).collect();
         let (mut reached, mut pulled) = (0u32, vec![0.0; kinds.len()]);
-        peers.seat(self.cfg.position, self.cfg.proxies);
-        for (l, p_pull) in peers.loads.iter_mut().zip(&mut peers.pull) {
+        backends.seat(self.cfg.position, self.cfg.proxies);
+        for (l, p_pull) in backends.loads.iter_mut().zip(&mut backends.pull) {
             let bias = biases[l.place as usize];
             // Half of the room for all goes by that part, half evenly; each has a room of one at least, as
             // more proxies than the hold would wait for turns. There `crowded` keeps the hold.
@@ -826,23 +852,23 @@
             pulled[l.group as usize] += *p_pull;
         }
         self.kinds.values_mut().for_each(|k| k.pull = 0.0);
-        for (g, pull) in peers.groups.iter().zip(&pulled) {
+        for (g, pull) in backends.groups.iter().zip(&pulled) {
             self.kinds.entry(g.kind).or_default().pull = *pull;
         }
         // This proxy's slice of each kind: the same width for all, begun at evenly spread places, so that all
         // slices together cover every backend by its pull.
-        let width = (SHARED_BY / proxies * peers.len() as f64 / f64::from(reached.max(1))).min(1.0);
+        let width = (SHARED_BY / proxies * backends.len() as f64 / f64::from(reached.max(1))).min(1.0);
         let start = (f64::from(self.cfg.position) * 0.618_033_988_749_895).fract();
         let mut walked = vec![(0.0, 0.0); kinds.len()];
-        for &at in &peers.order {
-            let (at, l) = (at as usize, &mut peers.loads[at as usize]);
+        for &at in &backends.order {
+            let (at, l) = (at as usize, &mut backends.loads[at as usize]);
             let (sum, from) = walked[l.group as usize];
-            let sum = sum + peers.pull[at];
+            let sum = sum + backends.pull[at];
             let to = sum / pulled[l.group as usize].max(1e-9);
             walked[l.group as usize] = (sum, to);
             let inside = |start: f64| (to.min(start + width) - from.max(start)).max(0.0);
             let slice = inside(start) + inside(start - 1.0);
-            peers.slice[at] = slice;
+            backends.slice[at] = slice;
             l.due = if slice > 0.0 { slice / ((to - from) * width * proxies).max(1e-9) } else { 0.0 };
         }
     }
@@ -851,12 +877,12 @@
     /// every zone would be left, none is: some backends may still serve.
     fn zones(&mut self, now: Time) -> BTreeMap<ZoneId, f64> {
         let (Some(rules), mut factors) = (self.cfg.locality, BTreeMap::new()) else { return BTreeMap::new() };
-        let mut counts = vec![(0.0, 0.0); self.peers.zones.len()];
-        for l in self.peers.loads.iter().filter(|l| l.offered) {
+        let mut counts = vec![(0.0, 0.0); self.backends.zones.len()];
+        for l in self.backends.loads.iter().filter(|l| l.offered) {
             let c = &mut counts[l.place as usize];
             *c = (c.0 + 1.0, c.1 + f64::from(l.ejected || l.silent));
         }
-        let counts = self.peers.zones.iter().copied().zip(counts);
+        let counts = self.backends.zones.iter().copied().zip(counts);
         for (id, (all, out)) in counts.filter(|c| c.1 .0 > 0.0) {
             let z = self.zones.entry(id).or_default();
             z.lefts.retain(|at| now - *at < Micros::from_secs(60.0));
@@ -898,7 +924,7 @@
     /// Work that this proxy may still send to a cold backend inside the present fall window: its part of what
     /// all may, as those do not send there in whose slice the backend is not.
     fn budget(&self, now: Time, at: usize, sure: &mut BTreeMap<KindId, f64>) -> f64 {
-        let p = self.peers.record(at);
+        let p = self.backends.record(at);
         let warmth = warmth(&self.cfg, now - self.cfg.fall_window, p); // as the window began
         if warmth >= 1.0 {
             return f64::MAX;
@@ -912,7 +938,7 @@
         // One request of all proxies together is chance, however little that is. Else a process that begins
         // among cold backends alone would refuse its first ones.
         let all = (all * FALL_MARGIN * own.min(1.0)).max(1.0);
-        all * self.peers.loads[at].due / f64::from(self.beside.0.max(before)) - spent
+        all * self.backends.loads[at].due / f64::from(self.beside.0.max(before)) - spent
     }
 
     /// Requests of mean work a second that a warm backend of the kind surely serves. As the speed in `solve`,
@@ -930,7 +956,7 @@
             // Nothing answered: as the slowest that did, or else one core at what is taken for usual.
             let slowest = self.kinds.values().filter_map(known).reduce(f64::min);
             let least = self.live().map(|(n, _)| self.usual(n)).min().unwrap_or_default();
-            let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.peers.len() as f64;
+            let fair = self.rate.per_s().unwrap_or(1.0) * proxies / self.backends.len() as f64;
             fair.min(slowest.unwrap_or(1.0 / least.secs()))
         })
     }
@@ -949,47 +975,48 @@
     fn draw(&mut self, now: Time, r: &Request) -> Option<BackendId> {
         let effect = self.cfg.classes[r.class].effect;
         let (work, low) = (self.work(r.class), r.value < LOW);
-        self.peers.settle(now, &self.cfg);
+        self.backends.settle(now, &self.cfg);
         let mut sure = BTreeMap::new();
-        let mut cold = |at: usize| self.budget(now, at, &mut sure) < work * (1.0 - self.peers.loads[at].coin);
+        let mut cold =
+            |at: usize| self.budget(now, at, &mut sure) < work * (1.0 - self.backends.loads[at].coin);
         if r.sent.is_empty() && (effect == Effect::Free || self.free == 0) {
             // Its term is over: one request at a time that may fail without harm tries it.
             let mut tries = |at: usize| {
-                let (p, l) = (self.peers.record(at), &self.peers.loads[at]);
+                let (p, l) = (self.backends.record(at), &self.backends.loads[at]);
                 let over = p.ejected.is_some_and(|until| now >= until) && l.ready == 0.0 && p.out == 0;
                 over && l.offered && !p.silent && now >= p.full_until && !cold(at)
             };
-            if let Some(at) = self.peers.ejected.iter().find(|at| tries(**at as usize)) {
-                return Some(self.peers.id(*at as usize));
+            if let Some(at) = self.backends.ejected.iter().find(|at| tries(**at as usize)) {
+                return Some(self.backends.id(*at as usize));
             }
         }
         // Never overfill: a crowded backend slows for long, so a full one is drawn again. What may hold one
         // more of any request has its weight; the rest is as time, its worth and its past attempts say.
         let mut weights: Vec<(usize, f64)> = Vec::new();
-        for at in self.peers.odd.iter().map(|at| *at as usize) {
-            let may = now >= self.peers.record(at).full_until && self.peers.fits(at, low) && !cold(at);
-            weights.push((at, if may { self.peers.weight(at) } else { 0.0 }));
+        for at in self.backends.odd.iter().map(|at| *at as usize) {
+            let may = now >= self.backends.record(at).full_until && self.backends.fits(at, low) && !cold(at);
+            weights.push((at, if may { self.backends.weight(at) } else { 0.0 }));
         }
         if low {
-            let busy = self.peers.busy.iter().map(|at| *at as usize);
-            weights.extend(busy.filter(|at| !self.peers.fits(*at, true)).map(|at| (at, 0.0)));
+            let busy = self.backends.busy.iter().map(|at| *at as usize);
+            weights.extend(busy.filter(|at| !self.backends.fits(*at, true)).map(|at| (at, 0.0)));
         }
-        weights.extend(r.sent.iter().filter_map(|s| Some((self.peers.find(s.to.id)?, 0.0))));
+        weights.extend(r.sent.iter().filter_map(|s| Some((self.backends.find(s.to.id)?, 0.0))));
         // A repeat outside the scope that knows the key would run twice.
-        let knows = |s: &Sent, p: &Peer| match effect {
+        let knows = |s: &Sent, p: &Record| match effect {
             Effect::Keyed(KeyScope::Zone, _) => s.to.zone == p.entry.zone,
             Effect::Keyed(KeyScope::Cell, _) => s.to.cell == p.entry.cell,
             _ => true,
         };
         for s in r.sent.iter().filter(|s| !s.never_ran && matches!(effect, Effect::Keyed(..))) {
-            let all = self.peers.records().enumerate();
+            let all = self.backends.records().enumerate();
             weights.extend(all.filter(|(_, (_, p))| !knows(s, p)).map(|(at, _)| (at, 0.0)));
         }
-        weights.into_iter().for_each(|(at, weight)| self.peers.weigh_once(at, weight));
+        weights.into_iter().for_each(|(at, weight)| self.backends.weigh_once(at, weight));
         let pull = |(group, kind)| Some((group, self.kinds.get(&kind)?.pull));
-        let kinds: Vec<(usize, f64)> = self.peers.open_kinds().filter_map(pull).collect();
+        let kinds: Vec<(usize, f64)> = self.backends.open_kinds().filter_map(pull).collect();
         let kind = self.dice.pick(&kinds)?;
-        self.peers.pick(kind, &mut self.dice)
+        self.backends.pick(kind, &mut self.dice)
     }
 
     /// How many times an even part of all traffic comes here, one at least: the front spreads it unevenly.
@@ -1068,7 +1095,7 @@
             let refused = !again && (self.crowded(r.value) || self.hopeless(now, &r));
             let sendable = self.may_send(now, &r) && (!again || self.extra >= 1.0) && !refused;
             let backend = if sendable { self.draw(now, &r) } else { None };
-            if let Some(p) = backend.and_then(|b| self.peers.get_mut(b)) {
+            if let Some(p) = backend.and_then(|b| self.backends.get_mut(b)) {
                 self.extra -= f64::from(again);
                 let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
                 r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false, begun: false });
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,7 +87,7 @@
     }
 }
 
-impl Peer {
+impl Record {
     /// What outlives a second, with spans counted back from `now`.
     pub fn memory(&self, now: Time) -> BackendMemory {
         let ejected_for = self.ejected.map(|until| until - now);
@@ -202,9 +202,9 @@
     pub served: Rate,
 }
 
-/// What is known of a backend, but for what is solved over all of them (`src/peers.rs`).
+/// What is known of a backend, but for what is solved over all of them (`src/backends.rs`).
 #[derive(Default)]
-pub(crate) struct Peer {
+pub(crate) struct Record {
     pub entry: Backend,
     /// When operators gave it back: it may have started as late as that, unless the list tells of a start since.
     pub back: Option<Time>,
