Cut membership out of net/peers as a state machine without sockets and clocks

The wire format stays. A member's own clock is handed to foca's renewal in the member, as it was read there before.

--- /dev/null
+++ b/src/fleet/membership/mod.rs
@@ -0,0 +1,399 @@
+//! Who is in the fleet, and what its proxies tell each other inside membership's messages: SWIM by `foca`, verdicts on
+//! backends as its custom broadcasts, and the snapshot that a new proxy asks of a live one. What the facts mean is the
+//! module's to decide.
+//!
+//! [`Membership`] is a state machine: datagrams and both clocks go in, [`Output`]s come out. Its driver seals bodies
+//! ([`wire::Seal`]), sends them, calls [`Membership::pass`] when something is [due](Membership::due), and takes the news.
+
+mod facts;
+mod member;
+mod snapshots;
+pub mod wire;
+
+use crate::interface::{BackendId, Heard, Micros, OriginId, Time, Verdict};
+use facts::{Board, Fact, Facts};
+use foca::{AccumulatingRuntime, Foca, OwnedNotification, PeriodicParams, Timer};
+use member::{Clock, Member};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use snapshots::Asking;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::num::{NonZeroU32, NonZeroUsize};
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{Body, Cluster, Envelope, Gate, Refused};
+
+/// How often facts that wait are passed on, and to how many.
+const GOSSIP: Duration = Duration::from_millis(100);
+const GOSSIP_TO: usize = 3;
+/// How often members that are down are tried again, so that a healed partition grows together.
+const REJOIN: Duration = Duration::from_secs(2);
+/// How often the seeds are told of a proxy that knows no live member.
+const KNOCK: Micros = Micros(1_000_000);
+/// News of a member come in after so long another one is asked for its list; each list without news a tenth longer than
+/// the one before, until nothing is asked any more. A list holds some 60 members, drawn at random: of three hundred the last
+/// one is missing after these 32 lists in 1 of 3,000 proxies.
+const LEARN: Micros = Micros(100_000);
+const LONGER: f64 = 1.1;
+const LEARNT: Micros = Micros(2_000_000);
+/// A complaint of each cause is told so often at most.
+const COMPLAIN: Micros = Micros(1_000_000);
+
+/// What a proxy goes by, from its configuration.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// The fleet's, by [`wire::cluster`].
+    pub cluster: Cluster,
+    /// Members to join through, this one or not.
+    pub seeds: Vec<SocketAddr>,
+    /// Past this what is shared is neither used nor passed on.
+    pub max_age: Micros,
+    /// Proxies expected, this one among them.
+    pub fleet: u32,
+}
+
+/// Both clocks of the host at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// Monotonic, by which timers go.
+    pub time: Time,
+    /// Wall time in microseconds since 1970, which proxies compare.
+    pub wall_us: u64,
+}
+
+/// What came and went since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams that came, refused ones too.
+    pub received: u64,
+    /// This proxy's own facts that went out.
+    pub told: u64,
+    /// Others' facts that were new.
+    pub heard: u64,
+    /// This proxy's own facts that could not go out.
+    pub untold: u64,
+    /// Facts that came past their bound.
+    pub stale: u64,
+    /// Datagrams refused, by [cause](Refused::cause).
+    pub refused: BTreeMap<&'static str, u64>,
+}
+
+/// What the driver carries out.
+#[derive(Debug)]
+pub enum Output {
+    /// Seal this and send it there.
+    Send(SocketAddr, Body),
+    /// News, to be logged or passed on.
+    News(News),
+}
+
+/// What the machine found out.
+#[derive(Debug)]
+pub enum News {
+    /// A member is up; `members` live ones are known now, without this proxy.
+    Up {
+        /// Its advertised address.
+        peer: SocketAddr,
+        /// Live members known now.
+        members: usize,
+    },
+    /// A member is down.
+    Down {
+        /// Its advertised address.
+        peer: SocketAddr,
+        /// Live members known now.
+        members: usize,
+    },
+    /// The others took this proxy for down, and it joined again.
+    Rejoined {
+        /// Live members known now.
+        members: usize,
+    },
+    /// A verdict on the backend of that name, with this proxy's turn; its number is left to the host.
+    Heard(String, Heard),
+    /// A message on duties, with its sender.
+    Duty(SocketAddr, Vec<u8>),
+    /// A member wants a snapshot: [`Membership::give`] sends one under that number.
+    Wanted {
+        /// The member's advertised address.
+        to: SocketAddr,
+        /// Its number for it.
+        nonce: u64,
+    },
+    /// The bytes of the snapshot that was asked for.
+    Snapshot(Vec<u8>),
+    /// Of so many members asked none had a snapshot.
+    NoSnapshot {
+        /// How many.
+        asked: u32,
+    },
+    /// A datagram was refused; told once a second for each cause.
+    Refused(Refused),
+    /// Membership failed at a timer.
+    TimerFailed(foca::Error),
+    /// Membership could not announce this proxy to that one.
+    AnnounceFailed(SocketAddr, foca::Error),
+}
+
+type Swim = Foca<Member, foca::PostcardCodec, StdRng, Facts>;
+/// Outputs in their order.
+type Out = Vec<Output>;
+
+/// This proxy's view of the fleet.
+pub struct Membership {
+    rules: Rules,
+    own: SocketAddr,
+    clock: Clock,
+    board: Rc<RefCell<Board>>,
+    swim: Swim,
+    outbox: AccumulatingRuntime<Member>,
+    /// foca's, by when they fall due; the number keeps those of one moment apart.
+    timers: BTreeMap<(Time, u64), Timer<Member>>,
+    timer: u64,
+    gate: Gate,
+    counts: Counts,
+    complained: BTreeMap<&'static str, u64>,
+    origins: HashMap<SocketAddr, OriginId>,
+    asking: Option<Asking>,
+    /// When the next member is asked for its list, and the pause before that; `None` while the members are all known.
+    learn: Option<(Time, Micros)>,
+    knock_at: Time,
+    ask_at: Time,
+}
+
+impl Membership {
+    /// A proxy that starts now at `own`, its advertised address, and joins through the seeds. `cold`: no memory was
+    /// taken, so that a snapshot is asked for.
+    pub fn new(rules: Rules, own: SocketAddr, seed: u64, cold: bool, now: Now) -> Membership {
+        let clock = Clock::default();
+        clock.set(now.wall_us);
+        let board = Rc::new(RefCell::new(Board::default()));
+        let facts = Facts { board: board.clone(), own, bound: rules.max_age, clock: clock.clone() };
+        let member = Member::own(own, clock.clone());
+        let random = StdRng::seed_from_u64(seed ^ member.start_us);
+        let codec = foca::PostcardCodec;
+        let swim = Foca::with_custom_broadcast(member, swim_rules(rules.fleet), random, codec, facts);
+        Membership {
+            own,
+            clock,
+            board,
+            swim,
+            outbox: AccumulatingRuntime::new(),
+            timers: BTreeMap::new(),
+            timer: 0,
+            gate: Gate::new(rules.cluster, rules.max_age),
+            counts: Counts::default(),
+            complained: BTreeMap::new(),
+            origins: HashMap::new(),
+            asking: cold.then(|| Asking::new(now.wall_us)),
+            learn: None,
+            knock_at: now.time,
+            ask_at: now.time,
+            rules,
+        }
+    }
+
+    /// When [`Membership::pass`] is to be called.
+    pub fn due(&self) -> Time {
+        let timer = self.timers.first_key_value().map(|t| t.0 .0);
+        let learn = self.learn.map(|l| l.0);
+        timer.into_iter().chain(learn).fold(self.knock_at.min(self.ask_at), Time::min)
+    }
+
+    /// A datagram as it came: taken as a whole, or refused by cause and counted.
+    pub fn datagram(&mut self, bytes: &[u8], now: Now, out: &mut Out) {
+        self.clock.set(now.wall_us);
+        self.counts.received += 1;
+        let taken = wire::decode(bytes).and_then(|e| self.gate.admit(&e, now.wall_us).map(|()| e));
+        if let Err(e) = taken.and_then(|envelope| self.body(envelope, now, out)) {
+            self.refuse(e, now, out);
+        }
+    }
+
+    fn body(&mut self, envelope: Envelope, now: Now, out: &mut Out) -> Result<(), Refused> {
+        match envelope.body {
+            Body::Swim(bytes) => {
+                self.swim.handle_data(&bytes, &mut self.outbox).map_err(Refused::Swim)?;
+                self.carry_out(now, out);
+            }
+            Body::Ask { nonce } => {
+                let to = envelope.from;
+                if !self.swim.iter_members().any(|m| m.id().addr == to) {
+                    return Err(Refused::Unasked);
+                }
+                out.push(Output::News(News::Wanted { to, nonce }));
+            }
+            Body::Part { nonce, index, of, bytes } => self.part(nonce, index, of, bytes, out)?,
+            Body::Duty(bytes) => out.push(Output::News(News::Duty(envelope.from, bytes))),
+        }
+        Ok(())
+    }
+
+    /// Counts a datagram as refused; told once a second for each cause.
+    pub fn refuse(&mut self, why: Refused, now: Now, out: &mut Out) {
+        let cause = why.cause();
+        *self.counts.refused.entry(cause).or_default() += 1;
+        let last = self.complained.entry(cause).or_default();
+        if last.saturating_add(COMPLAIN.0) <= now.wall_us {
+            *last = now.wall_us;
+            out.push(Output::News(News::Refused(why)));
+        }
+    }
+
+    /// Does all that is due.
+    pub fn pass(&mut self, now: Now, out: &mut Out) {
+        self.clock.set(now.wall_us);
+        while let Some(first) = self.timers.first_entry().filter(|t| t.key().0 <= now.time) {
+            if let Err(e) = self.swim.handle_timer(first.remove(), &mut self.outbox) {
+                out.push(Output::News(News::TimerFailed(e)));
+            }
+        }
+        self.learn(now, out);
+        if self.knock_at <= now.time {
+            self.knock_at = self.knock_at + KNOCK;
+            self.knock(out);
+        }
+        self.carry_out(now, out);
+        if self.ask_at <= now.time {
+            self.ask_at = self.ask_at + snapshots::ASK_FOR;
+            self.ask(out);
+        }
+    }
+
+    /// What this proxy found by itself goes out, and back to the module, as others' turns follow its own verdict.
+    pub fn tell(&mut self, backend: String, verdict: Verdict, now: Now, out: &mut Out) {
+        self.clock.set(now.wall_us);
+        let fact = Fact { origin: self.own, born_us: now.wall_us, backend, verdict };
+        match fact.encode().map(|bytes| self.swim.add_broadcast(&bytes)) {
+            Some(Ok(true)) => self.counts.told += 1,
+            _ => self.counts.untold += 1,
+        }
+        let heard = self.turn(&fact);
+        out.push(Output::News(News::Heard(fact.backend, heard)));
+    }
+
+    /// Sends, schedules and tells what foca asked for, and passes on the facts that came with it.
+    fn carry_out(&mut self, now: Now, out: &mut Out) {
+        while let Some((to, bytes)) = self.outbox.to_send() {
+            out.push(Output::Send(to.addr, Body::Swim(bytes.to_vec())));
+        }
+        while let Some((after, timer)) = self.outbox.to_schedule() {
+            self.timer += 1;
+            let at = now.time + Micros(after.as_micros() as u64);
+            self.timers.insert((at, self.timer), timer);
+        }
+        while let Some(news) = self.outbox.to_notify() {
+            let members = self.swim.num_members();
+            let told = match news {
+                OwnedNotification::MemberUp(m) => {
+                    let at = now.time + LEARN;
+                    self.learn = Some((self.learn.map_or(at, |l| l.0.min(at)), LEARN));
+                    News::Up { peer: m.addr, members }
+                }
+                OwnedNotification::MemberDown(m) => News::Down { peer: m.addr, members },
+                OwnedNotification::Rejoin(_) => News::Rejoined { members },
+                _ => continue,
+            };
+            out.push(Output::News(told));
+        }
+        let facts = std::mem::take(&mut self.board.borrow_mut().news);
+        self.counts.heard += facts.len() as u64;
+        for fact in facts {
+            let heard = self.turn(&fact);
+            out.push(Output::News(News::Heard(fact.backend, heard)));
+        }
+    }
+
+    /// A fact as the module hears it. Its turn is this proxy's place among the live ones, drawn by the fact, so that
+    /// all agree on the order; the origin comes last, as it has only just tried.
+    fn turn(&mut self, fact: &Fact) -> Heard {
+        let mark = |addr: SocketAddr| {
+            let mut hash = crc32fast::Hasher::new_with_initial((fact.born_us >> 8) as u32);
+            hash.update(&fact.born_us.to_le_bytes());
+            hash.update(addr.to_string().as_bytes());
+            hash.finalize()
+        };
+        let live: Vec<SocketAddr> = self.swim.iter_members().map(|m| m.id().addr).collect();
+        let own = fact.origin == self.own;
+        let before =
+            |addr: &&SocketAddr| **addr != fact.origin && (mark(**addr), **addr) < (mark(self.own), self.own);
+        let turn = if own { live.len() } else { live.iter().filter(before).count() } as u32;
+        let next = OriginId(self.origins.len() as u32);
+        let origin = (!own).then(|| *self.origins.entry(fact.origin).or_insert(next));
+        let age = Micros(self.clock.wall_us().saturating_sub(fact.born_us));
+        let (others, bound, verdict) = (live.len() as u32, self.rules.max_age, fact.verdict);
+        Heard { backend: BackendId::default(), origin, verdict, age, bound, others, turn }
+    }
+
+    /// Without a live member the seeds are asked again.
+    fn knock(&mut self, out: &mut Out) {
+        if self.swim.num_members() > 0 {
+            return;
+        }
+        for addr in self.rules.seeds.iter().filter(|addr| **addr != self.own) {
+            // foca puts no stock in the start time of whom it announces to.
+            if let Err(e) = self.swim.announce(Member::new(*addr, 0), &mut self.outbox) {
+                out.push(Output::News(News::AnnounceFailed(*addr, e)));
+            }
+        }
+    }
+
+    /// Asks a member drawn at random for its list, where that is due. Who knows as many as the fleet has asks nothing,
+    /// and neither does who heard nothing new for some asks.
+    fn learn(&mut self, now: Now, out: &mut Out) {
+        let Some((_, pause)) = self.learn.filter(|l| l.0 <= now.time) else { return };
+        let known = self.swim.num_members();
+        let pause = pause.times(LONGER);
+        if known == 0 || known + 1 == self.rules.fleet as usize || pause > LEARNT {
+            self.learn = None;
+            return;
+        }
+        self.learn = Some((now.time + pause, pause));
+        let drawn = (self.timer ^ now.wall_us) as usize % known;
+        let Some(to) = self.swim.iter_members().nth(drawn).map(|m| m.id().clone()) else { return };
+        let addr = to.addr;
+        if let Err(e) = self.swim.announce(to, &mut self.outbox) {
+            out.push(Output::News(News::AnnounceFailed(addr, e)));
+        }
+    }
+
+    /// Tells the others that this proxy goes, so that none has to find out.
+    pub fn leave(&mut self, now: Now, out: &mut Out) {
+        self.clock.set(now.wall_us);
+        let _ = self.swim.leave_cluster(&mut self.outbox); // unheard, they find out
+        self.carry_out(now, out);
+    }
+
+    /// Live members but this one, by address.
+    pub fn members(&self) -> Vec<SocketAddr> {
+        let mut members: Vec<SocketAddr> = self.swim.iter_members().map(|m| m.id().addr).collect();
+        members.sort_unstable();
+        members
+    }
+
+    /// What came and went since the start.
+    pub fn counts(&self) -> Counts {
+        Counts { stale: self.board.borrow().stale, ..self.counts.clone() }
+    }
+
+    /// Facts that wait to be passed on.
+    pub fn waiting(&self) -> usize {
+        self.swim.custom_broadcast_backlog()
+    }
+}
+
+/// foca's LAN settings for a fleet of so many, with quicker gossip towards members that are down.
+fn swim_rules(fleet: u32) -> foca::Config {
+    let some = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
+    foca::Config {
+        max_packet_size: some(wire::MOST_BODY),
+        periodic_gossip: Some(PeriodicParams { frequency: GOSSIP, num_members: some(GOSSIP_TO) }),
+        periodic_announce_to_down_members: Some(PeriodicParams { frequency: REJOIN, num_members: some(1) }),
+        ..foca::Config::new_lan(NonZeroU32::new(fleet).unwrap_or(NonZeroU32::MIN))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,3 +4,4 @@
 pub mod calendar;
 pub mod fence;
 pub mod lease;
+pub mod membership;
--- a/src/net/peers/post.rs
+++ b/src/net/peers/post.rs
@@ -1,7 +1,7 @@
 //! The sending side of the peers' socket: the request loop and the duties' workers share it, and with it one series of
 //! sending times.
 
-use super::wire::{self, Body, Cluster, Envelope};
+use super::wire::{Body, Cluster, Seal};
 use crate::net::snapshot::wall_us;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -9,10 +9,7 @@
 pub struct Post {
     /// Does not block.
     socket: UdpSocket,
-    cluster: Cluster,
-    own: SocketAddr,
-    /// The last datagram's time; each has a later one, whichever thread sends it.
-    last_us: AtomicU64,
+    seal: Seal,
     sent: AtomicU64,
     sent_bytes: AtomicU64,
     unsent: AtomicU64,
@@ -20,14 +17,13 @@
 
 impl Post {
     pub fn new(socket: UdpSocket, cluster: Cluster, own: SocketAddr) -> Post {
-        let (last_us, sent, sent_bytes, unsent) = Default::default();
-        Post { socket, cluster, own, last_us, sent, sent_bytes, unsent }
+        let (sent, sent_bytes, unsent) = Default::default();
+        Post { socket, seal: Seal::new(cluster, own), sent, sent_bytes, unsent }
     }
 
     /// Sends a datagram, or counts it as unsent: UDP is not sure to arrive anyway.
     pub fn send(&self, to: SocketAddr, body: Body) {
-        let envelope = Envelope { cluster: self.cluster, from: self.own, sent_us: self.time(), body };
-        let sent = wire::encode(&envelope).ok().map(|bytes| self.socket.send_to(&bytes, to));
+        let sent = self.seal.seal(body, wall_us()).ok().map(|bytes| self.socket.send_to(&bytes, to));
         match sent {
             Some(Ok(length)) => {
                 self.sent.fetch_add(1, Relaxed);
@@ -37,14 +33,6 @@
         }
     }
 
-    /// Now, or just after the last datagram.
-    fn time(&self) -> u64 {
-        let now = wall_us();
-        let next = |last: u64| now.max(last.saturating_add(1));
-        let last = self.last_us.fetch_update(Relaxed, Relaxed, |last| Some(next(last)));
-        last.map_or(now, next)
-    }
-
     /// Datagrams sent, their bytes, and those that could not be sent.
     pub fn counts(&self) -> [u64; 3] {
         [&self.sent, &self.sent_bytes, &self.unsent].map(|count| count.load(Relaxed))
