--- a/src/fleet/membership/mod.rs
+++ b/src/fleet/membership/mod.rs
@@ -106,6 +106,12 @@
         /// Live members known now.
         members: usize,
     },
+    /// A member goes by a later start now: it started again, or was taken for down. Whether it is up or down is told
+    /// beside, where that changed.
+    Replaced {
+        /// Its advertised address.
+        peer: SocketAddr,
+    },
     /// The others took this proxy for down, and it joined again.
     Rejoined {
         /// Live members known now.
@@ -293,6 +299,7 @@
                     News::Up { peer: m.addr, members }
                 }
                 OwnedNotification::MemberDown(m) => News::Down { peer: m.addr, members },
+                OwnedNotification::Rename(_, m) => News::Replaced { peer: m.addr },
                 OwnedNotification::Rejoin(_) => News::Rejoined { members },
                 _ => continue,
             };
@@ -373,6 +380,11 @@
         members
     }
 
+    /// How many live members are known but this one.
+    pub fn live(&self) -> usize {
+        self.swim.num_members()
+    }
+
     /// What came and went since the start.
     pub fn counts(&self) -> Counts {
         Counts { stale: self.board.borrow().stale, ..self.counts.clone() }
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -114,6 +114,7 @@
         match news {
             News::Up { peer, members } => info!(event = "peer_up", peer = %peer, members, "peer is up"),
             News::Down { peer, members } => info!(event = "peer_down", peer = %peer, members, "peer is down"),
+            News::Replaced { .. } => {} // where it came or went by that, this is told as well
             News::Rejoined { members } => {
                 info!(event = "peers_rejoined", members, "taken for down, joined again")
             }
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,202 @@
+//! Membership on clocks that the test drives by hand, with every datagram the same time on its way.
+
+use shaletide::fleet::membership::wire::{self, Seal};
+use shaletide::fleet::membership::{Membership, News, Now, Output, Rules};
+use shaletide::{Micros, Time, Verdict};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const SECOND: u64 = 1_000_000;
+/// Wall time at the beginning.
+const WALL: u64 = 1_700_000_000 * SECOND;
+/// How long a datagram is on its way.
+const WAY: u64 = 500;
+
+fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1000 + n as u16))
+}
+
+struct One {
+    membership: Membership,
+    seal: Seal,
+    news: Vec<News>,
+}
+
+/// Proxies by place, and what is on its way between them.
+struct Fleet {
+    now: u64,
+    size: usize,
+    ones: BTreeMap<usize, One>,
+    way: BTreeMap<(u64, u64), (usize, Vec<u8>)>,
+    sent: u64,
+    /// Nothing passes between this one and the others.
+    cut: Option<usize>,
+    /// This one's wall clock is ahead by so much.
+    ahead: Option<(usize, u64)>,
+}
+
+impl Fleet {
+    fn new(size: usize) -> Fleet {
+        let (ones, way) = Default::default();
+        let mut fleet = Fleet { now: 0, size, ones, way, sent: 0, cut: None, ahead: None };
+        (0..size).for_each(|n| fleet.start(n));
+        fleet
+    }
+
+    fn clock(&self, n: usize) -> Now {
+        let ahead = self.ahead.filter(|a| a.0 == n).map_or(0, |a| a.1);
+        Now { time: Time(self.now), wall_us: WALL + self.now + ahead }
+    }
+
+    fn start(&mut self, n: usize) {
+        let cluster = wire::cluster("test");
+        let rules =
+            Rules { cluster, seeds: vec![address(0)], max_age: Micros(5 * SECOND), fleet: self.size as u32 };
+        let membership = Membership::new(rules, address(n), 7 + n as u64, true, self.clock(n));
+        self.ones.insert(n, One { membership, seal: Seal::new(cluster, address(n)), news: Vec::new() });
+    }
+
+    fn turn(&mut self, n: usize, step: impl FnOnce(&mut Membership, Now, &mut Vec<Output>)) {
+        let now = self.clock(n);
+        let Some(one) = self.ones.get_mut(&n) else { return };
+        let mut out = Vec::new();
+        step(&mut one.membership, now, &mut out);
+        for output in out {
+            match output {
+                Output::News(news) => one.news.push(news),
+                Output::Send(to, body) => {
+                    let to = usize::from(to.port()) - 1000;
+                    if self.cut.is_some_and(|cut| (cut == n) != (cut == to)) {
+                        continue;
+                    }
+                    self.sent += 1;
+                    let bytes = one.seal.seal(body, now.wall_us).expect("a body that fits");
+                    self.way.insert((self.now + WAY, self.sent), (to, bytes));
+                }
+            }
+        }
+    }
+
+    fn play(&mut self, span: u64) {
+        let end = self.now + span;
+        loop {
+            let due = self.ones.iter().map(|(n, one)| (one.membership.due().0, *n)).min();
+            let came = self.way.first_key_value().map(|(key, _)| key.0);
+            let next = due.map(|d| d.0).into_iter().chain(came).min().unwrap_or(end);
+            if next >= end {
+                break;
+            }
+            self.now = self.now.max(next);
+            if came == Some(next) {
+                let (_, (to, bytes)) = self.way.pop_first().expect("one that came");
+                self.turn(to, |m, now, out| m.datagram(&bytes, now, out));
+            } else if let Some((_, n)) = due {
+                self.turn(n, Membership::pass);
+            }
+        }
+        self.now = end;
+    }
+
+    /// All know all.
+    fn whole(&self) -> bool {
+        self.ones.values().all(|one| one.membership.live() + 1 == self.size)
+    }
+
+    fn said(&self, n: usize, what: fn(&News) -> bool) -> usize {
+        self.ones[&n].news.iter().filter(|news| what(news)).count()
+    }
+}
+
+/// A proxy that was taken for down by mistake joins again under a later start, and all know it by that.
+#[test]
+fn who_was_cut_off_joins_again() {
+    let mut fleet = Fleet::new(5);
+    fleet.play(5 * SECOND);
+    assert!(fleet.whole());
+    fleet.cut = Some(4);
+    fleet.play(30 * SECOND);
+    assert_eq!(fleet.ones[&0].membership.live(), 3, "it was not missed");
+    fleet.cut = None;
+    fleet.play(10 * SECOND);
+    assert!(fleet.whole());
+    assert!(fleet.said(4, |news| matches!(news, News::Rejoined { .. })) > 0);
+    assert!(fleet.said(0, |news| matches!(news, News::Replaced { .. })) > 0, "by a later start");
+}
+
+/// A proxy whose clock was ahead is followed by one that starts earlier by its own clock: this one renews itself by the
+/// wall time that it is told, and is known once that has passed the other's start.
+#[test]
+fn a_start_by_a_clock_that_was_ahead_is_outlived() {
+    let mut fleet = Fleet::new(5);
+    fleet.ones.remove(&1);
+    fleet.ahead = Some((1, 900_000));
+    fleet.start(1);
+    fleet.play(400_000);
+    assert!((0..5).all(|n| fleet.ones[&n].membership.live() > 0));
+    fleet.ahead = None;
+    fleet.start(1);
+    fleet.play(10 * SECOND);
+    assert!(fleet.whole());
+    assert!(fleet.said(1, |news| matches!(news, News::Rejoined { .. })) > 0, "it had no need to");
+}
+
+/// One that stops without a word is down everywhere within the time that suspicion takes; nobody else is.
+#[test]
+fn one_that_dies_is_known_everywhere_and_nobody_else_is_taken_for_dead() {
+    let mut fleet = Fleet::new(40);
+    fleet.play(10 * SECOND);
+    assert!(fleet.whole());
+    let downs = |fleet: &Fleet, n: usize| fleet.said(n, |news| matches!(news, News::Down { .. }));
+    assert!((0..40).all(|n| downs(&fleet, n) == 0), "somebody was taken for dead");
+    fleet.ones.remove(&20);
+    fleet.play(30 * SECOND);
+    let live: Vec<usize> = fleet.ones.keys().copied().collect();
+    assert!(live.iter().all(|n| downs(&fleet, *n) == 1), "each finds out once");
+}
+
+/// A snapshot that a member asks for comes whole through the parts that the driver sends; one too large is refused.
+#[test]
+fn a_new_proxy_gets_the_snapshot_that_it_asked_for() {
+    let mut fleet = Fleet::new(2);
+    fleet.play(600_000); // a member is asked each half second from the start, and at first none is known
+    let wanted = fleet.ones[&0].news.iter().find_map(|news| match news {
+        News::Wanted { to, nonce } => Some((*to, *nonce)),
+        _ => None,
+    });
+    let (to, nonce) = wanted.expect("it asked");
+    let bytes: Vec<u8> = (0..5_000u32).map(|n| n as u8).collect();
+    fleet.turn(0, |m, _, out| m.give(to, nonce, &bytes, out).expect("small enough"));
+    fleet.play(100_000);
+    let got = fleet.ones[&1].news.iter().find_map(|news| match news {
+        News::Snapshot(got) => Some(got.clone()),
+        _ => None,
+    });
+    assert_eq!(got, Some(bytes));
+    fleet.turn(0, |m, _, out| {
+        let large = vec![0; 1 << 20];
+        assert!(m.give(to, nonce, &large, out).is_err() && out.is_empty());
+    });
+}
+
+/// A verdict told by one is heard once by each other, with the turns shared out: each has another.
+#[test]
+fn a_verdict_reaches_all_others_once_with_a_turn_each() {
+    let mut fleet = Fleet::new(12);
+    fleet.play(10 * SECOND);
+    let verdict = Verdict::Out { term: Micros(SECOND), strikes: 1 };
+    fleet.turn(3, |m, now, out| m.tell("b7".into(), verdict, now, out));
+    fleet.play(3 * SECOND);
+    let mut turns = Vec::new();
+    for one in fleet.ones.values() {
+        let heard = one.news.iter().filter_map(|news| match news {
+            News::Heard(backend, heard) => Some((backend.as_str(), heard.verdict, heard.turn)),
+            _ => None,
+        });
+        let heard: Vec<_> = heard.collect();
+        assert_eq!(heard.len(), 1, "{heard:?}");
+        assert_eq!((heard[0].0, heard[0].1), ("b7", verdict));
+        turns.push(heard[0].2);
+    }
+    turns.sort_unstable();
+    assert_eq!(turns, (0..12).collect::<Vec<u32>>(), "the origin's is the last");
+}
