--- /dev/null
+++ b/benches/scale/figures.rs
@@ -0,0 +1,188 @@
+//! What is made of the counts: quantiles, lines through the sizes, and the tables.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// The machine's time so far, in ticks of all its cores.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Machine {
+    busy: u64,
+    all: u64,
+}
+
+impl Machine {
+    pub fn now() -> Machine {
+        let text = std::fs::read_to_string("/proc/stat").unwrap_or_default();
+        let first = text.lines().next().unwrap_or_default();
+        let ticks: Vec<u64> = first.split_whitespace().skip(1).take(8).flat_map(str::parse).collect();
+        let all = ticks.iter().sum();
+        let idle: u64 = ticks.iter().skip(3).take(2).sum(); // and waiting for a disk
+        Machine { busy: all - idle, all }
+    }
+
+    /// The part of the machine that was busy since then, in percent.
+    pub fn busy_since(self, earlier: Machine) -> f64 {
+        100.0 * (self.busy - earlier.busy) as f64 / (self.all - earlier.all).max(1) as f64
+    }
+}
+
+/// Memory that can still be had, in kB.
+pub fn available_kb() -> u64 {
+    let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix("MemAvailable:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// Milliseconds until half, 99 in 100 and the last of the pairs knew, of pairs counted by milliseconds.
+pub fn quantiles(hist: &[(u32, u32)]) -> Option<[u32; 3]> {
+    let all: u64 = hist.iter().map(|(_, n)| u64::from(*n)).sum();
+    let at = |part: f64| {
+        let rank = ((all as f64 * part).ceil() as u64).max(1);
+        let mut seen = 0;
+        hist.iter().find(|(_, n)| {
+            seen += u64::from(*n);
+            seen >= rank
+        })
+    };
+    Some([at(0.5)?.0, at(0.99)?.0, at(1.0)?.0])
+}
+
+/// One phase at one size, for one role.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Row {
+    pub size: u32,
+    pub phase: String,
+    pub role: String,
+    pub proxies: u32,
+    pub seconds: f64,
+    /// Sent by a proxy in a second, in the mean; bytes are those of datagrams, without headers of UDP and IP.
+    pub datagrams: f64,
+    pub bytes: f64,
+    /// Of the proxy that sent most.
+    pub most_bytes: f64,
+    /// Of a core, by a proxy, in the mean, and the part of it that the module took.
+    pub cpu_percent: f64,
+    pub module_percent: f64,
+    /// Of a proxy; for hollow ones what the processes had before their first proxy is taken out.
+    pub resident_kb: f64,
+    /// By all proxies of the role.
+    pub told: u64,
+    /// By a proxy in a second.
+    pub heard: f64,
+    pub false_downs: u32,
+    pub rejoined: u64,
+    /// What befell the fleet in the phase: proxies stopped, probes told.
+    pub events: u32,
+    /// Milliseconds until half, 99 in 100 and the last of the pairs knew.
+    pub gone_ms: Option<[u32; 3]>,
+    pub back_ms: Option<[u32; 3]>,
+    pub heard_ms: Option<[u32; 3]>,
+    /// Pairs that never did within the phase.
+    pub missing: [u32; 3],
+    /// Seconds until all knew all again, and until they lacked one pair in a thousand; `None` where that was not asked
+    /// or did not come in time.
+    pub whole_s: Option<f64>,
+    pub nearly_s: Option<f64>,
+    pub least_known: u32,
+    /// At the end: pairs of a proxy and a place of the plan of which it knows no live member, and proxies that lack some.
+    pub lacking: u64,
+    pub lack: u32,
+    /// Of the whole machine, and of it by this run.
+    pub busy_percent: f64,
+    pub own_percent: f64,
+}
+
+/// A straight line through points by least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    pub at_zero: f64,
+    pub slope: f64,
+    /// Root of the mean square of what is left, with two degrees of freedom taken out.
+    pub residual: f64,
+}
+
+impl Line {
+    /// `None` with fewer than three points or all at one place.
+    pub fn through(points: &[(f64, f64)]) -> Option<Line> {
+        let n = points.len() as f64;
+        let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / n;
+        let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+        let xx: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
+        let xy: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+        if points.len() < 3 || xx == 0.0 {
+            return None;
+        }
+        let slope = xy / xx;
+        let at_zero = y - slope * x;
+        let left: f64 = points.iter().map(|p| (p.1 - at_zero - slope * p.0).powi(2)).sum();
+        Some(Line { at_zero, slope, residual: (left / (n - 2.0)).sqrt() })
+    }
+
+    pub fn at(&self, x: f64) -> f64 {
+        self.at_zero + self.slope * x
+    }
+}
+
+/// Prints the rows as a Markdown table.
+pub fn table(rows: &[Row]) {
+    println!("| proxies | phase | role | s | events | datagrams/s | bytes/s | most bytes/s | % of a core | of it the module | kB resident | facts heard/s | known gone ms | known back ms | probe heard ms | pairs missing | 99.9% whole, whole after s | proxies that lack some at the end | false downs | machine busy % (own) |");
+    println!("|{}", " --- |".repeat(20));
+    for r in rows {
+        let ms = |q: Option<[u32; 3]>| q.map_or("-".into(), |[a, b, c]| format!("{a} / {b} / {c}"));
+        let after = |s: Option<f64>| s.map_or("-".into(), |s| format!("{s:.1}"));
+        let [gone, back, heard] = r.missing;
+        println!(
+            "| {} | {} | {} ({}) | {:.0} | {} | {:.1} | {:.0} | {:.0} | {:.3} | {:.3} | {:.0} | {:.2} | {} | {} | {} | {gone}+{back}+{heard} | {}, {} | {} | {} | {:.0} ({:.0}) |",
+            r.size, r.phase, r.role, r.proxies, r.seconds, r.events, r.datagrams, r.bytes, r.most_bytes,
+            r.cpu_percent, r.module_percent, r.resident_kb, r.heard,
+            ms(r.gone_ms), ms(r.back_ms), ms(r.heard_ms),
+            after(r.nearly_s),
+            after(r.whole_s),
+            r.lack,
+            r.false_downs, r.busy_percent, r.own_percent,
+        );
+    }
+}
+
+type Figure = (&'static str, fn(&Row) -> Option<f64>);
+
+const FIGURES: [Figure; 8] = [
+    ("datagrams/s", |r| Some(r.datagrams)),
+    ("bytes/s", |r| Some(r.bytes)),
+    ("% of a core", |r| Some(r.cpu_percent)),
+    ("kB resident", |r| Some(r.resident_kb)),
+    ("gone, last ms", |r| r.gone_ms.map(|q| f64::from(q[2]))),
+    ("back, last ms", |r| r.back_ms.map(|q| f64::from(q[2]))),
+    ("probe, last ms", |r| r.heard_ms.map(|q| f64::from(q[2]))),
+    ("99.9% whole after s", |r| r.nearly_s),
+];
+
+/// Prints the line of each figure over the sizes, and what it gives at the plan's size beside what was measured there.
+pub fn lines(rows: &[Row], plan: u32) {
+    println!("| phase | role | figure | sizes | at 0 | slope per 100 proxies | residual | line at {plan} | from the sizes below | measured at {plan} |");
+    println!("|{}", " --- |".repeat(10));
+    let kinds: BTreeSet<(&str, &str)> = rows.iter().map(|r| (r.phase.as_str(), r.role.as_str())).collect();
+    for (phase, role) in kinds {
+        let of: Vec<&Row> =
+            rows.iter().filter(|r| (r.phase.as_str(), r.role.as_str()) == (phase, role)).collect();
+        for (name, figure) in FIGURES {
+            let points: Vec<(f64, f64)> =
+                of.iter().filter_map(|r| Some((f64::from(r.size), figure(r)?))).collect();
+            let below: Vec<(f64, f64)> = points.iter().copied().filter(|p| p.0 < f64::from(plan)).collect();
+            let Some(line) = Line::through(&points) else { continue };
+            let show = |x: Option<f64>| x.map_or("-".into(), |x| format!("{x:.3}"));
+            let measured = points.iter().find(|p| p.0 == f64::from(plan)).map(|p| p.1);
+            let sizes: Vec<String> = points.iter().map(|p| p.0.to_string()).collect();
+            println!(
+                "| {phase} | {role} | {name} | {} | {:.3} | {:.4} | {:.3} | {:.3} | {} | {} |",
+                sizes.join(" "),
+                line.at_zero,
+                line.slope * 100.0,
+                line.residual,
+                line.at(f64::from(plan)),
+                show(Line::through(&below).map(|l| l.at(f64::from(plan)))),
+                show(measured),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/benches/scale/hollow.rs
@@ -0,0 +1,243 @@
+//! A hollow proxy: the library's membership, and the module where there is load, on a UDP socket of its own; no HTTP.
+
+use super::balance::Balance;
+use super::plan::Plan;
+use super::protocol::{Faults, Load, LATE_US};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use shaletide::fleet::membership::wire::{self, Refused, Seal};
+use shaletide::fleet::membership::{Counts, Membership, News, Now, Output, Rules};
+use shaletide::{Time, Verdict};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Membership news kept of each proxy.
+const MOST_NEWS: usize = 100_000;
+
+/// The machine's monotonic clock, which all processes share, in microseconds.
+pub fn mono_us() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1000
+}
+
+fn now() -> Now {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Now { time: Time(mono_us()), wall_us: wall.as_micros() as u64 }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Change {
+    Up,
+    Down,
+    Replaced,
+    /// A probe of that number, see [`probe`].
+    Heard,
+}
+
+/// The name of a backend that is none: a verdict on it only shows how it spreads.
+pub fn probe(number: u32) -> String {
+    format!("probe-{number}")
+}
+
+/// What a place's proxies counted, over all their restarts.
+#[derive(Default)]
+pub struct Tally {
+    pub sent: Cell<u64>,
+    pub bytes: Cell<u64>,
+    pub rejoined: Cell<u64>,
+    pub balancer: Cell<Duration>,
+    /// Of proxies that are gone.
+    pub past: RefCell<Counts>,
+    /// When, of whom, and what.
+    pub news: RefCell<Vec<(u64, u32, Change)>>,
+}
+
+pub struct Hollow {
+    number: u32,
+    plan: Plan,
+    socket: UdpSocket,
+    /// The same socket's sending side.
+    sending: Rc<std::net::UdpSocket>,
+    seal: Seal,
+    membership: RefCell<Membership>,
+    balance: RefCell<Option<Balance>>,
+    faults: Rc<Cell<Faults>>,
+    random: RefCell<Pcg32>,
+    pub tally: Rc<Tally>,
+    /// Something changed, or this proxy is to stop.
+    wake: Notify,
+    stopped: Cell<bool>,
+}
+
+impl Hollow {
+    /// Takes its socket and works until it is stopped.
+    pub fn start(
+        plan: Plan, number: u32, rules: Rules, faults: Rc<Cell<Faults>>, tally: Rc<Tally>,
+    ) -> io::Result<Rc<Hollow>> {
+        let address = plan.address(number);
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let seed = plan.seed ^ (u64::from(number) << 32);
+        let hollow = Rc::new(Hollow {
+            number,
+            plan,
+            socket: UdpSocket::from_std(socket.try_clone()?)?,
+            sending: Rc::new(socket),
+            seal: Seal::new(rules.cluster, address),
+            membership: RefCell::new(Membership::new(rules, address, seed, true, now())),
+            balance: RefCell::default(),
+            faults,
+            random: RefCell::new(Pcg32::seed_from_u64(seed)),
+            tally,
+            wake: Notify::new(),
+            stopped: Cell::new(false),
+        });
+        tokio::task::spawn_local(hollow.clone().run());
+        Ok(hollow)
+    }
+
+    async fn run(self: Rc<Self>) {
+        let mut buffer = [0; wire::MOST + 1];
+        while !self.stopped.get() {
+            let balance = self.balance.borrow().as_ref().and_then(Balance::due);
+            let due = balance.into_iter().fold(self.membership.borrow().due(), Time::min);
+            let wait = Duration::from_micros((due - Time(mono_us())).0);
+            tokio::select! {
+                got = self.socket.recv_from(&mut buffer) => if let Ok((length, from)) = got {
+                    if !self.cut(from) {
+                        self.turn(|m, now, out| m.datagram(&buffer[..length], now, out));
+                    }
+                },
+                () = tokio::time::sleep_until(Instant::now() + wait) => {
+                    self.turn(Membership::pass);
+                    self.serve();
+                }
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// The others find out, or are told.
+    pub fn stop(&self, leave: bool) {
+        if leave {
+            self.turn(Membership::leave);
+        }
+        let (mut past, counts) = (self.tally.past.borrow_mut(), self.membership.borrow().counts());
+        past.received += counts.received;
+        past.told += counts.told;
+        past.heard += counts.heard;
+        counts.refused.into_iter().for_each(|(cause, n)| *past.refused.entry(cause).or_default() += n);
+        self.stopped.set(true);
+        self.wake.notify_one();
+    }
+
+    pub fn load(&self, load: Option<Load>) {
+        let new = |load| Balance::new(load, self.number, self.plan.size, self.plan.seed, now().time);
+        *self.balance.borrow_mut() = load.map(new);
+        self.wake.notify_one();
+    }
+
+    pub fn tell(&self, backend: String, verdict: Verdict) {
+        self.turn(|m, now, out| m.tell(backend, verdict, now, out));
+    }
+
+    /// Live members that it knows, facts that wait, and its counts.
+    pub fn seen(&self) -> (u32, u64, Counts) {
+        let m = self.membership.borrow();
+        (m.live() as u32, m.waiting() as u64, m.counts())
+    }
+
+    fn serve(&self) {
+        let mut spent = Duration::ZERO;
+        let told = self.balance.borrow_mut().as_mut().map(|balance| {
+            let told = balance.pass(Time(mono_us()));
+            spent = std::mem::take(&mut balance.spent);
+            told
+        });
+        self.tally.balancer.set(self.tally.balancer.get() + spent);
+        told.into_iter().flatten().for_each(|(backend, verdict)| self.tell(backend, verdict));
+    }
+
+    fn turn(&self, step: impl FnOnce(&mut Membership, Now, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        step(&mut self.membership.borrow_mut(), now(), &mut out);
+        for output in out {
+            match output {
+                Output::Send(to, body) => self.send(to, body),
+                Output::News(news) => self.news(news),
+            }
+        }
+    }
+
+    fn news(&self, news: News) {
+        match news {
+            News::Up { peer, .. } => self.change(peer, Change::Up),
+            News::Down { peer, .. } => self.change(peer, Change::Down),
+            News::Replaced { peer } => self.change(peer, Change::Replaced),
+            News::Rejoined { .. } => self.tally.rejoined.set(self.tally.rejoined.get() + 1),
+            News::Heard(backend, heard) => {
+                if let Some(number) = backend.strip_prefix("probe-").and_then(|n| n.parse().ok()) {
+                    self.keep(number, Change::Heard);
+                } else if let Some(balance) = self.balance.borrow_mut().as_mut() {
+                    balance.heard(&backend, heard, Time(mono_us()));
+                }
+            }
+            News::Duty(..) => self.turn(|m, now, out| m.refuse(Refused::Unheard, now, out)),
+            // It learned nothing that a snapshot could hold, and logs nothing.
+            News::Wanted { .. } | News::Snapshot(_) | News::NoSnapshot { .. } | News::Refused(_) => {}
+            News::TimerFailed(_) | News::AnnounceFailed(..) => {}
+        }
+    }
+
+    fn change(&self, peer: SocketAddr, change: Change) {
+        self.plan.proxy(peer).into_iter().for_each(|peer| self.keep(peer, change));
+    }
+
+    fn keep(&self, number: u32, change: Change) {
+        let mut news = self.tally.news.borrow_mut();
+        if news.len() < MOST_NEWS {
+            news.push((mono_us(), number, change));
+        }
+    }
+
+    fn cut(&self, other: SocketAddr) -> bool {
+        let Some(region) = self.faults.get().cut else { return false };
+        let there = self.plan.proxy(other).map(|proxy| self.plan.region(proxy) == region);
+        there.is_some_and(|there| there != (self.plan.region(self.number) == region))
+    }
+
+    /// Seals and sends, as far as the faults let it.
+    fn send(&self, to: SocketAddr, body: wire::Body) {
+        let Ok(bytes) = self.seal.seal(body, now().wall_us) else { return };
+        self.tally.sent.set(self.tally.sent.get() + 1);
+        self.tally.bytes.set(self.tally.bytes.get() + bytes.len() as u64);
+        let faults = self.faults.get();
+        if self.cut(to) || self.drawn() < faults.lost {
+            return;
+        }
+        let copies = if self.drawn() < faults.doubled { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.drawn() >= faults.late {
+                let _ = self.sending.send_to(&bytes, to); // as in service: UDP is not sure to arrive
+                continue;
+            }
+            let late = Duration::from_micros((self.drawn() * LATE_US as f64) as u64);
+            let (socket, bytes) = (self.sending.clone(), bytes.clone());
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(late).await;
+                let _ = socket.send_to(&bytes, to);
+            });
+        }
+    }
+
+    /// From 0 to below 1.
+    fn drawn(&self) -> f64 {
+        f64::from(self.random.borrow_mut().next_u32()) / (f64::from(u32::MAX) + 1.0)
+    }
+}
--- /dev/null
+++ b/benches/scale/main.rs
@@ -0,0 +1,176 @@
+//! What a fleet costs as it grows, and how quick it is: hollow proxies, many to a process, beside a few real ones in one
+//! cluster on loopback, in the plan's regions and zones. Never run by the tests.
+//!
+//! `cargo bench --bench scale -- [SIZE ..] [--phases NAME,..] [--seed N] [--real N] [--each N] [--cut SECONDS]
+//! [--json FILE]` plays these sizes (30 100 300 900 1800) and prints a JSON line for each phase and role, then the
+//! tables; `-- --table FILE ..` prints the tables of lines that earlier runs wrote.
+
+mod balance;
+mod figures;
+mod fleet;
+mod hollow;
+mod phases;
+mod plan;
+mod protocol;
+#[path = "../../tests/rig/mod.rs"]
+mod rig;
+mod worker;
+
+use figures::Row;
+use fleet::{Fleet, Shape};
+use phases::{Play, Spans};
+use std::io::Write;
+use std::time::Duration;
+
+/// The argument by which this executable is a worker of another run.
+pub const HIDDEN: &str = "--hollow";
+/// The plan's size.
+const PLAN: u32 = 1800;
+/// Processes of a run at most.
+const MOST_PROCESSES: u32 = 200;
+/// Memory that is reckoned with, in kB: of a hollow proxy beside each other one, of a process, of a real proxy.
+const HOLLOW_KB: u64 = 900;
+const PROCESS_KB: u64 = 8_000;
+const REAL_KB: u64 = 40_000;
+
+struct Asked {
+    sizes: Vec<u32>,
+    phases: Vec<String>,
+    seed: u64,
+    real: u32,
+    each: u32,
+    cut: u64,
+    json: Option<String>,
+}
+
+fn asked(args: &[String]) -> Result<Asked, String> {
+    let mut asked = Asked {
+        sizes: Vec::new(),
+        phases: phases::ALL.map(String::from).to_vec(),
+        seed: 1,
+        real: 5,
+        each: 60,
+        cut: 60,
+        json: None,
+    };
+    let mut rest = args.iter();
+    while let Some(arg) = rest.next() {
+        if let Ok(size) = arg.parse() {
+            asked.sizes.push(size);
+            continue;
+        }
+        let mut value = || rest.next().ok_or(format!("{arg}: a value is missing"));
+        let number = |text: &String| text.parse::<u32>().map_err(|e| format!("{arg}: {e}"));
+        match arg.as_str() {
+            "--bench" => {} // cargo's own
+            "--phases" => asked.phases = value()?.split(',').map(String::from).collect(),
+            "--seed" => asked.seed = u64::from(number(value()?)?),
+            "--real" => asked.real = number(value()?)?,
+            "--each" => asked.each = number(value()?)?.max(1),
+            "--cut" => asked.cut = u64::from(number(value()?)?),
+            "--json" => asked.json = Some(value()?.clone()),
+            other => return Err(format!("{other}: not known")),
+        }
+    }
+    if asked.sizes.is_empty() {
+        asked.sizes = vec![30, 100, 300, 900, PLAN];
+    }
+    Ok(asked)
+}
+
+/// Whether a run of that size is within what may be taken of the machine.
+fn fits(size: u32, asked: &Asked) -> Result<(), String> {
+    let workers = size.saturating_sub(asked.real).div_ceil(asked.each);
+    let processes = workers + asked.real + 1;
+    if processes > MOST_PROCESSES {
+        return Err(format!("{processes} processes, over {MOST_PROCESSES}"));
+    }
+    let hollow = u64::from(size) * HOLLOW_KB;
+    let needed = hollow + u64::from(workers) * PROCESS_KB + u64::from(asked.real) * REAL_KB;
+    let available = figures::available_kb();
+    if needed > available / 2 {
+        return Err(format!("{needed} kB needed, over half of the {available} kB that can be had"));
+    }
+    Ok(())
+}
+
+fn play(size: u32, asked: &Asked) -> Result<Vec<Row>, String> {
+    fits(size, asked)?;
+    let real = asked.real.min(size / 3);
+    let shape = Shape { size, seed: asked.seed, real, each: asked.each, threads: false };
+    let mut fleet = Fleet::new(shape);
+    let (wave, pause) = (4, Duration::from_millis(500));
+    let joined = fleet.join(wave, pause, Duration::from_secs(30));
+    eprintln!("{size} started: {joined:?}");
+    let seconds = Duration::from_secs;
+    let spans = Spans {
+        quiet: seconds(20),
+        churn: seconds(40),
+        facts: seconds(20),
+        loss: seconds(20),
+        gone: seconds(30),
+        back: seconds(15),
+        cut: seconds(asked.cut),
+        heal: seconds(15),
+        settle: seconds(10),
+    };
+    let mut play = Play::new(fleet, spans);
+    std::thread::sleep(spans.settle);
+    asked.phases.iter().for_each(|phase| play.phase(phase));
+    Ok(play.rows())
+}
+
+fn read(files: &[String]) -> Result<Vec<Row>, String> {
+    let mut rows = Vec::new();
+    for file in files {
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+        for line in text.lines() {
+            rows.push(serde_json::from_str(line).map_err(|e| format!("{file}: {e}"))?);
+        }
+    }
+    Ok(rows)
+}
+
+fn tables(rows: &[Row]) {
+    figures::table(rows);
+    println!();
+    figures::lines(rows, PLAN);
+}
+
+fn run(args: &[String]) -> Result<(), String> {
+    if let Some(at) = args.iter().position(|arg| arg == "--table") {
+        let files: Vec<String> = args[at + 1..].iter().filter(|a| *a != "--bench").cloned().collect();
+        tables(&read(&files)?);
+        return Ok(());
+    }
+    let asked = asked(args)?;
+    let mut rows = Vec::new();
+    for size in &asked.sizes {
+        let played = play(*size, &asked)?;
+        if let Some(path) = &asked.json {
+            let mut file = std::fs::OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(path)
+                .map_err(|e| e.to_string())?;
+            for row in &played {
+                writeln!(file, "{}", serde_json::to_string(row).expect("plain data"))
+                    .map_err(|e| e.to_string())?;
+            }
+        }
+        rows.extend(played);
+    }
+    tables(&rows);
+    Ok(())
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == HIDDEN) {
+        return worker::process();
+    }
+    if let Err(why) = run(&args) {
+        eprintln!("scale: {why}");
+        std::process::exit(2);
+    }
+}
--- /dev/null
+++ b/benches/scale/worker.rs
@@ -0,0 +1,220 @@
+//! Holds some of the hollow proxies on one thread, and does what the conductor says.
+
+use super::hollow::{probe, Change, Hollow, Tally};
+use super::plan::Plan;
+use super::protocol::{Absence, Command, Cut, Faults, Learned, Load, Reply, Sample};
+use shaletide::fleet::membership::{wire, Rules};
+use shaletide::{Micros, Verdict};
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Word of a proxy's absence may come so long after its end, in microseconds, and of a cut region's.
+const LATE: u64 = 5_000_000;
+const LATE_OF_CUT: u64 = 20_000_000;
+
+/// One place of the plan, with the proxy that is there now.
+#[derive(Default)]
+struct Place {
+    hollow: Option<Rc<Hollow>>,
+    tally: Rc<Tally>,
+}
+
+pub struct Worker {
+    plan: Option<(Plan, Rules)>,
+    places: BTreeMap<u32, Place>,
+    faults: Rc<Cell<Faults>>,
+    load: Option<Load>,
+    base_kb: u64,
+}
+
+/// Works on this thread until nobody commands any more.
+pub fn run(mut commands: UnboundedReceiver<Command>, reply: impl Fn(Reply)) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async move {
+        let base_kb = resident_kb();
+        let (faults, places) = (Rc::default(), BTreeMap::new());
+        let mut worker = Worker { plan: None, places, faults, load: None, base_kb };
+        while let Some(command) = commands.recv().await {
+            reply(worker.command(command).unwrap_or_else(Reply::Failed));
+        }
+    });
+}
+
+impl Worker {
+    fn command(&mut self, command: Command) -> Result<Reply, String> {
+        match command {
+            Command::Plan { plan, seeds, cluster, max_age_s } => {
+                let (cluster, max_age) = (wire::cluster(&cluster), Micros::from_secs(max_age_s));
+                self.plan = Some((plan, Rules { cluster, seeds, max_age, fleet: plan.size }));
+            }
+            Command::Start(who) => who.into_iter().try_for_each(|number| self.start(number))?,
+            Command::Stop { who, leave } => {
+                for number in who {
+                    let hollow = self.places.get_mut(&number).and_then(|p| p.hollow.take());
+                    hollow.ok_or(format!("proxy {number} is not there"))?.stop(leave);
+                }
+            }
+            Command::Faults(faults) => self.faults.set(faults),
+            Command::Load(load) => {
+                self.load = load;
+                self.hollows().for_each(|hollow| hollow.load(load));
+            }
+            Command::Probe { proxy, number } => {
+                let hollow = self.places.get(&proxy).and_then(|p| p.hollow.as_ref());
+                hollow.ok_or(format!("proxy {proxy} is not there"))?.tell(probe(number), Verdict::Back);
+            }
+            Command::Sample => return Ok(Reply::Sample(self.sample())),
+            Command::Learned { since, absences, probes, cut } => {
+                return Ok(Reply::Learned(self.learned(since, &absences, &probes, cut)));
+            }
+        }
+        Ok(Reply::Done)
+    }
+
+    fn start(&mut self, number: u32) -> Result<(), String> {
+        let (plan, rules) = self.plan.clone().ok_or("no plan yet")?;
+        let place = self.places.entry(number).or_default();
+        let hollow = Hollow::start(plan, number, rules, self.faults.clone(), place.tally.clone())
+            .map_err(|e| format!("proxy {number} at {}: {e}", plan.address(number)))?;
+        if self.load.is_some() {
+            hollow.load(self.load);
+        }
+        place.hollow = Some(hollow);
+        Ok(())
+    }
+
+    fn hollows(&self) -> impl Iterator<Item = &Rc<Hollow>> {
+        self.places.values().filter_map(|p| p.hollow.as_ref())
+    }
+
+    fn sample(&self) -> Sample {
+        let mut s = Sample {
+            proxies: self.hollows().count() as u32,
+            cpu_ns: thread_cpu_ns(),
+            resident_kb: resident_kb(),
+            base_kb: self.base_kb,
+            least: u32::MAX,
+            ..Sample::default()
+        };
+        for (number, place) in &self.places {
+            let tally = &place.tally;
+            s.sent += tally.sent.get();
+            s.rejoined += tally.rejoined.get();
+            s.balancers_ns += tally.balancer.get().as_nanos() as u64;
+            s.bytes.insert(*number, tally.bytes.get());
+            let mut of = vec![tally.past.borrow().clone()];
+            if let Some((live, waiting, counts)) = place.hollow.as_ref().map(|h| h.seen()) {
+                (s.least, s.most) = (s.least.min(live), s.most.max(live));
+                let lacking = self.plan.as_ref().map_or(0, |(plan, _)| plan.size - 1).saturating_sub(live);
+                s.lacking += u64::from(lacking);
+                s.lack += u32::from(lacking > 0);
+                s.waiting = s.waiting.max(waiting);
+                of.push(counts);
+            }
+            for counts in of {
+                s.received += counts.received;
+                s.told += counts.told;
+                s.heard += counts.heard;
+                for (cause, n) in counts.refused {
+                    *s.refused.entry(cause.into()).or_default() += n;
+                }
+            }
+        }
+        s
+    }
+
+    /// What these proxies learned; those that were absent themselves are not asked.
+    fn learned(&self, since: u64, absences: &[Absence], probes: &[(u32, u64)], cut: Option<Cut>) -> Learned {
+        let absent: HashSet<u32> = absences.iter().map(|a| a.proxy).collect();
+        let (mut learned, mut hists) = (Learned::default(), [(); 3].map(|()| BTreeMap::new()));
+        let mut count = |which: usize, from: u64, at: Option<u64>| {
+            let missing = [&mut learned.gone_missing, &mut learned.back_missing, &mut learned.heard_missing];
+            match at {
+                Some(at) => *hists[which].entry(((at - from) / 1000) as u32).or_default() += 1,
+                None => *missing[which] += 1,
+            }
+        };
+        let mut false_downs = 0;
+        for (number, place) in self.places.iter().filter(|(_, p)| p.hollow.is_some()) {
+            let news = place.tally.news.borrow();
+            let region = self.plan.as_ref().map(|(plan, _)| |proxy: u32| plan.region(proxy));
+            let cross = |peer: u32, cut: Cut| {
+                region.is_some_and(|of| (of(peer) == cut.region) != (of(*number) == cut.region))
+            };
+            let expected = |at: u64, peer: u32| {
+                let gone = absences.iter().any(|a| {
+                    a.proxy == peer && a.from <= at && a.to.is_none_or(|to| at < to.saturating_add(LATE))
+                });
+                gone || cut.is_some_and(|c| cross(peer, c) && at >= c.from && at < c.to + LATE_OF_CUT)
+            };
+            let downs = news.iter().filter(|n| n.0 >= since && n.2 == Change::Down);
+            false_downs += downs.filter(|n| !expected(n.0, n.1)).count() as u32;
+            if absent.contains(number) {
+                continue;
+            }
+            let mut of: HashMap<u32, Vec<(u64, Change)>> = HashMap::new();
+            news.iter().for_each(|(at, peer, change)| of.entry(*peer).or_default().push((*at, *change)));
+            let first = |number: u32, from: u64, which: &[Change]| {
+                of.get(&number)?
+                    .iter()
+                    .find(|(at, change)| *at >= from && which.contains(change))
+                    .map(|n| n.0)
+            };
+            for a in absences {
+                count(0, a.from, first(a.proxy, a.from, &[Change::Down]));
+                if let Some(to) = a.to {
+                    count(1, to, first(a.proxy, to, &[Change::Up, Change::Replaced]));
+                }
+            }
+            for (probe, told) in probes {
+                count(2, *told, first(*probe, *told, &[Change::Heard]));
+            }
+        }
+        let [gone, back, heard] = hists.map(|hist| hist.into_iter().collect());
+        Learned { gone, back, heard, false_downs, ..learned }
+    }
+}
+
+/// Processor time of this thread in nanoseconds.
+fn thread_cpu_ns() -> u64 {
+    first_number("/proc/thread-self/schedstat")
+}
+
+/// The first number in a file, or 0.
+pub fn first_number(path: &str) -> u64 {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    text.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+fn resident_kb() -> u64 {
+    resident_of("self")
+}
+
+/// Resident memory of a process in kB.
+pub fn resident_of(process: &str) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// The hidden half of the bench: commands come in over standard input, a JSON line each. Ends with its input, so
+/// that none outlives the conductor.
+pub fn process() {
+    let (tell, commands) = tokio::sync::mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            let Ok(command) = serde_json::from_str(&line) else { return };
+            if tell.send(command).is_err() {
+                return;
+            }
+        }
+    });
+    run(commands, |reply| {
+        if let Ok(line) = serde_json::to_string(&reply) {
+            println!("{line}");
+        }
+    });
+}
