Count verdicts from the moment backends die, and at the plan's rate

Five seconds after they died hardly any verdict is told any more: the worst is the first ten, in which every proxy finds out by itself or hears of it. The phase is counted in two halves, and played once more with 117 requests a second at each proxy. Costs and times get a table each.

--- a/benches/scale/figures.rs
+++ b/benches/scale/figures.rs
@@ -47,6 +47,9 @@
     Some([at(0.5)?.0, at(0.99)?.0, at(1.0)?.0])
 }
 
+/// The role of hollow proxies.
+pub const HOLLOW: &str = "hollow";
+
 /// One phase at one size, for one role.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Row {
@@ -123,23 +126,67 @@
     }
 }
 
-/// Prints the rows as a Markdown table.
+fn head(columns: &[&str]) {
+    println!("| {} |\n|{}", columns.join(" | "), " --- |".repeat(columns.len()));
+}
+
+/// Prints as Markdown tables what the rows cost, and when the last one knew.
 pub fn table(rows: &[Row]) {
-    println!("| proxies | phase | role | s | events | datagrams/s | bytes/s | most bytes/s | % of a core | of it the module | kB resident | facts heard/s | known gone ms | known back ms | probe heard ms | pairs missing | 99.9% whole, whole after s | proxies that lack some at the end | false downs | machine busy % (own) |");
-    println!("|{}", " --- |".repeat(20));
+    head(&[
+        "proxies",
+        "phase",
+        "role",
+        "s",
+        "datagrams/s",
+        "bytes/s",
+        "most bytes/s",
+        "% of a core",
+        "of it the module",
+        "kB resident",
+        "facts told",
+        "heard/s",
+        "machine busy % (own)",
+    ]);
     for r in rows {
-        let ms = |q: Option<[u32; 3]>| q.map_or("-".into(), |[a, b, c]| format!("{a} / {b} / {c}"));
-        let after = |s: Option<f64>| s.map_or("-".into(), |s| format!("{s:.1}"));
+        println!(
+            "| {} | {} | {} ({}) | {:.0} | {:.1} | {:.0} | {:.0} | {:.3} | {:.3} | {:.0} | {} | {:.2} | {:.0} ({:.1}) |",
+            r.size, r.phase, r.role, r.proxies, r.seconds, r.datagrams, r.bytes, r.most_bytes,
+            r.cpu_percent, r.module_percent, r.resident_kb, r.told, r.heard, r.busy_percent, r.own_percent,
+        );
+    }
+    println!();
+    head(&[
+        "proxies",
+        "phase",
+        "events",
+        "gone known ms: half / 99% / last (never)",
+        "back known ms",
+        "probe heard ms",
+        "99.9% whole s",
+        "whole s",
+        "lack some at the end",
+        "false downs",
+        "rejoined",
+    ]);
+    for r in rows.iter().filter(|r| r.role == HOLLOW) {
+        let ms = |q: Option<[u32; 3]>, never: u32| {
+            q.map_or("-".into(), |[half, most, last]| format!("{half} / {most} / {last} ({never})"))
+        };
+        let s = |s: Option<f64>| s.map_or("-".into(), |s| format!("{s:.1}"));
         let [gone, back, heard] = r.missing;
         println!(
-            "| {} | {} | {} ({}) | {:.0} | {} | {:.1} | {:.0} | {:.0} | {:.3} | {:.3} | {:.0} | {:.2} | {} | {} | {} | {gone}+{back}+{heard} | {}, {} | {} | {} | {:.0} ({:.0}) |",
-            r.size, r.phase, r.role, r.proxies, r.seconds, r.events, r.datagrams, r.bytes, r.most_bytes,
-            r.cpu_percent, r.module_percent, r.resident_kb, r.heard,
-            ms(r.gone_ms), ms(r.back_ms), ms(r.heard_ms),
-            after(r.nearly_s),
-            after(r.whole_s),
+            "| {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+            r.size,
+            r.phase,
+            r.events,
+            ms(r.gone_ms, gone),
+            ms(r.back_ms, back),
+            ms(r.heard_ms, heard),
+            s(r.nearly_s),
+            s(r.whole_s),
             r.lack,
-            r.false_downs, r.busy_percent, r.own_percent,
+            r.false_downs,
+            r.rejoined,
         );
     }
 }
@@ -159,8 +206,19 @@
 
 /// Prints the line of each figure over the sizes, and what it gives at the plan's size beside what was measured there.
 pub fn lines(rows: &[Row], plan: u32) {
-    println!("| phase | role | figure | sizes | at 0 | slope per 100 proxies | residual | line at {plan} | from the sizes below | measured at {plan} |");
-    println!("|{}", " --- |".repeat(10));
+    let (line_at, measured_at) = (format!("line at {plan}"), format!("measured at {plan}"));
+    head(&[
+        "phase",
+        "role",
+        "figure",
+        "sizes",
+        "at 0",
+        "slope per 100 proxies",
+        "residual",
+        &line_at,
+        "from the sizes below",
+        &measured_at,
+    ]);
     let kinds: BTreeSet<(&str, &str)> = rows.iter().map(|r| (r.phase.as_str(), r.role.as_str())).collect();
     for (phase, role) in kinds {
         let of: Vec<&Row> =
--- a/benches/scale/fleet.rs
+++ b/benches/scale/fleet.rs
@@ -19,6 +19,8 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Backends that proxies know, of which the first so many are dead, and requests a second at each under trouble.
 pub const TROUBLE: Load = Load { backends: 9, dead: 3, per_second: 4.0 };
+/// The same in a service of the plan's mean size, at the plan's peak.
+pub const STORM: Load = Load { backends: 43, dead: 3, per_second: 117.0 };
 
 /// Where a worker is.
 enum Seat {
@@ -297,14 +299,15 @@
         Moment { at: Instant::now(), hollow, real, machine: figures::Machine::now() }
     }
 
-    /// Asks the real ones as often as the load says, until that time.
+    /// Asks the real ones as often as the load says, but no more than ten times a second, until that time.
     pub fn ask_real(&self, load: Load, end: Instant) {
+        let pause = Duration::from_secs_f64(1.0 / load.per_second.min(10.0));
         for at in self.real.iter().map(|p| p.address) {
             std::thread::spawn(move || {
                 let mut client = Client::connect(at);
                 while Instant::now() < end {
                     client.ask(&rig::read(3.0));
-                    std::thread::sleep(Duration::from_secs_f64(1.0 / load.per_second));
+                    std::thread::sleep(pause);
                 }
             });
         }
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -106,7 +106,7 @@
     let spans = Spans {
         quiet: seconds(20),
         churn: seconds(40),
-        facts: seconds(20),
+        facts: seconds(10),
         loss: seconds(20),
         gone: seconds(30),
         back: seconds(15),
--- a/benches/scale/phases.rs
+++ b/benches/scale/phases.rs
@@ -1,9 +1,9 @@
 //! What befalls the fleet, and what is counted meanwhile.
 
-use super::figures::{quantiles, Row};
-use super::fleet::{Fleet, Moment, Whole, TROUBLE};
+use super::figures::{quantiles, Row, HOLLOW};
+use super::fleet::{Fleet, Moment, Whole, STORM, TROUBLE};
 use super::hollow::mono_us;
-use super::protocol::{Absence, Cut, Faults, Learned};
+use super::protocol::{Absence, Cut, Faults, Learned, Load};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
@@ -20,7 +20,7 @@
 const RESTARTED: Duration = Duration::from_secs(2);
 const REPLACED: Duration = Duration::from_secs(20);
 
-pub const ALL: [&str; 8] = ["quiet", "churn", "probes", "facts", "loss", "rack", "zone", "region"];
+pub const ALL: [&str; 9] = ["quiet", "churn", "probes", "facts", "storm", "loss", "rack", "zone", "region"];
 
 /// How long the phases last.
 #[derive(Clone, Copy)]
@@ -74,7 +74,8 @@
                 self.churn("churn x10", 10.0);
             }
             "probes" => self.watch("probes", self.spans.quiet, Play::probes),
-            "facts" => self.facts(),
+            "facts" => self.facts("3 of 9 dead", TROUBLE),
+            "storm" => self.facts("3 of 43 dead at 117/s", STORM),
             "loss" => {
                 self.loss("1% lost", 0.01);
                 self.loss("10% lost", 0.1);
@@ -168,13 +169,15 @@
         Done { events: count, probes, ..Done::default() }
     }
 
-    /// Every proxy meets dead backends, a third of all.
-    fn facts(&mut self) {
+    /// Backends are dead of a sudden: first every proxy finds out by itself or hears of it, then some try again at times.
+    fn facts(&mut self, name: &str, load: Load) {
         let span = self.spans.facts;
-        self.fleet.load(Some(TROUBLE));
-        self.fleet.ask_real(TROUBLE, Instant::now() + span + Duration::from_secs(6));
-        std::thread::sleep(Duration::from_secs(5)); // the first that meet them are over
-        self.watch("facts, 3 of 9 dead", span, |_| Done::default());
+        self.watch(&format!("{name}, first"), span, |play| {
+            play.fleet.ask_real(load, Instant::now() + 2 * span);
+            play.fleet.load(Some(load));
+            Done { events: load.dead, ..Done::default() }
+        });
+        self.watch(&format!("{name}, then"), span, |_| Done { events: load.dead, ..Done::default() });
         self.fleet.load(None);
         self.settle();
     }
@@ -262,7 +265,7 @@
     }
     let resident: u64 = after.hollow.iter().map(|s| s.resident_kb.saturating_sub(s.base_kb)).sum();
     let hollow = Row {
-        role: "hollow".into(),
+        role: HOLLOW.into(),
         proxies,
         datagrams: grown(|s| s.sent) / seconds / each,
         bytes: bytes.values().sum::<u64>() as f64 / seconds / each,
