Let the scale run start its proxies as slowly as the machine allows

At 1,800 and a machine at load 45 the fleet was not whole 30 s after its start, and every figure of that run was the machine's. How many proxies start at a time and how long all may take is said at the call now.

--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -2,8 +2,8 @@
 //! cluster on loopback, in the plan's regions and zones. Never run by the tests.
 //!
 //! `cargo bench --bench scale -- [SIZE ..] [--phases NAME,..] [--seed N] [--real N] [--each N] [--cut SECONDS]
-//! [--json FILE]` plays these sizes (30 100 300 900 1800) and prints a JSON line for each phase and role, then the
-//! tables; `-- --table FILE ..` prints the tables of lines that earlier runs wrote.
+//! [--wave N] [--patience SECONDS] [--json FILE]` plays these sizes (30 100 300 900 1800) and prints a JSON line for each
+//! phase and role, then the tables; `-- --table FILE ..` prints the tables of lines that earlier runs wrote.
 
 mod balance;
 mod figures;
@@ -40,6 +40,9 @@
     real: u32,
     each: u32,
     cut: u64,
+    /// Hollow proxies of each worker that start at a time, twice a second, and seconds until all are to know all.
+    wave: u32,
+    patience: u64,
     json: Option<String>,
 }
 
@@ -51,6 +54,8 @@
         real: 5,
         each: 60,
         cut: 60,
+        wave: 4,
+        patience: 30,
         json: None,
     };
     let mut rest = args.iter();
@@ -68,6 +73,8 @@
             "--real" => asked.real = number(value()?)?,
             "--each" => asked.each = number(value()?)?.max(1),
             "--cut" => asked.cut = u64::from(number(value()?)?),
+            "--wave" => asked.wave = number(value()?)?.max(1),
+            "--patience" => asked.patience = u64::from(number(value()?)?),
             "--json" => asked.json = Some(value()?.clone()),
             other => return Err(format!("{other}: not known")),
         }
@@ -99,8 +106,7 @@
     let real = asked.real.min(size / 3);
     let shape = Shape { size, seed: asked.seed, real, each: asked.each, threads: false };
     let mut fleet = Fleet::new(shape);
-    let (wave, pause) = (4, Duration::from_millis(500));
-    let joined = fleet.join(wave, pause, Duration::from_secs(30));
+    let joined = fleet.join(asked.wave, Duration::from_millis(500), Duration::from_secs(asked.patience));
     eprintln!("{size} started: {joined:?}");
     let seconds = Duration::from_secs;
     let spans = Spans {
