--- a/benches/scale/clockwork.rs
+++ b/benches/scale/clockwork.rs
@@ -1,11 +1,13 @@
 //! The same membership on one clock of our own, without sockets: every datagram is on its way for 0.3 to 0.5 ms, and no
 //! proxy ever waits for a processor. What a size costs and how quick it is there does not depend on the machine.
 
+use super::balance::Balance;
 use super::figures::{quantiles, Row};
+use super::fleet::{STORM, TROUBLE};
 use super::hollow::{Change, Heard};
 use super::learned::learned;
 use super::plan::{Plan, REGIONS, ZONES};
-use super::protocol::{Absence, Cut, Faults, Learned, LATE_US};
+use super::protocol::{Absence, Cut, Faults, Learned, Load, LATE_US};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use shaletide::fleet::membership::wire::{self, Body, Seal};
@@ -27,17 +29,21 @@
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Pass(u32),
+    Serve(u32),
     Comes(u32, Vec<u8>),
 }
 
 struct One {
     membership: Option<Membership>,
+    balance: Option<Balance>,
     seal: Seal,
     /// The earliest time at which it is to pass.
     due: u64,
     sent: u64,
     bytes: u64,
     rejoined: u64,
+    told: u64,
+    heard: u64,
     news: Vec<Heard>,
 }
 
@@ -56,11 +62,14 @@
         let cluster = wire::cluster("scale");
         let one = |n: u32| One {
             membership: None,
+            balance: None,
             seal: Seal::new(cluster, plan.address(n)),
             due: u64::MAX,
             sent: 0,
             bytes: 0,
             rejoined: 0,
+            told: 0,
+            heard: 0,
             news: Vec::new(),
         };
         Clockwork {
@@ -120,7 +129,33 @@
         self.schedule(n);
     }
 
+    /// The module's turn: the verdicts that it tells go out.
+    fn serve(&mut self, n: u32) {
+        let Some(balance) = self.ones[n as usize].balance.as_mut() else { return };
+        let told = balance.pass(Time(self.now));
+        let next = balance.due();
+        for (backend, verdict) in told {
+            self.ones[n as usize].told += 1;
+            self.turn(n, |m, now, out| m.tell(backend, verdict, now, out));
+        }
+        next.into_iter().for_each(|at| self.push(at.0.max(self.now), Due::Serve(n)));
+    }
+
+    fn load(&mut self, load: Option<Load>) {
+        for n in 0..self.plan.size {
+            let new = |load| Balance::new(load, n, self.plan.size, self.plan.seed, Time(self.now));
+            self.ones[n as usize].balance = load.map(new);
+            self.serve(n);
+        }
+    }
+
     fn news(&mut self, n: u32, news: News) {
+        if let News::Heard(backend, heard) = news {
+            let (one, now) = (&mut self.ones[n as usize], Time(self.now));
+            one.heard += u64::from(heard.origin.is_some());
+            one.balance.iter_mut().for_each(|balance| balance.heard(&backend, heard.clone(), now));
+            return;
+        }
         let (peer, change) = match news {
             News::Up { peer, .. } => (peer, Change::Up),
             News::Down { peer, .. } => (peer, Change::Down),
@@ -166,6 +201,7 @@
                     self.turn(n, Membership::pass);
                 }
                 Due::Pass(_) => {}
+                Due::Serve(n) => self.serve(n),
             }
         }
         self.now = end;
@@ -179,7 +215,9 @@
     /// Plays so long, and counts; with `whole` it looks each tenth of a second whether all know all.
     fn watch(&mut self, phase: &str, span: u64, whole: bool, absences: &[Absence], cut: Option<Cut>) -> Row {
         let (since, begun) = (self.now, std::time::Instant::now());
-        let counts = |c: &Clockwork| c.ones.iter().map(|o| [o.sent, o.bytes, o.rejoined]).collect::<Vec<_>>();
+        let counts = |c: &Clockwork| {
+            c.ones.iter().map(|o| [o.sent, o.bytes, o.rejoined, o.told, o.heard]).collect::<Vec<_>>()
+        };
         let before = counts(self);
         let (mut nearly_s, mut whole_s) = (None, None);
         while self.now < since + span {
@@ -193,8 +231,8 @@
                 whole_s = whole_s.or(Some(seconds));
             }
         }
-        let grown: Vec<[u64; 3]> =
-            counts(self).iter().zip(&before).map(|(a, b)| [a[0] - b[0], a[1] - b[1], a[2] - b[2]]).collect();
+        let grown: Vec<[u64; 5]> =
+            counts(self).iter().zip(&before).map(|(a, b)| std::array::from_fn(|n| a[n] - b[n])).collect();
         let there = || self.ones.iter().enumerate().filter(|(_, one)| one.membership.is_some());
         let asked = there().map(|(n, one)| (n as u32, one.news.as_slice()));
         let learned: Learned = learned(&self.plan, asked, since, absences, &[], cut);
@@ -211,6 +249,8 @@
             bytes: sum(1) as f64 / seconds / proxies,
             most_bytes: grown.iter().map(|g| g[1]).max().unwrap_or(0) as f64 / seconds,
             rejoined: sum(2),
+            told: sum(3),
+            heard: sum(4) as f64 / seconds / proxies,
             events: absences.len() as u32,
             false_downs: learned.false_downs,
             gone_ms: quantiles(&learned.gone),
@@ -240,8 +280,18 @@
         self.play(10 * SECOND);
     }
 
-    /// All phases, one after the other.
-    pub fn rows(mut self) -> Vec<Row> {
+    fn facts(&mut self, name: &str, load: Load, rows: &mut Vec<Row>) {
+        self.load(Some(load));
+        rows.push(self.watch(&format!("{name}, first"), 10 * SECOND, false, &[], None));
+        rows.push(self.watch(&format!("{name}, then"), 10 * SECOND, false, &[], None));
+        self.load(None);
+        self.due.retain(|d| !matches!(d.0 .2, Due::Serve(_)));
+        self.play(10 * SECOND);
+    }
+
+    /// These phases, one after the other.
+    pub fn rows(mut self, phases: &[String]) -> Vec<Row> {
+        let asked = |name: &str| phases.iter().any(|phase| phase == name);
         let mut rows = Vec::new();
         for n in 0..self.plan.size {
             self.start(n);
@@ -249,15 +299,27 @@
         }
         rows.push(self.watch("joins", 20 * SECOND, true, &[], None));
         rows.push(self.watch("quiet", 20 * SECOND, true, &[], None));
-        for (name, part) in [("1% lost", 0.01), ("10% lost", 0.1)] {
+        if asked("facts") {
+            self.facts("3 of 9 dead", TROUBLE, &mut rows);
+        }
+        if asked("storm") {
+            self.facts("3 of 43 dead at 117/s", STORM, &mut rows);
+        }
+        for (name, part) in [("1% lost", 0.01), ("10% lost", 0.1)].into_iter().filter(|_| asked("loss")) {
             self.faults = Faults { lost: part, doubled: part, late: part, cut: None };
             rows.push(self.watch(name, 20 * SECOND, true, &[], None));
             self.faults = Faults::default();
             self.play(10 * SECOND);
         }
-        self.group("rack", 40, &mut rows);
-        let zone = self.plan.size.div_ceil(ZONES);
-        self.group("zone", zone, &mut rows);
+        if asked("rack") {
+            self.group("rack", 40, &mut rows);
+        }
+        if asked("zone") {
+            self.group("zone", self.plan.size.div_ceil(ZONES), &mut rows);
+        }
+        if !asked("region") {
+            return rows;
+        }
         let (region, from) = (REGIONS - 1, self.now);
         self.faults.cut = Some(region);
         let cut = |to| Some(Cut { region, from, to });
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -111,7 +111,7 @@
     fits(size, asked)?;
     if asked.clockwork {
         let plan = plan::Plan { size, port: 1, seed: asked.seed };
-        return Ok(clockwork::Clockwork::new(plan).rows());
+        return Ok(clockwork::Clockwork::new(plan).rows(&asked.phases));
     }
     let real = asked.real.min(size / 3);
     let shape = Shape { size, seed: asked.seed, real, each: asked.each, threads: false };
