Add the state machines of the fleet's configuration, model checked and played in storms

Nothing carries a change of configuration between proxies. These sans-IO machines do: Multi-Paxos with the lease's token as the ballot and one slot open (acceptor, proposer), recovery of voters that forgot, push to six members, digests, repair by log and by a tree of ranges into a copy beside the one in force. Nothing uses them yet.

The model (3 voters, 2 holders; 10,918, 98,529 and up to 299,884 states) found two faults in the first draft: a holder prepared before all voters forgot could give a number again, and a holder that heard its own proposal decided by others waited for ever (found by a storm).

--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -30,7 +30,7 @@
 
 impl Ballot {
     /// The least ballot above this one.
-    fn above(self) -> Ballot {
+    pub(crate) fn above(self) -> Ballot {
         match self.by.checked_add(1) {
             Some(by) => Ballot { by, ..self },
             None => Ballot { number: self.number.saturating_add(1), by: 0 },
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,5 +2,6 @@
 //! go in, messages and changes come out. None of them picks a backend for a request.
 
 pub mod calendar;
+pub mod config;
 pub mod fence;
 pub mod lease;
