--- a/src/fleet/config/acceptor.rs
+++ b/src/fleet/config/acceptor.rs
@@ -52,6 +52,11 @@
         self.state == State::Voting
     }
 
+    /// The number of the change that it keeps and does not know to be decided.
+    pub fn keeps(&self) -> Option<u64> {
+        self.accepted.as_ref().map(|(_, change)| change.number)
+    }
+
     /// The version that its copy has to reach before it takes part.
     pub fn reaching(&self) -> Option<u64> {
         match self.state {
--- a/src/fleet/config/mod.rs
+++ b/src/fleet/config/mod.rs
@@ -84,6 +84,22 @@
     }
 }
 
+impl Key {
+    /// Checks the name.
+    ///
+    /// # Errors
+    /// It is empty or too long.
+    pub fn check(&self) -> Result<(), Invalid> {
+        match self.name.len() {
+            1..=MOST_NAME => Ok(()),
+            length => {
+                let why = format!("a name has 1 to {MOST_NAME} bytes, not {length}");
+                Err(Invalid { key: self.to_string(), why })
+            }
+        }
+    }
+}
+
 impl fmt::Display for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.kind.name(), self.name)
@@ -117,11 +133,13 @@
         self.key.name.len() + value + 6
     }
 
-    fn check(&self) -> Result<(), Invalid> {
+    /// Checks it by itself.
+    ///
+    /// # Errors
+    /// Its name or value out of its bounds.
+    pub fn check(&self) -> Result<(), Invalid> {
+        self.key.check()?;
         let why = |why: String| Err(Invalid { key: self.key.to_string(), why });
-        if self.key.name.is_empty() || self.key.name.len() > MOST_NAME {
-            return why(format!("a name has 1 to {MOST_NAME} bytes, not {}", self.key.name.len()));
-        }
         match &self.value {
             Value::Set(bytes) if bytes.len() > MOST_VALUE => {
                 why(format!("a value has up to {MOST_VALUE} bytes, not {}", bytes.len()))
--- a/src/fleet/config/replica.rs
+++ b/src/fleet/config/replica.rs
@@ -6,7 +6,7 @@
 use super::repair::Repair;
 use super::submit::{Rejected, Submissions};
 use super::table::{Applied, Digest, Table};
-use super::{Change, Edit, Refused, MOST_WAITING};
+use super::{Change, Edit, Refused, MOST_NUMBER, MOST_WAITING};
 use crate::fleet::lease::{self, Token};
 use crate::interface::{Micros, Time};
 use rand_core::{RngCore, SeedableRng};
@@ -101,6 +101,8 @@
     again: VecDeque<(Time, Change)>,
     digest_at: Time,
     digests: u32,
+    /// The highest version that was heard of.
+    newest: u64,
     /// It has just started, and nobody confirmed yet that it lacks nothing.
     new: bool,
     /// Up to when its bytes for repairs are spent.
@@ -116,7 +118,7 @@
         let place = rules.voters.iter().position(|voter| *voter == rules.own);
         let acceptor = place.map(|place| Acceptor::new(rules.lease, place, random.next_u64(), now));
         let (table, proposer, last, submissions, waiting) = Default::default();
-        let (repair, again, digests, events) = Default::default();
+        let (repair, again, digests, newest, events) = Default::default();
         let (digest_at, spent, new) = (now, now, true);
         Replica {
             rules,
@@ -130,6 +132,7 @@
             again,
             digest_at,
             digests,
+            newest,
             new,
             spent,
             random,
@@ -142,6 +145,11 @@
         &self.table
     }
 
+    /// The highest version that it heard of: above its copy's while it is behind.
+    pub fn newest(&self) -> u64 {
+        self.newest.max(self.table.version())
+    }
+
     /// Whether nobody has confirmed yet, since its start, that it lacks nothing.
     pub fn is_new(&self) -> bool {
         self.new
@@ -163,6 +171,16 @@
         places.filter_map(|place| self.rules.voters.get(place).copied()).collect()
     }
 
+    /// The number of the change that this proxy, as the holder, waits for a majority with.
+    pub fn proposed(&self) -> Option<u64> {
+        self.proposer.as_ref().and_then(Proposer::proposed).map(|change| change.number)
+    }
+
+    /// The number of the change that this proxy, as a voter, keeps and does not know to be decided.
+    pub fn keeps(&self) -> Option<u64> {
+        self.acceptor.as_ref().and_then(Acceptor::keeps)
+    }
+
     /// What happened since the last call, in order.
     pub fn events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
@@ -193,11 +211,18 @@
         match message {
             Message::Paxos(message) => self.paxos(now, around, from, message, out),
             Message::Changes { changes, version, push } => {
+                if version >= MOST_NUMBER {
+                    return Err(Refused::Number(version));
+                }
+                self.newest = self.newest.max(version);
                 self.take(around, changes, push, out)?;
                 self.ask_since(now, from, version, out);
                 Ok(())
             }
             Message::Digest { digest, new, ask } => {
+                if digest.version >= MOST_NUMBER {
+                    return Err(Refused::Number(digest.version));
+                }
                 self.compare(now, from, digest, (new, ask), out);
                 Ok(())
             }
@@ -401,6 +426,7 @@
         &mut self, now: Time, from: SocketAddr, theirs: Digest, (new, ask): (bool, bool), out: &mut Out,
     ) {
         let mine = self.table.digest();
+        self.newest = self.newest.max(theirs.version);
         if theirs.version == mine.version && theirs.root != mine.root {
             self.events.push(Event::Diverged(from));
         }
--- a/src/fleet/config/submit.rs
+++ b/src/fleet/config/submit.rs
@@ -152,6 +152,11 @@
         Ok(())
     }
 
+    /// Sends a change to the holder no more: who asked for it was told that its outcome is not known.
+    pub fn withdraw(&mut self, id: u64) {
+        self.submissions.settle(id);
+    }
+
     /// Sends what has no outcome yet to the holder.
     pub(super) fn resend(&mut self, now: Time, around: &Surroundings, out: &mut Vec<(SocketAddr, Message)>) {
         let mut due = Vec::new();
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,5 +1,5 @@
 //! The operators' door: one call to a connection, on an address of its own. What this process knows is answered in the
-//! same turn of the loop; calls on windows and duties go to those who keep them, and come back later.
+//! same turn of the loop; calls on windows, duties and the configuration go to those who keep them, and come back later.
 
 use super::figures::Figures;
 use super::host::Host;
@@ -35,16 +35,16 @@
 const FIGURES: &str = "text/plain; version=0.0.4";
 /// Lines about a failing listener come no faster.
 const TELL_EVERY: Duration = Duration::from_secs(1);
-/// Calls on duties and windows have so long, within [`PATIENCE`], so that their caller hears of it.
+/// Calls on duties, windows and the configuration have so long, within [`PATIENCE`], so that their caller hears of it.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 
 /// Why a call is not carried out.
 type Refusal = (StatusCode, &'static str);
 
-/// Status and text that a call on duties or windows comes to, once its keepers have said so.
+/// Status and text that a call on duties, windows or the configuration comes to, once its keepers have said so.
 pub type Later = Pin<Box<dyn Future<Output = (StatusCode, String)>>>;
 
-/// Who answers the calls on duties and windows.
+/// Who answers the calls on duties, windows and the configuration.
 pub trait DutiesDoor {
     /// `path`: its segments, decoded; only calls that the door knows come here. `body` is at most 64 KiB of
     /// anything. The future is dropped where the caller leaves or it takes over a second.
@@ -58,7 +58,7 @@
     pub server: Rc<Server>,
     pub maintenance: Rc<Maintenance>,
     pub peers: Option<Rc<Peers>>,
-    /// `None`: there are no duties and no windows.
+    /// `None`: there are no duties, no windows and no configuration of the fleet.
     pub duties: Option<Rc<dyn DutiesDoor>>,
     /// What the process's recorder holds.
     pub figures: Figures,
@@ -132,7 +132,8 @@
             return Err((StatusCode::NOT_FOUND, "no such call\n"));
         }
         let off = (StatusCode::NOT_FOUND, "no duties in the configuration\n");
-        let fleet = ["/windows", "/duties"].iter().any(|call| request.uri().path().starts_with(call));
+        let fleet =
+            ["/windows", "/duties", "/config"].iter().any(|call| request.uri().path().starts_with(call));
         let duties = fleet.then(|| self.0.duties.as_ref().ok_or(off)).transpose()?;
         if !methods.contains(request.method()) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"));
@@ -173,6 +174,10 @@
     let segments: Vec<&str> = path.split('/').skip(1).collect();
     match segments[..] {
         ["status" | "peers" | "metrics" | "windows" | "duties"] => &[Method::GET],
+        ["config"] => &[Method::GET, Method::PUT],
+        ["config", "routes" | "tenants", name] if !name.is_empty() => {
+            &[Method::GET, Method::PUT, Method::DELETE]
+        }
         ["maintenance", "enter" | "exit"] => &[Method::PUT],
         ["windows", id] if !id.is_empty() => &[Method::PUT, Method::DELETE],
         ["windows", id, "extend" | "begin"] if !id.is_empty() => &[Method::POST],
@@ -180,7 +185,7 @@
     }
 }
 
-/// Has a call answered by those who keep duties and windows.
+/// Has a call answered by those who keep duties, windows and the configuration.
 async fn ask(duties: &dyn DutiesDoor, request: Request<Incoming>) -> Result<(StatusCode, String), Refusal> {
     let (head, body) = request.into_parts();
     let badly = (StatusCode::BAD_REQUEST, "the path is badly encoded\n");
--- a/src/net/duties/clock.rs
+++ b/src/net/duties/clock.rs
@@ -73,11 +73,15 @@
             let wait = Duration::from_micros((due - mono()).0.min(TURN.0));
             match commands.recv_timeout(wait) {
                 Ok(Command::Call(call, answer)) => {
-                    let _ = answer.send(door::answer(&self.tables, &call)); // who asked may be gone
+                    match call.path.first().map(String::as_str) {
+                        Some("config") => self.tables.config_call(&call, answer),
+                        _ => drop(answer.send(door::answer(&self.tables, &call))), // who asked may be gone
+                    }
                 }
                 Ok(Command::Leave) => {
                     let mut mail = Mail::new();
                     self.tables.leases.lock().leave(&mut mail);
+                    self.tables.config.lock().leases.leave(&mut mail);
                     self.tables.send(mail);
                 }
                 Ok(Command::Wake) | Err(RecvTimeoutError::Timeout) => {}
@@ -101,16 +105,23 @@
         self.tables.derive();
         self.digest();
         self.report();
-        next.unwrap_or_else(|| mono() + TURN)
+        let config = self.tables.config_tick();
+        next.into_iter().chain(config).min().unwrap_or_else(|| mono() + TURN)
     }
 
     /// Takes part once there is nobody to learn from, or nobody answered for long.
     fn catch_up(&self) {
         let catching = self.tables.calendar.lock().covered.is_some();
         let seen = self.tables.roster.lock().seen.is_some();
-        if catching && (self.alone && seen || mono() - self.started > CAUGHT_UP) {
+        let enough = self.alone && seen || mono() - self.started > CAUGHT_UP;
+        if catching && enough {
             self.tables.ready();
         }
+        let new = self.tables.config.lock().replica.is_new();
+        if new && enough {
+            self.tables.config.lock().replica.take_part();
+            self.tables.welcome();
+        }
     }
 
     /// The holder's steps. The clock is read for the lease after all locks are there, right before the step.
@@ -167,8 +178,7 @@
         }
         let new = self.tables.calendar.lock().covered.is_some();
         self.digest_at = now + if new { CATCH_UP } else { BEAT };
-        let words = self.tables.leases.lock().words();
-        let said = digests(&self.tables, words, new);
+        let said = digests(&self.tables, new);
         let mut mail = Mail::new();
         for _ in 0..TOLD.min(members.len()) {
             self.turn = self.turn.wrapping_add(1);
--- /dev/null
+++ b/src/net/duties/config.rs
@@ -0,0 +1,382 @@
+//! The fleet's configuration at this proxy: its copy and its part in the duty under one lock, operators' calls on it, and
+//! what the request loop is told.
+
+use super::door::{line, Answer, Call};
+use super::leases::{Leases, Mail};
+use super::message::{Duties, Duty};
+use super::tables::Tables;
+use super::{mono, wall, Effect};
+use hyper::{Method, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+use shaletide::fleet::config::{
+    Edit, Event, Key, Kind, Message, Refused, Rejected, Replica, Rules, Submission, Surroundings, Value,
+};
+use shaletide::fleet::lease::{self, Token};
+use shaletide::{Micros, Time};
+use std::collections::BTreeMap;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::net::SocketAddr;
+use tokio::sync::oneshot;
+use tracing::{info, warn};
+
+/// A change's caller hears within this time, in which the door still answers.
+const ANSWER: Micros = Micros(800_000);
+/// How often a holder says that it is there, and the figures are set.
+const BEAT: Micros = Micros(1_000_000);
+
+pub struct Configuring {
+    pub leases: Leases,
+    pub replica: Replica,
+    /// Who waits for the outcome of a change, since when.
+    calls: BTreeMap<u64, (oneshot::Sender<Answer>, Time)>,
+    /// What the request loop is to be told: the version, and the last value of each entry.
+    untold: Option<(u64, BTreeMap<Key, Value>)>,
+    /// The token at the last beat.
+    token: Option<Token>,
+    beat_at: Time,
+}
+
+impl Configuring {
+    pub fn new(
+        rules: lease::Rules, voters: Vec<SocketAddr>, own: SocketAddr, incarnation: u64,
+    ) -> Configuring {
+        let now = mono();
+        let of = Rules { lease: rules, voters: voters.clone(), own };
+        Configuring {
+            leases: Leases::new(Duty::Config, rules, voters, own, incarnation),
+            replica: Replica::new(of, drawn(), now),
+            calls: BTreeMap::new(),
+            untold: None,
+            token: None,
+            beat_at: now,
+        }
+    }
+
+    /// Carries out what the copy's machine says.
+    fn settle(&mut self, mail: &mut Mail) {
+        for event in self.replica.events() {
+            match event {
+                Event::InForce { version, edits } => {
+                    let untold = self.untold.get_or_insert_with(Default::default);
+                    untold.0 = version;
+                    untold.1.extend(edits.into_iter().map(|edit| (edit.key, edit.value)));
+                }
+                Event::Outcome { id, result } => {
+                    if let Some((answer, _)) = self.calls.remove(&id) {
+                        let _ = answer.send(self.outcome(result)); // who asked may be gone
+                    }
+                }
+                Event::Superseded(token) => self.leases.learn(token, mail),
+                Event::Diverged(other) => {
+                    let digest = self.replica.table().digest();
+                    warn!(event = "config_diverged", version = digest.version, other = %other,
+                        "another copy of this version has another content");
+                }
+            }
+        }
+    }
+
+    fn outcome(&self, result: Result<u64, Rejected>) -> Answer {
+        match result {
+            Ok(version) => (StatusCode::OK, line(&json!({ "version": version }))),
+            Err(why) => {
+                let status = StatusCode::from_u16(why.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+                let told = match &why {
+                    Rejected::Conflict { key, number } => {
+                        json!({ "field": key, "why": why.to_string(), "version": number })
+                    }
+                    Rejected::Invalid(invalid) => json!({ "field": invalid.key, "why": invalid.why }),
+                    Rejected::NoHolder => json!({ "field": "holder", "why": self.leases.why_no_holder() }),
+                    why => json!({ "field": "holder", "why": why.to_string() }),
+                };
+                (status, line(&told))
+            }
+        }
+    }
+}
+
+impl Tables {
+    /// Lets the copy's machine act, and carries out what comes of it.
+    fn configure<T>(
+        &self, act: impl FnOnce(&mut Configuring, Time, &Surroundings, &mut Vec<(SocketAddr, Message)>) -> T,
+    ) -> T {
+        let (mut mail, mut out) = (Mail::new(), Vec::new());
+        let (result, started) = {
+            let mut config = self.config.lock();
+            let seen = self.roster.lock().seen.clone();
+            let members = seen.as_ref().map_or(&[][..], |seen| &seen.members);
+            let (before, new) = (config.replica.table().version(), config.replica.is_new());
+            let now = mono();
+            let around = Surroundings {
+                wall_ms: wall().0 / 1000,
+                members,
+                near: &[],
+                holding: config.leases.holds(),
+                holder: config.leases.holder(),
+            };
+            let result = act(&mut config, now, &around, &mut out);
+            config.settle(&mut mail);
+            let digest = config.replica.table().digest();
+            if digest.version != before {
+                info!(
+                    event = "config_copy",
+                    version = digest.version,
+                    digest = format!("{:016x}", digest.root),
+                    mono_us = now.0,
+                    "the configuration is at another version"
+                );
+            }
+            self.tell(&mut config);
+            (result, new && !config.replica.is_new())
+        };
+        mail.extend(out.into_iter().map(|(to, message)| (to, Duties::Config(message))));
+        self.send(mail);
+        if started {
+            self.welcome();
+        }
+        result
+    }
+
+    /// Tells the request loop what changed, in one step; while its queue is full that grows together.
+    fn tell(&self, config: &mut Configuring) {
+        let Some((version, edits)) = config.untold.take() else { return };
+        let list = edits.iter().map(|(key, value)| Edit { key: key.clone(), value: value.clone() }).collect();
+        if self.outbox.lock().effects.try_send(Effect::Config(version, list)).is_err() {
+            config.untold = Some((version, edits));
+        }
+    }
+
+    /// Lets time pass for the configuration; when its lease is to be looked at next.
+    pub fn config_tick(&self) -> Option<Time> {
+        let (mut mail, mut beat) = (Mail::new(), None);
+        let next = {
+            let mut config = self.config.lock();
+            if !config.replica.is_new() {
+                config.leases.ready();
+            }
+            let next = config.leases.tick(&mut mail);
+            let (now, token) = (mono(), config.leases.holds());
+            if now >= config.beat_at || token.is_some() && token != config.token {
+                (config.beat_at, config.token) = (now + BEAT, token);
+                beat = token;
+                figures(&config);
+            }
+            next
+        };
+        self.send(mail);
+        if let Some(token) = beat {
+            self.spread(vec![Duties::Effect { duty: Duty::Config, token, entries: Vec::new() }], &[]);
+        }
+        self.configure(|config, now, around, out| {
+            config.replica.tick(now, around, out);
+            let late = |(_, since): &(oneshot::Sender<Answer>, Time)| now - *since >= ANSWER;
+            let late: Vec<u64> =
+                config.calls.iter().filter(|(_, call)| late(call)).map(|(id, _)| *id).collect();
+            for id in late {
+                config.replica.withdraw(id);
+                let told = config.outcome(Err(Rejected::Unknown));
+                config.calls.remove(&id).map(|(answer, _)| answer.send(told));
+            }
+        });
+        next
+    }
+
+    /// Takes another proxy's message.
+    pub fn configured(&self, from: SocketAddr, message: Message) -> Result<(), Refused> {
+        self.configure(|config, now, around, out| config.replica.handle(now, around, from, message, out))
+    }
+
+    /// Carries out an operator's call; that of a change is answered once its outcome is known.
+    pub fn config_call(&self, call: &Call, answer: oneshot::Sender<Answer>) {
+        let path: Vec<&str> = call.path.iter().map(String::as_str).collect();
+        let asked = match (&call.method, &path[1..]) {
+            (&Method::GET, []) => Err((StatusCode::OK, line(&self.config_status()))),
+            (&Method::GET, [kind, name]) => Err(self.config_entry(kind, name)),
+            (&Method::PUT, []) => read(&call.body),
+            (&Method::PUT, [kind, name]) => read_one(&call.body, kind, name, false),
+            (&Method::DELETE, [kind, name]) => read_one(&call.body, kind, name, true),
+            _ => Err((StatusCode::NOT_FOUND, line(&json!({ "field": "path", "why": "no such call" })))),
+        };
+        match asked {
+            Err(said) => drop(answer.send(said)), // who asked may be gone
+            Ok((base, edits)) => self.configure(|config, now, around, out| {
+                let id = drawn();
+                config.calls.insert(id, (answer, now));
+                if let Err(why) = config.replica.submit(now, around, Submission { id, base, edits }, out) {
+                    let told = config.outcome(Err(why));
+                    config.calls.remove(&id).map(|(answer, _)| answer.send(told));
+                }
+            }),
+        }
+    }
+
+    fn config_entry(&self, kind: &str, name: &str) -> Answer {
+        let key = kind_of(kind).map(|kind| Key { kind, name: name.into() });
+        let config = self.config.lock();
+        let table = config.replica.table();
+        let entry = key.and_then(|key| table.get(key.position()).filter(|entry| entry.edit.key == key));
+        match entry {
+            None => (
+                StatusCode::NOT_FOUND,
+                line(&json!({ "field": "path", "why": "never changed since the file" })),
+            ),
+            Some(entry) => {
+                let (state, value) = match &entry.edit.value {
+                    Value::Set(bytes) => ("set", serde_json::from_slice(bytes).unwrap_or_default()),
+                    Value::Removed => ("removed", serde_json::Value::Null),
+                    Value::AsFile => ("as_file", serde_json::Value::Null),
+                };
+                (StatusCode::OK, line(&json!({ "version": entry.number, "state": state, "value": value })))
+            }
+        }
+    }
+
+    fn config_status(&self) -> serde_json::Value {
+        let config = self.config.lock();
+        let in_force = self.roster.lock().seen.as_ref().map(|seen| seen.config);
+        let (table, digest) = (config.replica.table(), config.replica.table().digest());
+        let mut status = config.leases.status();
+        let more = json!({
+            "version": digest.version, "digest": format!("{:016x}", digest.root), "entries": table.len(),
+            "in_force": in_force, "newest": config.replica.newest(), "new": config.replica.is_new(),
+            "proposed": config.replica.proposed(), "keeps": config.replica.keeps(),
+            "fetching": config.replica.is_fetching(), "votes": config.replica.votes(),
+            "unanswered": config.replica.unanswered().iter().map(SocketAddr::to_string).collect::<Vec<_>>(),
+        });
+        if let (Some(status), serde_json::Value::Object(more)) = (status.as_object_mut(), more) {
+            status.extend(more);
+        }
+        status
+    }
+}
+
+/// A number that no other proxy draws.
+fn drawn() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
+
+fn figures(config: &Configuring) {
+    let digest = config.replica.table().digest();
+    metrics::gauge!("shaletide_config_version").set(digest.version as f64);
+    metrics::gauge!("shaletide_config_newest_version").set(config.replica.newest() as f64);
+    // As many bits as a figure has: equal versions have equal ones.
+    metrics::gauge!("shaletide_config_digest").set((digest.root >> 12) as f64);
+    metrics::gauge!("shaletide_config_entries").set(config.replica.table().len() as f64);
+    let heard = config.leases.heard();
+    if heard.0 < u64::MAX {
+        metrics::gauge!("shaletide_config_heard_seconds").set(heard.secs());
+    }
+}
+
+/// The body of a change of several entries.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Several {
+    /// The version that it was made from.
+    version: u64,
+    entries: Vec<Item>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Item {
+    kind: String,
+    name: String,
+    #[serde(default)]
+    value: Option<serde_json::Value>,
+    /// In place of a value: as the file says.
+    #[serde(default)]
+    as_file: bool,
+}
+
+/// The body of a change of one entry, whose path names it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct One {
+    version: u64,
+    #[serde(default)]
+    value: Option<serde_json::Value>,
+    #[serde(default)]
+    as_file: bool,
+}
+
+fn parsed<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Answer> {
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    let read = serde_path_to_error::deserialize(&mut reader);
+    let read = read.map_err(|e| wrong(vec![(e.path().to_string(), e.inner().to_string())]))?;
+    reader.end().map_err(|e| wrong(vec![("body".into(), e.to_string())]))?;
+    Ok(read)
+}
+
+/// A no that names every error by its key.
+fn wrong(errors: Vec<(String, String)>) -> Answer {
+    let errors: Vec<_> = errors.iter().map(|(field, why)| json!({ "field": field, "why": why })).collect();
+    let mut told = errors.first().cloned().unwrap_or_default();
+    told["errors"] = errors.into();
+    (StatusCode::UNPROCESSABLE_ENTITY, line(&told))
+}
+
+fn kind_of(name: &str) -> Option<Kind> {
+    [Kind::Route, Kind::Tenant].into_iter().find(|kind| kind.name() == name)
+}
+
+fn read(body: &[u8]) -> Result<(u64, Vec<Edit>), Answer> {
+    let several: Several = parsed(body)?;
+    let items = several.entries.into_iter().enumerate().map(|(n, item)| (format!("entries[{n}]"), item));
+    checked(several.version, items.collect())
+}
+
+fn read_one(body: &[u8], kind: &str, name: &str, remove: bool) -> Result<(u64, Vec<Edit>), Answer> {
+    let One { version, value, as_file } = parsed(body)?;
+    if remove && (value.is_some() || as_file) {
+        return Err(wrong(vec![("value".into(), "not where the entry is removed".into())]));
+    }
+    if !remove && value.is_none() && !as_file {
+        return Err(wrong(vec![("value".into(), "missing".into())]));
+    }
+    let item = Item { kind: kind.into(), name: name.into(), value, as_file };
+    checked(version, vec![(String::new(), item)])
+}
+
+/// The entries of a change, or all that is wrong with them.
+fn checked(version: u64, items: Vec<(String, Item)>) -> Result<(u64, Vec<Edit>), Answer> {
+    let (mut edits, mut errors) = (Vec::new(), Vec::new());
+    for (path, item) in items {
+        let at = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+        let Some(kind) = kind_of(&item.kind) else {
+            errors.push((at("kind"), "expected routes or tenants".to_string()));
+            continue;
+        };
+        let key = Key { kind, name: item.name };
+        if let Err(why) = key.check() {
+            errors.push((at("name"), why.why));
+        }
+        let value = match (item.value, item.as_file) {
+            (Some(_), true) => {
+                errors.push((at("as_file"), "not beside a value".into()));
+                continue;
+            }
+            (None, true) => Value::AsFile,
+            (None, false) => Value::Removed,
+            (Some(value), false) if !value.is_object() => {
+                errors.push((at("value"), "expected an object".into()));
+                continue;
+            }
+            (Some(value), false) => Value::Set(value.to_string().into_bytes()),
+        };
+        let edit = Edit { key, value };
+        match (edit.key.check(), edit.check()) {
+            (Ok(()), Ok(())) => edits.push(edit),
+            (Ok(()), Err(why)) => errors.push((at("value"), why.why)),
+            (Err(_), _) => {}
+        }
+    }
+    if !errors.is_empty() {
+        return Err(wrong(errors));
+    }
+    match shaletide::fleet::config::check(&edits) {
+        Ok(()) => Ok((version, edits)),
+        Err(why) => Err(wrong(vec![(why.key, why.why)])),
+    }
+}
--- a/src/net/duties/door.rs
+++ b/src/net/duties/door.rs
@@ -86,6 +86,6 @@
     status
 }
 
-fn line(value: &serde_json::Value) -> String {
+pub fn line(value: &serde_json::Value) -> String {
     format!("{value}\n")
 }
--- a/src/net/duties/leases.rs
+++ b/src/net/duties/leases.rs
@@ -1,4 +1,4 @@
-//! The table of leases: this proxy's part as a voter and as a candidate for the calendar's duty, the fence that refuses
+//! The table of leases: this proxy's part as a voter and as a candidate for one duty, the fence that refuses
 //! late effects, and what it has heard of the holder.
 
 use super::message::{Duties, Duty, Refused, Word};
@@ -13,7 +13,8 @@
 /// What goes out, and to whom.
 pub type Mail = Vec<(SocketAddr, Duties)>;
 
-const DUTY: Duty = Duty::Calendar;
+/// In a small region every voter sends a digest here within this time.
+const LATELY: Micros = Micros(3_000_000);
 
 /// Who is known to hold the duty.
 #[derive(Clone, Copy)]
@@ -26,6 +27,7 @@
 }
 
 pub struct Leases {
+    duty: Duty,
     rules: Rules,
     own: SocketAddr,
     voters: Vec<SocketAddr>,
@@ -45,17 +47,20 @@
     until: Option<Time>,
     incarnation: u64,
     started: Time,
-    /// It knows the calendar, and it does not go: so it may want the duty.
+    /// It knows what the duty is about, and it does not go: so it may want it.
     able: bool,
     leaving: bool,
 }
 
 impl Leases {
-    pub fn new(rules: Rules, voters: Vec<SocketAddr>, own: SocketAddr, incarnation: u64) -> Leases {
+    pub fn new(
+        duty: Duty, rules: Rules, voters: Vec<SocketAddr>, own: SocketAddr, incarnation: u64,
+    ) -> Leases {
         let now = mono();
         // Two to three terms, drawn once: not all of a large fleet bid together.
         let shy = Micros(rules.term().0 * 2 + incarnation % rules.term().0.max(1));
         Leases {
+            duty,
             rules,
             own,
             voter: voters.contains(&own).then(|| Voter::new(rules, now)),
@@ -135,7 +140,7 @@
         match message {
             Message::Ask { .. } | Message::Propose { .. } | Message::Release { .. } => {
                 let answer = self.voter.as_mut().and_then(|v| v.handle(now, message));
-                mail.extend(answer.map(|message| (from, Duties::Lease { duty: DUTY, message })));
+                mail.extend(answer.map(|message| (from, Duties::Lease { duty: self.duty, message })));
             }
             Message::Free { .. } | Message::Accepted { .. } | Message::Refused { .. } => {
                 let place = self.voters.iter().position(|v| *v == from).ok_or(Refused::Stranger)?;
@@ -151,8 +156,8 @@
 
     /// A holder's effect: refused under a token that a higher one followed, else the holder's word.
     pub fn effect(&mut self, from: SocketAddr, token: Token, mail: &mut Mail) -> Result<(), Refused> {
-        if let Err(highest) = self.fence.admit(DUTY, token) {
-            mail.push((from, Duties::Fenced { duty: DUTY, highest }));
+        if let Err(highest) = self.fence.admit(self.duty, token) {
+            mail.push((from, Duties::Fenced { duty: self.duty, highest }));
             return Err(Refused::Token);
         }
         let now = mono();
@@ -166,7 +171,7 @@
         self.learn(word.token, mail);
         let Some(age) = word.age_ms else { return };
         let heard = Time(mono().0.saturating_sub(u64::from(age).saturating_mul(1000)));
-        if self.fence.highest(&DUTY) != Some(word.token) {
+        if self.fence.highest(&self.duty) != Some(word.token) {
             return;
         }
         match &mut self.holder {
@@ -178,7 +183,7 @@
     /// A token was seen: nothing lower counts from now on, here and at this proxy's vote.
     pub fn learn(&mut self, token: Token, mail: &mut Mail) {
         let now = mono();
-        self.fence.learn(DUTY, token);
+        self.fence.learn(self.duty, token);
         self.voter.iter_mut().for_each(|v| v.learn(token));
         let mut said = Vec::new();
         self.candidate.learn(now, token, &mut said);
@@ -207,7 +212,7 @@
         self.tick(mail);
     }
 
-    /// From now on this proxy may want the duty: it knows the calendar.
+    /// From now on this proxy may want the duty: it knows what it is about.
     pub fn ready(&mut self) {
         self.able = true;
     }
@@ -218,7 +223,7 @@
         while let Some(message) = said.pop_front() {
             for (place, to) in self.voters.iter().enumerate() {
                 if *to != self.own {
-                    mail.push((*to, Duties::Lease { duty: DUTY, message }));
+                    mail.push((*to, Duties::Lease { duty: self.duty, message }));
                     continue;
                 }
                 let Some(answer) = self.voter.as_mut().and_then(|v| v.handle(now, message)) else { continue };
@@ -235,9 +240,9 @@
         for change in self.candidate.changes() {
             match change {
                 Change::Gained(token) => {
-                    self.fence.learn(DUTY, token);
+                    self.fence.learn(self.duty, token);
                     self.voter.iter_mut().for_each(|v| v.learn(token));
-                    info!(event = "duty_held", duty = DUTY.name(), token = %text(token), mono_us = now.0,
+                    info!(event = "duty_held", duty = self.duty.name(), token = %text(token), mono_us = now.0,
                         "holds the duty");
                 }
                 Change::Lost(token, why) => {
@@ -248,7 +253,7 @@
                         Loss::TermOver => "term over".to_string(),
                         Loss::Superseded(by) => format!("superseded by {}", text(by)),
                     };
-                    info!(event = "duty_over", duty = DUTY.name(), token = %text(token), mono_us = end.0,
+                    info!(event = "duty_over", duty = self.duty.name(), token = %text(token), mono_us = end.0,
                         seen_us = now.0, reason = why, "holds the duty no longer");
                 }
             }
@@ -271,7 +276,7 @@
             *said = true;
             warn!(
                 event = "duty_no_majority",
-                duty = DUTY.name(),
+                duty = self.duty.name(),
                 voters = self.voters.len(),
                 answering,
                 "no majority of the voters answers: nobody can hold the duty"
@@ -291,19 +296,33 @@
         }
     }
 
+    /// Why no proxy is known to hold the duty.
+    pub fn why_no_holder(&self) -> String {
+        let (heard, voters) = (self.heard_of(mono(), LATELY).len(), self.voters.len());
+        match heard > voters / 2 {
+            true => format!("no proxy holds the duty yet: {heard} of {voters} voters answer"),
+            false => format!("no majority of the voters answers: {heard} of {voters}"),
+        }
+    }
+
+    /// The voters of which any word came within the last term, or so long.
+    fn heard_of(&self, now: Time, lately: Micros) -> Vec<String> {
+        let lately = |at: &Option<Time>| at.is_some_and(|at| now - at <= self.rules.term().max(lately));
+        let heard = self.heard.iter().zip(&self.voters);
+        let heard = heard.filter(|(at, voter)| **voter == self.own || lately(at));
+        heard.map(|(_, voter)| voter.to_string()).collect()
+    }
+
     /// For the operators' door.
     pub fn status(&self) -> serde_json::Value {
         let now = mono();
-        let heard = self.heard.iter().zip(&self.voters);
-        let lately = |at: &Option<Time>| at.is_some_and(|at| now - at <= self.rules.term());
-        let heard = heard.filter(|(at, voter)| **voter == self.own || lately(at));
-        let heard: Vec<String> = heard.map(|(_, voter)| voter.to_string()).collect();
+        let heard = self.heard_of(now, Micros(0));
         serde_json::json!({
-            "duty": DUTY.name(),
+            "duty": self.duty.name(),
             "own": self.own.to_string(),
             "holder": self.holder().map(|at| at.to_string()),
             "held": self.candidate.holds(now).map(text),
-            "token": self.fence.highest(&DUTY).map(text),
+            "token": self.fence.highest(&self.duty).map(text),
             "heard_ms": Some(self.heard()).filter(|age| age.0 < u64::MAX).map(|age| age.0 / 1000),
             "voters": self.voters.iter().map(|v| v.to_string()).collect::<Vec<_>>(),
             "voters_heard": heard,
--- a/src/net/duties/message.rs
+++ b/src/net/duties/message.rs
@@ -1,14 +1,15 @@
-//! What proxies say to each other about duties and windows: a version byte and one message in postcard, as the body
+//! What proxies say to each other about duties, windows and the configuration: a version byte and one message in postcard, as the body
 //! [`Body::Duty`](crate::net::peers::wire::Body::Duty) of a checked datagram. Nothing here panics on input.
 
 use crate::net::peers::wire::MOST_BODY;
 use serde::{Deserialize, Serialize};
 use shaletide::fleet::calendar::Digest;
+use shaletide::fleet::config;
 use shaletide::fleet::lease::{Message, Token};
 use std::fmt;
 
 /// Raised whenever a message's shape changes.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Bytes of the entries or names in one message at most, so that it fits a body with all else in it.
 const MOST_LOAD: usize = MOST_BODY - 80;
 
@@ -17,12 +18,15 @@
 pub enum Duty {
     /// To step the calendar of maintenance windows.
     Calendar,
+    /// To order the changes of the configuration.
+    Config,
 }
 
 impl Duty {
     pub fn name(self) -> &'static str {
         match self {
             Duty::Calendar => "calendar",
+            Duty::Config => "config",
         }
     }
 }
@@ -53,6 +57,8 @@
     Fenced { duty: Duty, highest: Token },
     /// To the holder: open requests on backends that the sender keeps out for windows.
     Report { open: Vec<(String, u32)> },
+    /// About the configuration.
+    Config(config::Message),
 }
 
 /// Why a message is not used.
@@ -70,6 +76,8 @@
     Token,
     /// A token with a number that no clock gives: above it none could follow.
     Number(u64),
+    /// About the configuration: why its state machine does not use it.
+    Config(config::Refused),
 }
 
 impl Refused {
@@ -83,6 +91,7 @@
             Refused::Stranger => "stranger",
             Refused::Token => "token",
             Refused::Number(_) => "number",
+            Refused::Config(why) => why.cause(),
         }
     }
 }
@@ -98,6 +107,7 @@
             Refused::Stranger => write!(f, "a voter's answer from no voter"),
             Refused::Token => write!(f, "a higher token was seen"),
             Refused::Number(number) => write!(f, "no token has number {number}"),
+            Refused::Config(why) => write!(f, "{why}"),
         }
     }
 }
@@ -130,6 +140,7 @@
             },
             Duties::Digest { words, .. } => words.iter().try_for_each(|word| sound(word.token)),
             Duties::Effect { token, .. } | Duties::Fenced { highest: token, .. } => sound(*token),
+            Duties::Config(message) => message.tokens().into_iter().try_for_each(sound),
             Duties::Ask { .. } | Duties::Entries { .. } | Duties::Report { .. } => Ok(()),
         }
     }
@@ -177,11 +188,43 @@
     use proptest::prelude::*;
     use shaletide::fleet::lease::Ballot;
 
+    /// Messages about the configuration; the machine's own tests have all kinds.
+    fn config() -> impl Strategy<Value = Duties> {
+        use config::{Change, Digest, Edit, Key, Kind, Message, Node, Paxos, Value};
+        let token = || (0..MOST_NUMBER, any::<u64>()).prop_map(|(number, by)| Ballot { number, by });
+        let edit = ("[a-c]{0,3}", prop::option::of(prop::collection::vec(any::<u8>(), 0..200))).prop_map(
+            |(name, value)| Edit {
+                key: Key { kind: Kind::Tenant, name },
+                value: value.map_or(Value::Removed, Value::Set),
+            },
+        );
+        let change = (0u64..5, 0u64..5, any::<u64>(), prop::collection::vec(edit, 0..3))
+            .prop_map(|(number, after, id, edits)| Change { number, after, id, edits });
+        let message = prop_oneof![
+            (token(), any::<u32>())
+                .prop_map(|(token, round)| Message::Paxos(Paxos::Prepare { token, round })),
+            (token(), any::<u32>(), change.clone())
+                .prop_map(|(token, round, change)| Message::Paxos(Paxos::Accept { token, round, change })),
+            (token(), token()).prop_map(|(token, highest)| Message::Paxos(Paxos::Refused { token, highest })),
+            (prop::collection::vec(change, 0..3), 0u64..9, any::<bool>())
+                .prop_map(|(changes, version, push)| Message::Changes { changes, version, push }),
+            (any::<(u64, u64)>(), any::<(bool, bool)>()).prop_map(|((version, root), (new, ask))| {
+                Message::Digest { digest: Digest { version, root }, new, ask }
+            }),
+            (0u8..5, any::<u16>()).prop_map(|(level, index)| Message::Hashes { node: Node { level, index } }),
+            (any::<u64>(), any::<u64>()).prop_map(|(from, to)| Message::Range { from, to }),
+        ];
+        message.prop_map(Duties::Config)
+    }
+
     /// Any message, of any of its kinds.
     pub fn message() -> impl Strategy<Value = Duties> {
+        prop_oneof![7 => of_duty(Duty::Calendar), 2 => of_duty(Duty::Config), 3 => config()]
+    }
+
+    fn of_duty(duty: Duty) -> impl Strategy<Value = Duties> {
         let token = || (0..MOST_NUMBER, any::<u64>()).prop_map(|(number, by)| Ballot { number, by });
         let entries = || prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..6);
-        let duty = Duty::Calendar;
         let word = move |(token, age_ms)| Word { duty, token, age_ms };
         let rows = prop::collection::vec(any::<(u64, u64)>(), 0..50);
         let words = prop::collection::vec((token(), any::<Option<u32>>()).prop_map(word), 0..2);
@@ -240,6 +283,10 @@
                     Duties::Digest { words, digest, new, ask }
                 }
                 Duties::Effect { duty, entries, .. } => Duties::Effect { duty, token: last, entries },
+                Duties::Config(_) => {
+                    let prepare = config::Paxos::Prepare { token: last, round: 1 };
+                    Duties::Config(config::Message::Paxos(prepare))
+                }
                 _ => Duties::Fenced { duty: Duty::Calendar, highest: last },
             };
             prop_assert!(matches!(decode(&encode(&said)), Err(Refused::Number(n)) if n == number));
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -2,12 +2,13 @@
 //! keeps: the socket side of [`shaletide::fleet`].
 //!
 //! Two threads work beside the request loop: `wire` takes the other proxies' messages, `clock` lets time pass. They
-//! share four tables. **Lock order**, checked at every lock ([`ranked`]): `leases` before `calendar` before `roster` before
-//! `outbox`; whoever holds one takes only later ones. The request loop takes none of them. It gets effects from
+//! share five tables. **Lock order**, checked at every lock ([`ranked`]): `leases` before `config` before `calendar` before
+//! `roster` before `outbox`; whoever holds one takes only later ones. The request loop takes none of them. It gets effects from
 //! a bounded channel, and shows what it sees through a watch in which the newest wins; operators' calls go to the clock over a
 //! bounded queue and are answered by a oneshot.
 
 mod clock;
+mod config;
 pub mod door;
 mod leases;
 mod message;
@@ -21,13 +22,16 @@
 use super::peers::Peers;
 use bytes::Bytes;
 use clock::{Clock, Command};
+use config::Configuring;
 use hyper::{Method, StatusCode};
 use leases::Leases;
+use message::Duty;
 use ranked::Ranked;
 use rustix::time::{clock_gettime, ClockId};
 use shaletide::fleet::calendar::{Budget, Calendar, Rules, Wall};
+use shaletide::fleet::config::Edit;
 use shaletide::{Micros, Time};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io;
@@ -55,7 +59,9 @@
     Out(String),
     /// No window has it any more.
     Back(String),
-    /// The calendar is as the others know it: clients may come.
+    /// These entries of the configuration changed together; that is its version now.
+    Config(u64, Vec<Edit>),
+    /// Calendar and configuration are as the others know them: clients may come.
     Ready,
 }
 
@@ -66,6 +72,8 @@
     pub members: Vec<SocketAddr>,
     /// What is out for windows.
     pub applied: BTreeSet<String>,
+    /// The configuration's version in force.
+    pub config: u64,
 }
 
 /// The monotonic clock, which all processes of a machine share.
@@ -98,10 +106,14 @@
         });
         let windows = Windows { calendar, out: BTreeSet::new(), covered: Some(Vec::new()) };
         let tables = Arc::new(Tables {
-            leases: Ranked::new(0, Leases::new(leases, rules.voters.clone(), own, incarnation)),
-            calendar: Ranked::new(1, windows),
-            roster: Ranked::new(2, Roster::default()),
-            outbox: Ranked::new(3, Outbox::new(effects)),
+            leases: Ranked::new(
+                0,
+                Leases::new(Duty::Calendar, leases, rules.voters.clone(), own, incarnation),
+            ),
+            config: Ranked::new(1, Configuring::new(leases, rules.voters.clone(), own, incarnation)),
+            calendar: Ranked::new(2, windows),
+            roster: Ranked::new(3, Roster::default()),
+            outbox: Ranked::new(4, Outbox::new(effects)),
             post: peers.post(),
             incarnation,
         });
@@ -116,7 +128,7 @@
         peers.pass_duties(pass);
         info!(event = "duties_start", own = %own, voters = rules.voters.len(), lease_ms = rules.lease_ms,
             "takes part in the fleet's duties");
-        let applied = Rc::new(RefCell::new(BTreeSet::new()));
+        let applied = Rc::new(Applied::default());
         let (tell, ready) = watch::channel(false);
         tokio::task::spawn_local(apply(host.clone(), told, applied.clone(), tell));
         tokio::task::spawn_local(shows(host, peers.clone(), applied, show));
@@ -151,22 +163,40 @@
     }
 }
 
+/// What was carried out of what the workers asked.
+#[derive(Default)]
+struct Applied {
+    /// Backends out for windows.
+    out: RefCell<BTreeSet<String>>,
+    /// The configuration's version.
+    config: Cell<u64>,
+}
+
 /// Carries out what the workers ask.
 async fn apply(
-    host: Rc<Host>, mut told: mpsc::Receiver<Effect>, applied: Rc<RefCell<BTreeSet<String>>>,
-    ready: watch::Sender<bool>,
+    host: Rc<Host>, mut told: mpsc::Receiver<Effect>, applied: Rc<Applied>, ready: watch::Sender<bool>,
 ) {
     while let Some(effect) = told.recv().await {
         match effect {
             Effect::Out(name) => {
                 host.withdraw_unheard(&name, Why::Window);
                 info!(event = "window_out", backend = name, mono_us = mono().0, "out for a window");
-                applied.borrow_mut().insert(name);
+                applied.out.borrow_mut().insert(name);
             }
             Effect::Back(name) => {
                 host.restore(&name, Why::Window, host.clock.now());
                 info!(event = "window_back", backend = name, mono_us = mono().0, "no window has it any more");
-                applied.borrow_mut().remove(&name);
+                applied.out.borrow_mut().remove(&name);
+            }
+            Effect::Config(version, edits) => {
+                info!(
+                    event = "config_in_force",
+                    version,
+                    entries = edits.len(),
+                    mono_us = mono().0,
+                    "another version of the configuration"
+                );
+                applied.config.set(version);
             }
             Effect::Ready => drop(ready.send_replace(true)),
         }
@@ -175,12 +205,11 @@
 
 /// Shows the workers what the request loop sees.
 async fn shows(
-    host: Rc<Host>, peers: Rc<Peers>, applied: Rc<RefCell<BTreeSet<String>>>,
-    show: watch::Sender<Option<Arc<Seen>>>,
+    host: Rc<Host>, peers: Rc<Peers>, applied: Rc<Applied>, show: watch::Sender<Option<Arc<Seen>>>,
 ) {
     loop {
-        let applied = applied.borrow().clone();
-        let seen = Seen { rows: host.roster(), members: peers.members(), applied };
+        let (out, config) = (applied.out.borrow().clone(), applied.config.get());
+        let seen = Seen { rows: host.roster(), members: peers.members(), applied: out, config };
         show.send_replace(Some(Arc::new(seen)));
         tokio::time::sleep(SHOW).await;
     }
--- a/src/net/duties/tables.rs
+++ b/src/net/duties/tables.rs
@@ -1,5 +1,6 @@
 //! The tables that the workers share, and what is done with several of them at once.
 
+use super::config::Configuring;
 use super::leases::{Leases, Mail};
 use super::message::{self, Duties, Refused};
 use super::ranked::Ranked;
@@ -22,6 +23,7 @@
 
 pub struct Tables {
     pub leases: Ranked<Leases>,
+    pub config: Ranked<Configuring>,
     pub calendar: Ranked<Windows>,
     pub roster: Ranked<Roster>,
     pub outbox: Ranked<Outbox>,
@@ -209,7 +211,15 @@
         self.derive();
         self.leases.lock().ready();
         self.calendar.lock().covered = None;
-        let _ = self.outbox.lock().effects.try_send(Effect::Ready);
+        self.welcome();
+    }
+
+    /// Lets clients come once both the calendar and the configuration are as others know them.
+    pub fn welcome(&self) {
+        let new = self.config.lock().replica.is_new();
+        if !new && self.calendar.lock().covered.is_none() {
+            let _ = self.outbox.lock().effects.try_send(Effect::Ready);
+        }
     }
 }
 
@@ -217,6 +227,7 @@
 impl Tables {
     /// The tables of a voter that serves, and what the request loop is asked.
     pub fn example() -> (Tables, mpsc::Receiver<Effect>) {
+        use super::message::Duty;
         use shaletide::fleet::calendar::{Budget, Rules};
         use shaletide::fleet::lease;
         let own = SocketAddr::from(([127, 0, 0, 1], 9));
@@ -225,15 +236,18 @@
         let (ramp, max_age) = (Micros(1_000_000), Micros(5_000_000));
         let calendar = Calendar::new(Rules { budget: Budget { kind: 0.5, zone: 0.5 }, ramp, max_age });
         let windows = Windows { calendar, out: BTreeSet::new(), covered: Some(Vec::new()) };
+        let mut config = Configuring::new(rules, voters.clone(), own, 7);
+        config.replica.take_part();
         let (rows, members, applied) = (Vec::new(), voters[1..].to_vec(), BTreeSet::new());
-        let seen = Some(Arc::new(Seen { rows, members, applied }));
+        let seen = Some(Arc::new(Seen { rows, members, applied, config: 0 }));
         let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
         let (effects, told) = mpsc::channel(64);
         let tables = Tables {
-            leases: Ranked::new(0, Leases::new(rules, voters, own, 7)),
-            calendar: Ranked::new(1, windows),
-            roster: Ranked::new(2, Roster { seen, ..Roster::default() }),
-            outbox: Ranked::new(3, Outbox::new(effects)),
+            leases: Ranked::new(0, Leases::new(Duty::Calendar, rules, voters.clone(), own, 7)),
+            config: Ranked::new(1, config),
+            calendar: Ranked::new(2, windows),
+            roster: Ranked::new(3, Roster { seen, ..Roster::default() }),
+            outbox: Ranked::new(4, Outbox::new(effects)),
             post: Arc::new(Post::new(socket, [0; 8], own)),
             incarnation: 7,
         };
--- a/src/net/duties/wire.rs
+++ b/src/net/duties/wire.rs
@@ -1,12 +1,13 @@
 //! The worker that takes the other proxies' messages.
 
 use super::clock::{entries, Command, AGAIN};
-use super::leases::Mail;
+use super::leases::{Leases, Mail};
 use super::message::{self, sound, Duties, Duty, Refused, Word};
 use super::tables::Tables;
 use super::wall;
 use crate::net::peers::Passed;
 use shaletide::fleet::calendar::{Digest, Entry, Garbled};
+use shaletide::fleet::lease::Token;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, SyncSender};
 use std::sync::Arc;
@@ -18,7 +19,7 @@
 pub fn run(tables: &Arc<Tables>, came: &Receiver<Passed>, clock: &SyncSender<Command>) {
     while let Ok((from, bytes)) = came.recv() {
         let mut mail = Mail::new();
-        let held = tables.leases.lock().holds();
+        let held = holds(tables);
         let taken = message::decode(&bytes).and_then(|m| take(tables, from, m, &mut mail));
         tables.send(mail);
         {
@@ -28,16 +29,29 @@
                 outbox.refuse(from, &why);
             }
         }
-        if held.is_none() && tables.leases.lock().holds().is_some() {
+        if held != holds(tables) {
             let _ = clock.try_send(Command::Wake); // full: it is awake anyway
         }
     }
 }
 
+/// The tokens of the duties that this proxy holds.
+fn holds(tables: &Tables) -> [Option<Token>; 2] {
+    [tables.leases.lock().holds(), tables.config.lock().leases.holds()]
+}
+
+/// The same on the duty's own table.
+fn leases<T>(tables: &Tables, duty: Duty, act: impl FnOnce(&mut Leases) -> T) -> T {
+    match duty {
+        Duty::Calendar => act(&mut tables.leases.lock()),
+        Duty::Config => act(&mut tables.config.lock().leases),
+    }
+}
+
 fn take(tables: &Tables, from: SocketAddr, message: Duties, mail: &mut Mail) -> Result<(), Refused> {
-    tables.leases.lock().alive(from);
+    [Duty::Calendar, Duty::Config].iter().for_each(|duty| leases(tables, *duty, |l| l.alive(from)));
     match message {
-        Duties::Lease { duty: Duty::Calendar, message } => tables.leases.lock().message(from, message, mail),
+        Duties::Lease { duty, message } => leases(tables, duty, |l| l.message(from, message, mail)),
         Duties::Digest { words, digest, new, ask } => {
             digested(tables, from, &words, &digest, (new, ask), mail);
             Ok(())
@@ -52,10 +66,14 @@
             tables.leases.lock().effect(from, token, mail)?;
             merge(tables, &entries, mail)
         }
-        Duties::Fenced { duty: Duty::Calendar, highest } => {
-            tables.leases.lock().learn(highest, mail);
+        Duties::Effect { duty: Duty::Config, token, entries: _ } => {
+            leases(tables, Duty::Config, |l| l.effect(from, token, mail))
+        }
+        Duties::Fenced { duty, highest } => {
+            leases(tables, duty, |l| l.learn(highest, mail));
             Ok(())
         }
+        Duties::Config(message) => tables.configured(from, message).map_err(Refused::Config),
         Duties::Report { open } => {
             tables.roster.lock().report(from, open, MOST_REPORTED);
             Ok(())
@@ -68,12 +86,9 @@
     tables: &Tables, from: SocketAddr, words: &[Word], digest: &Digest, (new, ask): (bool, bool),
     mail: &mut Mail,
 ) {
-    {
-        let mut leases = tables.leases.lock();
-        words.iter().for_each(|word| leases.word(word, mail));
-        if ask {
-            mail.extend(digests(tables, leases.words(), false).into_iter().map(|m| (from, m)));
-        }
+    words.iter().for_each(|word| leases(tables, word.duty, |l| l.word(word, mail)));
+    if ask {
+        mail.extend(digests(tables, false).into_iter().map(|m| (from, m)));
     }
     let seen = tables.roster.lock().seen.is_some();
     let (lacking, covered) = {
@@ -93,7 +108,9 @@
 }
 
 /// All that this proxy knows, for others that may know less.
-pub fn digests(tables: &Tables, words: Vec<Word>, ask: bool) -> Vec<Duties> {
+pub fn digests(tables: &Tables, ask: bool) -> Vec<Duties> {
+    let mut words = tables.leases.lock().words();
+    words.extend(tables.config.lock().leases.words());
     let windows = tables.calendar.lock();
     let (digests, new) = (windows.calendar.digests(wall()), windows.covered.is_some());
     let said = |digest| Duties::Digest { words: words.clone(), digest, new, ask };
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -41,6 +41,12 @@
     told(2, &held("11-2", 700), "did not grow");
     told(0, &(first.clone() + &act("10-7", 901)), "outside of its holding");
     told(2, &act("11-3", 500), "outside of its holding");
+    // Each duty has a holder of its own.
+    let other = |line: String| line.replace("duty=calendar", "duty=config");
+    let both = [sound.to_vec(), vec![life(3, None, &other(held("10-7", 450)))]].concat();
+    assert_eq!(contradictions(&both), [""; 0]);
+    let two = [both, vec![life(4, None, &other(held("11-7", 460)))]].concat();
+    assert!(contradictions(&two).iter().any(|w| w.contains("two holders at once")));
 }
 
 /// Five proxies hand a duty on by leases while a seed picks what befalls the fleet: its holder is killed and started again
--- a/tests/rig/holdings.rs
+++ b/tests/rig/holdings.rs
@@ -52,14 +52,21 @@
     log.lines().filter(move |line| field(line, "event") == Some(&event))
 }
 
-/// Every holding, in the order of their begins.
+/// Every holding of the calendar's duty, in the order of their begins.
 pub fn holdings(lives: &[Life]) -> Vec<Holding> {
+    holdings_of("calendar", lives)
+}
+
+/// The same of any duty.
+pub fn holdings_of(duty: &str, lives: &[Life]) -> Vec<Holding> {
+    let of = |line: &&str| field(line, "duty") == Some(duty);
     let mut all = Vec::new();
     for (n, life) in lives.iter().enumerate() {
         let ends: HashMap<Token, u64> = events(&life.log, "duty_over")
+            .filter(of)
             .filter_map(|l| Some((token(l)?, number(l, "mono_us")?))) // when it ended, whenever that was noticed
             .collect();
-        for line in events(&life.log, "duty_held") {
+        for line in events(&life.log, "duty_held").filter(of) {
             let token = token(line).unwrap_or_else(|| panic!("no token: {line}"));
             let from = number(line, "mono_us").unwrap_or_else(|| panic!("no time: {line}"));
             let end = ends.get(&token).copied().unwrap_or(u64::MAX);
@@ -75,13 +82,15 @@
 pub fn contradictions(lives: &[Life]) -> Vec<String> {
     let all = holdings(lives);
     let mut wrong = Vec::new();
-    for (n, one) in all.iter().enumerate() {
-        for other in &all[n + 1..] {
-            if other.from < one.to {
-                wrong.push(format!("two holders at once: {one:?} and {other:?}"));
-            }
-            if other.token <= one.token {
-                wrong.push(format!("a token that did not grow: {one:?} then {other:?}"));
+    for all in [&all, &holdings_of("config", lives)] {
+        for (n, one) in all.iter().enumerate() {
+            for other in &all[n + 1..] {
+                if other.from < one.to {
+                    wrong.push(format!("two holders at once: {one:?} and {other:?}"));
+                }
+                if other.token <= one.token {
+                    wrong.push(format!("a token that did not grow: {one:?} then {other:?}"));
+                }
             }
         }
     }
