--- a/tests/config.rs
+++ b/tests/config.rs
@@ -427,6 +427,7 @@
     let (passed, events) = repair(&mut first, &mut second, 0.0, Vec::new());
     let Event::InForce { version, edits } = &events[0] else { panic!("{:?}", events[0]) };
     assert_eq!((*version, edits.len()), (most as u64 + 5000, 10));
+    println!("{passed} messages");
     assert!(passed < 120, "{passed} messages");
 }
 
@@ -447,6 +448,7 @@
     first.tick(Time(10_000_000), &around(&[address(9)]), &mut out);
     assert_eq!(out.len(), 1);
     let bytes = postcard::to_stdvec(&out[0].1).unwrap();
+    println!("{} bytes", bytes.len());
     assert!(bytes.len() <= 20, "{} bytes", bytes.len());
     let mut answers = Vec::new();
     second.handle(Time(0), &around(&[]), address(8), out.remove(0).1, &mut answers).unwrap();
