--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,10 @@
 #![warn(missing_docs)]
 
 mod ask;
+mod checked;
 pub mod fleet;
 mod interface;
+mod peers;
 mod rules;
 pub mod settings;
 mod state;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,20 +1,23 @@
 //! The configuration: what this proxy is told at its start, as JSON by the platform or as TOML by operators.
 
-use super::list::List;
+use super::list::{Line, Lines, List};
+use super::snapshot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use shaletide::fleet::lease;
-use shaletide::settings::{self, Names, Network};
-use shaletide::{Config, Micros};
+use shaletide::settings::{sift, Change, InForce, Lists, Reading, Settings, Sink};
+use shaletide::Micros;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::fs;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
-/// A longer file is refused unread: the longest list that discovery may tell, twice.
-const MOST: u64 = 8 * 1024 * 1024;
+/// A longer file is refused: five times a fleet of 25,000 backends, 21,000 classes and 130,000 tenants.
+const MOST: u64 = 64 * 1024 * 1024;
+const READ_AT_ONCE: usize = 32 * 1024;
 
 /// Where the configuration comes from.
 #[derive(Clone, Debug, Default)]
@@ -66,6 +69,13 @@
     }
 }
 
+/// The list at hand at the start, which a file read again leaves alone.
+#[derive(Default)]
+pub struct Known {
+    pub index: u64,
+    pub lines: Vec<Line>,
+}
+
 /// Everything that the program starts with.
 pub struct Node {
     pub name: String,
@@ -78,12 +88,11 @@
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// The list as this proxy last had it.
-    pub known: List,
-    pub config: Config,
-    pub names: Names,
-    pub network: Network,
-    /// The settings as they stand in the file.
-    pub settings: Value,
+    pub known: Known,
+    /// Digest of the settings.
+    pub settings: [u8; 32],
+    /// The same of what the proxies of one fleet share of them.
+    pub shared: [u8; 32],
     /// All keys of the file but those inside lists.
     pub keys: BTreeSet<String>,
     /// Where and how often what was learned is kept; without it nothing is.
@@ -309,7 +318,10 @@
 
 /// A file that has the schema's shape, and its keys that the schema does not know.
 struct Parsed {
+    /// Without the settings and the list at hand.
     file: File,
+    known: Known,
+    settings: Settings,
     keys: BTreeSet<String>,
     unknown: Vec<String>,
 }
@@ -318,54 +330,168 @@
     path.extension().is_some_and(|e| e == "toml")
 }
 
-/// The file's text, and never more of it than a configuration may be long.
-fn text(path: &Path) -> io::Result<String> {
-    let mut text = String::new();
-    std::fs::File::open(path)?.take(MOST + 1).read_to_string(&mut text)?;
-    match text.len() as u64 <= MOST {
-        true => Ok(text),
-        false => Err(io::Error::other(format!("over {MOST} bytes"))),
+/// A file's bytes as they are read: text, and never more of it than a configuration may be long.
+struct Text<R> {
+    inner: R,
+    left: u64,
+    /// The first bytes of a character whose others are still to come.
+    begun: Vec<u8>,
+}
+
+impl Text<fs::File> {
+    fn open(path: &Path) -> io::Result<Text<fs::File>> {
+        Ok(Text { inner: fs::File::open(path)?, left: MOST, begun: Vec::new() })
     }
 }
 
-fn parse(source: &Source) -> Result<Parsed, NodeError> {
-    let path = source.file.as_ref().ok_or(NodeError::Unset)?;
-    let text = text(path).map_err(|e| NodeError::Unreadable(path.clone(), e))?;
-    let malformed = |e: String| NodeError::Malformed(path.clone(), e);
+impl<R: Read> Text<R> {
+    /// Goes on with a piece; false where it cannot be text.
+    fn goes_on(&mut self, piece: &[u8]) -> bool {
+        let joined = [&self.begun[..], piece].concat();
+        let (sound, broken) = match std::str::from_utf8(&joined) {
+            Ok(_) => (joined.len(), false),
+            Err(e) => (e.valid_up_to(), e.error_len().is_some() || piece.is_empty()),
+        };
+        self.begun = joined[sound..].to_vec();
+        !broken
+    }
+}
+
+impl<R: Read> Read for Text<R> {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        let length = self.inner.read(to)?;
+        self.left = match self.left.checked_sub(length as u64) {
+            Some(left) => left,
+            None => return Err(io::Error::other(format!("over {MOST} bytes"))),
+        };
+        match self.goes_on(&to[..length]) {
+            true => Ok(length),
+            false => Err(io::Error::new(io::ErrorKind::InvalidData, "stream did not contain valid UTF-8")),
+        }
+    }
+}
+
+/// The whole of it.
+fn text(path: &Path) -> Result<String, NodeError> {
+    let mut text = String::new();
+    let read = Text::open(path).and_then(|mut file| file.read_to_string(&mut text));
+    read.map(|_| text).map_err(|e| NodeError::Unreadable(path.into(), e))
+}
+
+/// JSON as it is read, with its long lists taken out: the text is never in memory as a whole.
+fn stream(path: &Path, long: &mut Long) -> Result<Value, NodeError> {
+    let unreadable = |e| NodeError::Unreadable(path.into(), e);
+    let file = Text::open(path).map_err(unreadable)?;
+    let mut reader = serde_json::Deserializer::from_reader(io::BufReader::with_capacity(READ_AT_ONCE, file));
+    let sifted = sift(&mut reader, long).and_then(|value| reader.end().map(|()| value));
+    sifted.map_err(|e| match e.is_io() {
+        true => unreadable(e.into()),
+        false => NodeError::Malformed(path.into(), e.to_string()),
+    })
+}
+
+/// The file's value with what is put into it.
+fn whole(source: &Source, path: &Path) -> Result<Value, NodeError> {
+    let text = text(path)?;
+    let malformed = |e: String| NodeError::Malformed(path.into(), e);
     let mut whole: Value = match is_toml(path) {
         true => toml::from_str(&text).map_err(|e| malformed(e.to_string()))?,
         false => serde_json::from_str(&text).map_err(|e| malformed(e.to_string()))?,
     };
     source.sets.iter().try_for_each(|set| set.put(&mut whole)).map_err(NodeError::Set)?;
+    Ok(whole)
+}
+
+/// The file's long lists on their way in.
+struct Long {
+    settings: Lists,
+    /// `known.endpoints`, where they are wanted.
+    endpoints: Option<Lines>,
+}
+
+impl Long {
+    const ENDPOINTS: &'static str = "known.endpoints";
+    const SETTINGS: &'static str = "settings.";
+    const PATHS: [&'static str; 3] = [Long::ENDPOINTS, "settings.profiles", "settings.customers"];
+}
+
+impl Sink for Long {
+    fn lists(&self) -> &[&'static str] {
+        &Long::PATHS
+    }
+    fn begin(&mut self, list: &'static str) {
+        match list.strip_prefix(Long::SETTINGS) {
+            Some(list) => self.settings.begin(list),
+            None => self.endpoints.iter_mut().for_each(|lines| *lines = Lines::default()),
+        }
+    }
+    fn item(&mut self, list: &'static str, item: Value) {
+        match (list.strip_prefix(Long::SETTINGS), &mut self.endpoints) {
+            (Some(list), _) => self.settings.item(list, &item),
+            (None, Some(lines)) => lines.read(&item),
+            (None, None) => {}
+        }
+    }
+}
+
+/// What is wanted of a file.
+#[derive(Clone, Copy, PartialEq)]
+enum Want {
+    /// Its errors.
+    Errors,
+    /// All.
+    Start,
+    /// All but the list at hand.
+    Again,
+}
+
+fn shape(whole: Value, path: &Path, unknown: &mut Vec<String>) -> Result<File, NodeError> {
+    let malformed = |e: String| NodeError::Malformed(path.into(), e);
+    let mut ignored = |key: serde_ignored::Path<'_>| unknown.push(key.to_string());
+    let reader = serde_ignored::Deserializer::new(whole, &mut ignored);
+    serde_path_to_error::deserialize(reader).map_err(|e| match e.path().to_string().as_str() {
+        "." => malformed(e.inner().to_string()),
+        at => malformed(format!("{at}: {}", e.inner())),
+    })
+}
+
+fn parse(source: &Source, want: Want) -> Result<Parsed, NodeError> {
+    let path = source.file.as_ref().ok_or(NodeError::Unset)?;
+    // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
+    let strict = is_toml(path) || !source.sets.is_empty();
+    let reading = Reading { strict, digested: want != Want::Errors };
+    let mut long =
+        Long { settings: Lists::new(reading), endpoints: (want == Want::Start).then(Lines::default) };
+    let slim = match strict {
+        true => {
+            let sifted = sift(whole(source, path)?, &mut long);
+            sifted.map_err(|e| NodeError::Malformed(path.clone(), e.to_string()))?
+        }
+        false => stream(path, &mut long)?,
+    };
     let mut keys = BTreeSet::new();
-    collect(&whole, "", &mut keys);
+    collect(&slim, "", &mut keys);
     let mut unknown = Vec::new();
-    let file: File = {
-        let mut ignored = |key: serde_ignored::Path<'_>| unknown.push(key.to_string());
-        let reader = serde_ignored::Deserializer::new(whole, &mut ignored);
-        serde_path_to_error::deserialize(reader).map_err(|e| match e.path().to_string().as_str() {
-            "." => malformed(e.inner().to_string()),
-            at => malformed(format!("{at}: {}", e.inner())),
-        })?
-    };
-    if is_toml(path) || !source.sets.is_empty() {
-        unknown.extend(settings::unknown(&file.settings).into_iter().map(|key| format!("settings.{key}")));
+    let mut file = shape(slim, path, &mut unknown)?;
+    let known = Known { index: file.known.index, lines: long.endpoints.map_or_else(Vec::new, Lines::told) };
+    let settings = Settings::new(std::mem::take(&mut file.settings), long.settings);
+    if strict {
+        unknown.extend(settings.unknown().into_iter().map(|key| format!("settings.{key}")));
     }
-    // The platform's file holds more than a proxy needs; what operators write themselves is meant to count.
     if !is_toml(path) {
         unknown.retain(|key| source.sets.iter().any(|set| set.path == *key));
     }
-    Ok(Parsed { file, keys, unknown })
+    Ok(Parsed { file, known, settings, keys, unknown })
 }
 
 /// Every error of a configuration, one a line; empty where it can be run.
 pub fn check(source: &Source) -> Vec<String> {
-    let parsed = match parse(source) {
+    let parsed = match parse(source, Want::Errors) {
         Ok(parsed) => parsed,
         Err(e) => return vec![e.to_string()],
     };
     let mut errors: Vec<String> = parsed.unknown.iter().map(|key| format!("{key}: unknown key")).collect();
-    let found = settings::errors(&parsed.file.settings).into_iter().chain(seed(&parsed.file.seed).err());
+    let found = parsed.settings.errors().into_iter().chain(seed(&parsed.file.seed).err());
     errors.extend(found.map(|e| NodeError::Settings(e).to_string()));
     errors.extend(parsed.file.duties().err().map(|e| e.to_string()));
     errors
@@ -373,11 +499,11 @@
 
 /// The configuration in force as TOML, with its defaults.
 pub fn show(source: &Source) -> Result<String, NodeError> {
-    let parsed = parse(source)?;
-    let path = source.file.clone().unwrap_or_default();
+    let path = source.file.as_ref().ok_or(NodeError::Unset)?;
+    let file = shape(whole(source, path)?, path, &mut Vec::new())?;
     let failed = |e: String| NodeError::Malformed(path.clone(), e);
     // Through a table, which puts plain values before the tables inside it.
-    let table = toml::Table::try_from(&parsed.file).map_err(|e| failed(e.to_string()))?;
+    let table = toml::Table::try_from(&file).map_err(|e| failed(e.to_string()))?;
     toml::to_string_pretty(&table).map_err(|e| failed(e.to_string()))
 }
 
@@ -386,22 +512,37 @@
     hex.or(value.as_u64()).ok_or_else(|| "seed: expected a number or up to 16 hex digits".into())
 }
 
+/// A configuration that was read again, and what it makes of the settings in force.
+pub struct Again {
+    pub node: Node,
+    pub change: Result<Change, String>,
+}
+
 impl Node {
     /// Reads the file again. One that lacks what stood in it before is not whole.
-    pub fn read_again(source: &Source, keys: &BTreeSet<String>) -> Result<Node, NodeError> {
+    pub fn read_again(
+        source: &Source, keys: &BTreeSet<String>, in_force: &InForce,
+    ) -> Result<Again, NodeError> {
         if let Some(path) = source.file.as_ref().filter(|path| path.exists() && !path.is_file()) {
             // A pipe would hold up all that runs until somebody writes to it.
             return Err(NodeError::Unreadable(path.clone(), io::Error::other("not a file")));
         }
-        let node = Node::read(source)?;
+        let (node, settings) = Node::parsed(parse(source, Want::Again)?)?;
         match keys.difference(&node.keys).next() {
             Some(key) => Err(NodeError::Settings(format!("{key}: missing"))),
-            None => Ok(node),
+            None => Ok(Again { node, change: in_force.change(&settings) }),
         }
     }
 
-    pub fn read(source: &Source) -> Result<Node, NodeError> {
-        let Parsed { file, keys, unknown } = parse(source)?;
+    /// Reads the file, and the settings that it puts in force at the start.
+    pub fn read(source: &Source) -> Result<(Node, InForce), NodeError> {
+        let (node, settings) = Node::parsed(parse(source, Want::Start)?)?;
+        let in_force = InForce::first(&settings).map_err(NodeError::Settings)?;
+        Ok((node, in_force))
+    }
+
+    fn parsed(parsed: Parsed) -> Result<(Node, Settings), NodeError> {
+        let Parsed { file, known, settings, keys, unknown } = parsed;
         if !unknown.is_empty() {
             return Err(NodeError::Unknown(unknown));
         }
@@ -417,24 +558,22 @@
             }
             _ => file.snapshot,
         };
-        let (config, names) = settings::read(&file.settings).map_err(NodeError::Settings)?;
-        let network = settings::network(&file.settings).map_err(NodeError::Settings)?;
-        Ok(Node {
+        settings.first_error().map_or(Ok(()), Err).map_err(NodeError::Settings)?;
+        let node = Node {
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
             control,
             seed: seed(&file.seed).map_err(NodeError::Settings)?,
             sockets: file.limits.sockets.max(64),
-            known: file.known,
-            config,
-            names,
-            network,
-            settings: file.settings,
+            known,
+            settings: settings.digest(&[]),
+            shared: settings.digest(&snapshot::OWN),
             keys,
             snapshot,
             peers: file.peers,
             duties: file.duties,
-        })
+        };
+        Ok((node, settings))
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use std::collections::HashMap;
 
 /// The proxy's own random numbers, the same on every machine for the same seed.
 pub(crate) struct Dice(Pcg32);
@@ -26,6 +27,16 @@
         };
         weighted.iter().find(&mut hit).or(weighted.last()).map(|w| w.0)
     }
+
+    /// The same over places with a weight each: what weighs nothing is none of the items, and adds nothing.
+    pub fn pick_weight(&mut self, weights: &[f64]) -> Option<usize> {
+        let mut left = self.unit() * weights.iter().sum::<f64>();
+        let mut hit = |w: &f64| {
+            left -= w;
+            left < 0.0
+        };
+        weights.iter().position(&mut hit).or_else(|| weights.iter().rposition(|w| *w > 0.0))
+    }
 }
 
 /// A mean over about the last `cap` samples.
@@ -138,30 +149,30 @@
     }
 }
 
-/// A tenant's quota: it holds what it is due over `memory` seconds, and starts with that; where that is
-/// less than `least` it may gather so much, as chance alone brings a few at once.
-pub(crate) struct Bucket {
+/// The tenants' quotas, of those that had traffic: each holds what it is due over `memory` seconds, and starts
+/// with that; where that is less than `least` it may gather so much, as chance alone brings a few at once. One that
+/// is full again stays: a small quota's fresh start holds less.
+pub(crate) struct Buckets {
     memory: f64,
     least: f64,
-    tokens: f64,
-    at: Option<Time>,
+    /// By tenant: what is left, and when that was.
+    used: HashMap<TenantId, (f64, Time)>,
 }
 
-impl Bucket {
-    pub fn new(memory: f64, least: f64) -> Bucket {
-        Bucket { memory, least, tokens: 0.0, at: None }
+impl Buckets {
+    pub fn new(memory: f64, least: f64) -> Buckets {
+        Buckets { memory, least, used: HashMap::new() }
     }
 
-    /// Takes a token if there is one, at so many a second.
-    pub fn take(&mut self, now: Time, rate: f64) -> bool {
+    /// Takes a tenant's token if there is one, at so many a second.
+    pub fn take(&mut self, tenant: TenantId, now: Time, rate: f64) -> bool {
         let due = rate * self.memory;
-        self.tokens = match self.at {
+        let left = match self.used.get(&tenant) {
             None => due.max(1.0),
-            Some(at) => (self.tokens + rate * (now - at).secs()).min(due.max(self.least)),
+            Some((left, at)) => (left + rate * (now - *at).secs()).min(due.max(self.least)),
         };
-        self.at = Some(now);
-        let within = self.tokens >= 1.0;
-        self.tokens -= f64::from(within);
+        let within = left >= 1.0;
+        self.used.insert(tenant, (left - f64::from(within), now));
         within
     }
 }
@@ -187,31 +198,17 @@
     pub share: f64,
     /// Part of this proxy's traffic.
     pub pull: f64,
-    /// The pull of its backends passed so far, while slices are cut.
-    pub walked: f64,
     /// Requests that this proxy had served there, each as a part of its ready backends.
     pub served: Rate,
 }
 
-/// What is known of a backend.
+/// What is known of a backend, but for what is solved over all of them (`src/peers.rs`).
 #[derive(Default)]
 pub(crate) struct Peer {
     pub entry: Backend,
     /// When operators gave it back: it may have started as late as that, unless the list tells of a start since.
     pub back: Option<Time>,
-    /// From 0 (send nothing) to 1 (healthy and warm).
-    pub ready: f64,
-    /// Its part of this proxy's traffic.
-    pub pull: f64,
-    /// Its part of this proxy's slice of its kind.
-    pub slice: f64,
-    /// This proxy's part of what all proxies send it.
-    pub due: f64,
-    /// Its place in the turns that proxies take where a part is less than one: evenly from 0 to 1 over all.
-    pub coin: f64,
-    /// How many attempts of this proxy it may hold.
-    pub room: f64,
-    /// How many it holds.
+    /// How many attempts of this proxy it holds.
     pub out: u32,
     /// Running share of error answers.
     pub errors: f64,
@@ -251,6 +248,17 @@
     pub earned: f64,
 }
 
+impl ClassState {
+    /// The part of what was asked that was earned.
+    pub fn served(&self) -> f64 {
+        if self.asked > 0.0 {
+            self.earned / self.asked
+        } else {
+            1.0
+        }
+    }
+}
+
 /// An attempt of a request.
 pub(crate) struct Sent {
     pub to: Backend,
