Put the fleet's configuration in force over the file's settings

Each version is one step of the request loop: amendments of single entries, made on a thread of their own, all or none; a file at SIGHUP is taken with all entries over it. A call is checked against the settings in force, so each error has its key there.

--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
 use net::host::Host;
 use net::keeper::Keeper;
 use net::maintenance::Maintenance;
+use net::overlay::Overlay;
 use net::peers::Peers;
 use net::reload::{aside, discard, Door, Reload};
 use net::room::{room, share};
@@ -164,9 +165,10 @@
         }
         None => None,
     };
+    let overlay = Rc::new(Overlay::new(in_force.clone()));
     let duties = match peers.as_ref().zip(node.duties.as_ref()) {
         Some((peers, rules)) => {
-            let duties = Duties::start(host.clone(), peers, rules, config.ramp);
+            let duties = Duties::start(host.clone(), peers, rules, config.ramp, overlay.clone());
             Some(duties.map_err(|e| format!("duties: {e}"))?)
         }
         None => None,
@@ -206,6 +208,7 @@
         discovery: watched,
         source,
         in_force,
+        overlay,
         shared,
         keeper: keeper.clone(),
         owner,
--- a/src/net/duties/clock.rs
+++ b/src/net/duties/clock.rs
@@ -7,6 +7,7 @@
 use super::wire::digests;
 use super::{mono, wall, Seen};
 use shaletide::fleet::calendar::{Entry, Transition};
+use shaletide::fleet::config::Edit;
 use shaletide::fleet::lease::Token;
 use shaletide::{Micros, Time};
 use std::collections::BTreeMap;
@@ -33,6 +34,8 @@
 pub enum Command {
     /// An operator's call, and where its answer goes.
     Call(door::Call, oneshot::Sender<door::Answer>),
+    /// An operator's change of the configuration, the version it was made from first.
+    Change(u64, Vec<Edit>, oneshot::Sender<door::Answer>),
     /// This proxy goes: its duties are given up.
     Leave,
     /// Something is due now.
@@ -73,11 +76,9 @@
             let wait = Duration::from_micros((due - mono()).0.min(TURN.0));
             match commands.recv_timeout(wait) {
                 Ok(Command::Call(call, answer)) => {
-                    match call.path.first().map(String::as_str) {
-                        Some("config") => self.tables.config_call(&call, answer),
-                        _ => drop(answer.send(door::answer(&self.tables, &call))), // who asked may be gone
-                    }
+                    let _ = answer.send(door::answer(&self.tables, &call)); // who asked may be gone
                 }
+                Ok(Command::Change(base, edits, answer)) => self.tables.config_change(base, edits, answer),
                 Ok(Command::Leave) => {
                     let mut mail = Mail::new();
                     self.tables.leases.lock().leave(&mut mail);
--- a/src/net/duties/config.rs
+++ b/src/net/duties/config.rs
@@ -6,6 +6,7 @@
 use super::message::{Duties, Duty};
 use super::tables::Tables;
 use super::{mono, wall, Effect};
+use crate::net::overlay::Overlay;
 use hyper::{Method, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
@@ -187,31 +188,19 @@
         self.configure(|config, now, around, out| config.replica.handle(now, around, from, message, out))
     }
 
-    /// Carries out an operator's call; that of a change is answered once its outcome is known.
-    pub fn config_call(&self, call: &Call, answer: oneshot::Sender<Answer>) {
-        let path: Vec<&str> = call.path.iter().map(String::as_str).collect();
-        let asked = match (&call.method, &path[1..]) {
-            (&Method::GET, []) => Err((StatusCode::OK, line(&self.config_status()))),
-            (&Method::GET, [kind, name]) => Err(self.config_entry(kind, name)),
-            (&Method::PUT, []) => read(&call.body),
-            (&Method::PUT, [kind, name]) => read_one(&call.body, kind, name, false),
-            (&Method::DELETE, [kind, name]) => read_one(&call.body, kind, name, true),
-            _ => Err((StatusCode::NOT_FOUND, line(&json!({ "field": "path", "why": "no such call" })))),
-        };
-        match asked {
-            Err(said) => drop(answer.send(said)), // who asked may be gone
-            Ok((base, edits)) => self.configure(|config, now, around, out| {
-                let id = drawn();
-                config.calls.insert(id, (answer, now));
-                if let Err(why) = config.replica.submit(now, around, Submission { id, base, edits }, out) {
-                    let told = config.outcome(Err(why));
-                    config.calls.remove(&id).map(|(answer, _)| answer.send(told));
-                }
-            }),
-        }
+    /// Asks for an operator's change, which is answered once its outcome is known.
+    pub fn config_change(&self, base: u64, edits: Vec<Edit>, answer: oneshot::Sender<Answer>) {
+        self.configure(|config, now, around, out| {
+            let id = drawn();
+            config.calls.insert(id, (answer, now));
+            if let Err(why) = config.replica.submit(now, around, Submission { id, base, edits }, out) {
+                let told = config.outcome(Err(why));
+                config.calls.remove(&id).map(|(answer, _)| answer.send(told));
+            }
+        });
     }
 
-    fn config_entry(&self, kind: &str, name: &str) -> Answer {
+    pub fn config_entry(&self, kind: &str, name: &str) -> Answer {
         let key = kind_of(kind).map(|kind| Key { kind, name: name.into() });
         let config = self.config.lock();
         let table = config.replica.table();
@@ -232,7 +221,7 @@
         }
     }
 
-    fn config_status(&self) -> serde_json::Value {
+    pub fn config_status(&self) -> serde_json::Value {
         let config = self.config.lock();
         let in_force = self.roster.lock().seen.as_ref().map(|seen| seen.config);
         let (table, digest) = (config.replica.table(), config.replica.table().digest());
@@ -251,6 +240,29 @@
     }
 }
 
+/// The change that a call asks for and the version that it was made from, or all that is wrong with it, here and for the settings in
+/// force; `None` where it asks for none.
+pub fn change(call: &Call, overlay: &Overlay) -> Option<Result<(u64, Vec<Edit>), Answer>> {
+    let path: Vec<&str> = call.path.iter().map(String::as_str).collect();
+    let read = match (&call.method, path.as_slice()) {
+        (&Method::PUT, ["config"]) => read(&call.body),
+        (&Method::PUT, ["config", kind, name]) => read_one(&call.body, kind, name, false),
+        (&Method::DELETE, ["config", kind, name]) => read_one(&call.body, kind, name, true),
+        _ => return None,
+    };
+    Some(read.and_then(|(base, edits)| {
+        let unfit = overlay.check(&edits);
+        let error = |text: &String| match text.split_once(": ") {
+            Some((field, why)) => (field.to_string(), why.to_string()),
+            None => ("entries".to_string(), text.clone()),
+        };
+        match unfit.is_empty() {
+            true => Ok((base, edits)),
+            false => Err(wrong(unfit.iter().map(error).collect())),
+        }
+    }))
+}
+
 /// A number that no other proxy draws.
 fn drawn() -> u64 {
     RandomState::new().build_hasher().finish()
@@ -285,9 +297,6 @@
     name: String,
     #[serde(default)]
     value: Option<serde_json::Value>,
-    /// In place of a value: as the file says.
-    #[serde(default)]
-    as_file: bool,
 }
 
 /// The body of a change of one entry, whose path names it.
@@ -297,8 +306,6 @@
     version: u64,
     #[serde(default)]
     value: Option<serde_json::Value>,
-    #[serde(default)]
-    as_file: bool,
 }
 
 fn parsed<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Answer> {
@@ -328,14 +335,14 @@
 }
 
 fn read_one(body: &[u8], kind: &str, name: &str, remove: bool) -> Result<(u64, Vec<Edit>), Answer> {
-    let One { version, value, as_file } = parsed(body)?;
-    if remove && (value.is_some() || as_file) {
+    let One { version, value } = parsed(body)?;
+    if remove && value.is_some() {
         return Err(wrong(vec![("value".into(), "not where the entry is removed".into())]));
     }
-    if !remove && value.is_none() && !as_file {
+    if !remove && value.is_none() {
         return Err(wrong(vec![("value".into(), "missing".into())]));
     }
-    let item = Item { kind: kind.into(), name: name.into(), value, as_file };
+    let item = Item { kind: kind.into(), name: name.into(), value };
     checked(version, vec![(String::new(), item)])
 }
 
@@ -351,25 +358,24 @@
         let key = Key { kind, name: item.name };
         if let Err(why) = key.check() {
             errors.push((at("name"), why.why));
+            continue;
         }
-        let value = match (item.value, item.as_file) {
-            (Some(_), true) => {
-                errors.push((at("as_file"), "not beside a value".into()));
+        let value = match item.value {
+            None => Value::Removed,
+            Some(value) if !value.is_object() => {
+                errors.push((at("value"), "expected an object".into()));
                 continue;
             }
-            (None, true) => Value::AsFile,
-            (None, false) => Value::Removed,
-            (Some(value), false) if !value.is_object() => {
-                errors.push((at("value"), "expected an object".into()));
+            Some(value) if value["name"] != key.name => {
+                errors.push((at("value.name"), "expected the entry's name".into()));
                 continue;
             }
-            (Some(value), false) => Value::Set(value.to_string().into_bytes()),
+            Some(value) => Value::Set(value.to_string().into_bytes()),
         };
         let edit = Edit { key, value };
-        match (edit.key.check(), edit.check()) {
-            (Ok(()), Ok(())) => edits.push(edit),
-            (Ok(()), Err(why)) => errors.push((at("value"), why.why)),
-            (Err(_), _) => {}
+        match edit.check() {
+            Ok(()) => edits.push(edit),
+            Err(why) => errors.push((at("value"), why.why)),
         }
     }
     if !errors.is_empty() {
--- a/src/net/duties/door.rs
+++ b/src/net/duties/door.rs
@@ -33,6 +33,8 @@
     let stamp = Stamp { at: now, by: tables.incarnation };
     let parts: Vec<&str> = call.path.iter().map(String::as_str).collect();
     let edited = match (call.method.as_str(), parts.as_slice()) {
+        ("GET", ["config"]) => return (StatusCode::OK, line(&tables.config_status())),
+        ("GET", ["config", kind, name]) => return tables.config_entry(kind, name),
         ("GET", ["duties"]) => return (StatusCode::OK, line(&duties(tables))),
         ("GET", ["windows"]) => {
             let windows = tables.calendar.lock().calendar.list(now);
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -19,6 +19,7 @@
 use super::config::Voting;
 use super::control::{DutiesDoor, Later};
 use super::host::{Host, RosterRow, Why};
+use super::overlay::Overlay;
 use super::peers::Peers;
 use bytes::Bytes;
 use clock::{Clock, Command};
@@ -31,7 +32,7 @@
 use shaletide::fleet::calendar::{Budget, Calendar, Rules, Wall};
 use shaletide::fleet::config::Edit;
 use shaletide::{Micros, Time};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io;
@@ -90,11 +91,15 @@
 pub struct Duties {
     commands: SyncSender<Command>,
     ready: watch::Receiver<bool>,
+    /// What changes are checked against.
+    overlay: Rc<Overlay>,
 }
 
 impl Duties {
     /// Starts the workers. `ramp`: how long a backend that is back is in slow start.
-    pub fn start(host: Rc<Host>, peers: &Rc<Peers>, rules: &Voting, ramp: Micros) -> io::Result<Rc<Duties>> {
+    pub fn start(
+        host: Rc<Host>, peers: &Rc<Peers>, rules: &Voting, ramp: Micros, overlay: Rc<Overlay>,
+    ) -> io::Result<Rc<Duties>> {
         let own = peers.own();
         let leases = rules.leases().map_err(|e| io::Error::other(e.to_string()))?;
         let incarnation = RandomState::new().build_hasher().finish();
@@ -128,11 +133,11 @@
         peers.pass_duties(pass);
         info!(event = "duties_start", own = %own, voters = rules.voters.len(), lease_ms = rules.lease_ms,
             "takes part in the fleet's duties");
-        let applied = Rc::new(Applied::default());
+        let applied = Rc::new(Applied { out: RefCell::default(), overlay: overlay.clone() });
         let (tell, ready) = watch::channel(false);
         tokio::task::spawn_local(apply(host.clone(), told, applied.clone(), tell));
         tokio::task::spawn_local(shows(host, peers.clone(), applied, show));
-        Ok(Rc::new(Duties { commands, ready }))
+        Ok(Rc::new(Duties { commands, ready, overlay }))
     }
 
     /// Until this proxy knows the calendar as another one does, or has waited long enough for it.
@@ -148,10 +153,15 @@
 
 impl DutiesDoor for Duties {
     fn call(&self, method: &Method, path: &[&str], body: Bytes) -> Later {
-        let path = path.iter().map(|part| part.to_string()).collect();
         let (answer, wait) = oneshot::channel();
-        let call = Command::Call(door::Call { method: method.clone(), path, body }, answer);
-        let queued = self.commands.try_send(call).is_ok();
+        let path = path.iter().map(|part| part.to_string()).collect();
+        let call = door::Call { method: method.clone(), path, body };
+        let command = match config::change(&call, &self.overlay) {
+            None => Command::Call(call, answer),
+            Some(Ok((base, edits))) => Command::Change(base, edits, answer),
+            Some(Err(said)) => return Box::pin(std::future::ready(said)),
+        };
+        let queued = self.commands.try_send(command).is_ok();
         Box::pin(async move {
             let busy = (StatusCode::SERVICE_UNAVAILABLE, "too many calls at once\n".to_string());
             if queued {
@@ -164,12 +174,11 @@
 }
 
 /// What was carried out of what the workers asked.
-#[derive(Default)]
 struct Applied {
     /// Backends out for windows.
     out: RefCell<BTreeSet<String>>,
-    /// The configuration's version.
-    config: Cell<u64>,
+    /// The configuration's entries.
+    overlay: Rc<Overlay>,
 }
 
 /// Carries out what the workers ask.
@@ -188,16 +197,7 @@
                 info!(event = "window_back", backend = name, mono_us = mono().0, "no window has it any more");
                 applied.out.borrow_mut().remove(&name);
             }
-            Effect::Config(version, edits) => {
-                info!(
-                    event = "config_in_force",
-                    version,
-                    entries = edits.len(),
-                    mono_us = mono().0,
-                    "another version of the configuration"
-                );
-                applied.config.set(version);
-            }
+            Effect::Config(version, edits) => applied.overlay.add(version, edits),
             Effect::Ready => drop(ready.send_replace(true)),
         }
     }
@@ -208,7 +208,7 @@
     host: Rc<Host>, peers: Rc<Peers>, applied: Rc<Applied>, show: watch::Sender<Option<Arc<Seen>>>,
 ) {
     loop {
-        let (out, config) = (applied.out.borrow().clone(), applied.config.get());
+        let (out, config) = (applied.out.borrow().clone(), applied.overlay.version());
         let seen = Seen { rows: host.roster(), members: peers.members(), applied: out, config };
         show.send_replace(Some(Arc::new(seen)));
         tokio::time::sleep(SHOW).await;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod keeper;
 pub mod list;
 pub mod maintenance;
+pub mod overlay;
 pub mod peers;
 pub mod reload;
 pub mod room;
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -2,12 +2,14 @@
 
 use super::config::{Again, Node, Source};
 use super::control::{Control, Keepers};
+use super::duties::mono;
 use super::host::Host;
 use super::keeper::Keeper;
+use super::overlay::{self, Overlay};
 use super::room::room;
 use super::server::{self, Rules, Server};
 use super::snapshot::Owner;
-use shaletide::settings::InForce;
+use shaletide::settings::{Change, InForce};
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -88,6 +90,8 @@
     pub source: Source,
     /// Its zones and kinds are those of the last reading: the host's names know of later ones.
     pub in_force: InForce,
+    /// What the fleet's configuration changes in them.
+    pub overlay: Rc<Overlay>,
     /// Digest of the settings that the fleet shares, for what peers learned under them.
     pub shared: Rc<Cell<[u8; 32]>>,
     pub keeper: Option<Rc<Keeper>>,
@@ -102,11 +106,19 @@
     /// On each SIGHUP reads the configuration again. It is taken as a whole, or nothing of it is. Of signals that come
     /// while one reading goes on, one more follows it: so the last file counts, and never two are read at once.
     pub async fn run(mut self, mut hangup: Signal) {
-        while hangup.recv().await.is_some() {
+        loop {
+            let overlay = self.overlay.clone();
+            tokio::select! {
+                hung_up = hangup.recv() => if hung_up.is_none() { return },
+                () = overlay.news() => {
+                    self.amend().await;
+                    continue;
+                }
+            }
             let begun = Instant::now();
             let read = self.read().await;
             let (read_ms, step) = (begun.elapsed().as_millis(), Instant::now());
-            let taken = read.and_then(|again| self.take(again));
+            let taken = read.and_then(|(again, amended)| self.take(again, amended));
             let step_us = step.elapsed().as_micros(); // so long nothing else ran
             match taken {
                 Ok(told) => {
@@ -119,20 +131,59 @@
 
     /// Reads, checks and compares, while requests go on. Nothing but [`Reload::take`] changes what it compares with,
     /// apart from places and kinds that lists name meanwhile, which that sees to.
-    async fn read(&self) -> Result<Again, String> {
-        let (source, keys) = (self.source.clone(), self.keys.clone());
+    async fn read(&self) -> Result<(Again, Option<Change>), String> {
+        let (source, keys, entries) = (self.source.clone(), self.keys.clone(), self.overlay.entries());
         let in_force = InForce { names: self.host.names(), ..self.in_force.clone() };
-        let read = aside(move || Node::read_again(&source, &keys, &in_force).map_err(|e| e.to_string()));
+        let read = aside(move || {
+            let again = Node::read_again(&source, &keys, &in_force).map_err(|e| e.to_string())?;
+            let amended = again.change.as_ref().ok().and_then(|change| overlay::over(&change.to, &entries));
+            Ok((again, amended))
+        });
         read.await?
     }
 
+    /// Puts the entries that the fleet changed in force, all in one step: none of them where one does not fit.
+    async fn amend(&mut self) {
+        let (version, entries) = self.overlay.fresh();
+        let base = InForce { names: self.host.names(), ..self.in_force.clone() };
+        let count = entries.len();
+        let amended = aside(move || overlay::amended(&base, &entries).map_err(|why| why.join("; "))).await;
+        match amended.and_then(|change| change) {
+            Ok(change) => {
+                let step = Instant::now();
+                self.put(change);
+                self.overlay.took(Some(version), self.in_force.clone());
+                let step_us = step.elapsed().as_micros();
+                info!(
+                    event = "config_in_force",
+                    version,
+                    entries = count,
+                    step_us,
+                    mono_us = mono().0,
+                    "another version of the configuration"
+                );
+            }
+            Err(why) => warn!(event = "config_refused", version, "not in force, all stays as it was: {why}"),
+        }
+    }
+
+    /// Settings in place of others, in one step.
+    fn put(&mut self, mut change: Change) {
+        change.place(&self.host.names());
+        let before = std::mem::replace(&mut self.in_force, change.to.clone());
+        self.host.pool.retune(&self.in_force.network);
+        self.server.retune(Rules::new(&self.in_force.config, &self.in_force.network));
+        self.host.retune(change);
+        discard(before); // by now nobody else holds what is only there
+    }
+
     /// Puts it in force: one step, in which nothing else runs, and none that takes time by the size of the tables.
-    fn take(&mut self, again: Again) -> Result<String, String> {
+    fn take(&mut self, again: Again, amended: Option<Change>) -> Result<String, String> {
         let Again { node, change } = again;
         if node.discovery.is_some() != self.discovery.is_some() {
             return Err("discovery: expected as before, it comes and goes only with a restart".into());
         }
-        let mut change = change?;
+        let change = change?;
         // The last that can fail; from here on nothing does.
         self.door.move_to(node.control)?;
         let mut told = change.told.clone();
@@ -142,8 +193,6 @@
         if node.listen != self.listen {
             told += &format!(", clients still at {}", self.listen);
         }
-        change.place(&self.host.names());
-        let before = std::mem::replace(&mut self.in_force, change.to.clone());
         if *self.keys != node.keys {
             self.keys = Arc::new(node.keys.clone());
         }
@@ -151,16 +200,18 @@
         let room = room(node.sockets);
         self.host.pool.limit(room / 2);
         self.server.limit(room - room / 2);
-        self.host.pool.retune(&self.in_force.network);
-        self.server.retune(Rules::new(&self.in_force.config, &self.in_force.network));
-        self.host.retune(change);
+        self.put(change);
+        if let Some(amended) = amended {
+            self.put(amended);
+        }
+        self.overlay.took(None, self.in_force.clone());
         self.shared.set(node.shared);
         self.owner.discovery = node.discovery;
         self.keeper.iter().for_each(|k| k.stand(self.owner.clone(), node.settings));
         if let Some((moved, to)) = self.discovery.as_ref().zip(node.discovery) {
             moved.send_if_modified(|at| std::mem::replace(at, to) != to);
         }
-        discard((before, node)); // by now nobody else holds what is only there
+        discard(node);
         Ok(told)
     }
 }
