--- a/src/fleet/config/proposer.rs
+++ b/src/fleet/config/proposer.rs
@@ -2,7 +2,7 @@
 //! one change after the other.
 
 use super::message::Paxos;
-use super::{Change, Edit};
+use super::{Change, Edit, MOST_NUMBER};
 use crate::fleet::lease::{Rules, Token};
 use crate::interface::Time;
 use std::collections::BTreeMap;
@@ -90,13 +90,17 @@
     }
 
     /// Proposes a change after this copy's version; its number, or none while it is not [ready](Proposer::is_ready).
+    /// `wall_ms`: the wall clock in milliseconds since 1970.
     pub fn propose(
-        &mut self, now: Time, version: u64, id: u64, edits: Vec<Edit>, out: &mut Vec<Paxos>,
+        &mut self, now: Time, wall_ms: u64, version: u64, (id, edits): (u64, Vec<Edit>), out: &mut Vec<Paxos>,
     ) -> Option<u64> {
         if !self.is_ready() {
             return None;
         }
-        let number = version.max(self.floor).saturating_add(1);
+        // Voters that recovered later than those that promised have higher floors, and these are not above the clock.
+        let recovering = self.floor > version && wall_ms < MOST_NUMBER / 2;
+        let floor = if recovering { self.floor.max(wall_ms) } else { self.floor };
+        let number = version.max(floor).saturating_add(1);
         self.phase = Phase::Proposed(Change { number, after: version, id, edits }, 0);
         self.ask(now, out);
         Some(number)
--- a/src/fleet/config/submit.rs
+++ b/src/fleet/config/submit.rs
@@ -212,7 +212,7 @@
                     self.submissions.open = Some((asker, id));
                     let (mut said, version) = (Vec::<Paxos>::new(), self.table.version());
                     if let Some(proposer) = &mut self.proposer {
-                        proposer.propose(now, version, id, submission.edits, &mut said);
+                        proposer.propose(now, around.wall_ms, version, (id, submission.edits), &mut said);
                     }
                     self.ask_voters(now, around, said, out);
                 }
--- a/tests/config_model.rs
+++ b/tests/config_model.rs
@@ -315,7 +315,7 @@
                 let player = &mut world.players[p];
                 player.proposed += 1;
                 let (now, version, mut out) = (player.now, version(&player.copy), Vec::new());
-                player.proposer.as_mut()?.propose(now, version, p as u64, edits(), &mut out)?;
+                player.proposer.as_mut()?.propose(now, 0, version, (p as u64, edits()), &mut out)?;
                 world.say(p, out);
             }
             Act::Arrive(p, message, voter) => {
