Let a recovering voter ask again for a version that nobody has any more

Where the one voter that knew a version died right after it told two others of it, both waited for that version for ever and no majority voted. They ask again after 60 s; what they were told before counts as well. A test shows it, another that one voter alone decides.

--- a/src/fleet/config/acceptor.rs
+++ b/src/fleet/config/acceptor.rs
@@ -9,17 +9,20 @@
 use super::message::{Memory, Paxos};
 use super::{Change, MOST_NUMBER};
 use crate::fleet::lease::{Rules, Token};
-use crate::interface::Time;
+use crate::interface::{Micros, Time};
 use std::collections::BTreeMap;
 
+/// A copy that is not at its version by then asks again which one that is.
+const REACHED: Micros = Micros(60_000_000);
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum State {
     /// It says nothing until then.
     Silent { until: Time },
     /// It asks the others since then; from each place whether it remembers, and what.
     Asking { since: Time, known: BTreeMap<usize, (bool, Memory)> },
-    /// It knows what it has to, and its copy is on the way to that version.
-    Reaching { version: u64 },
+    /// It knows what it has to, and its copy is on the way to that version, since then.
+    Reaching { version: u64, since: Time },
     /// It takes part.
     Voting,
 }
@@ -60,7 +63,7 @@
     /// The version that its copy has to reach before it takes part.
     pub fn reaching(&self) -> Option<u64> {
         match self.state {
-            State::Reaching { version } => Some(version),
+            State::Reaching { version, .. } => Some(version),
             _ => None,
         }
     }
@@ -79,14 +82,16 @@
             State::Silent { until } => now >= *until,
             // Answers count together only if they came within one round's time.
             State::Asking { since, .. } => now - *since >= self.rules.patience(),
-            State::Reaching { .. } | State::Voting => false,
+            // Whoever told of that version may have forgotten it since, and nobody else have it.
+            State::Reaching { since, .. } => now - *since >= REACHED,
+            State::Voting => false,
         };
         if ask {
             self.nonce = self.nonce.wrapping_add(1);
             self.state = State::Asking { since: now, known: BTreeMap::new() };
             out.push(Paxos::Recover { nonce: self.nonce });
         }
-        self.recover(wall_ms, version);
+        self.recover(now, wall_ms, version);
     }
 
     /// Takes a holder's message or another voter's question and gives the answer to it, if there is one.
@@ -113,7 +118,7 @@
         let other = from < self.rules.voters() && from != self.place;
         if other && nonce == self.nonce && now - *since < self.rules.patience() {
             known.insert(from, (remembers, memory));
-            self.recover(wall_ms, version);
+            self.recover(now, wall_ms, version);
         }
     }
 
@@ -160,7 +165,7 @@
     }
 
     /// Goes on with its recovery where it can.
-    fn recover(&mut self, wall_ms: u64, version: u64) {
+    fn recover(&mut self, now: Time, wall_ms: u64, version: u64) {
         if let State::Asking { known, .. } = &self.state {
             let remember = known.values().filter(|(remembers, _)| *remembers).count();
             let majority = remember > self.rules.voters() / 2;
@@ -169,14 +174,16 @@
             }
             let memories = || known.values().map(|(_, memory)| memory);
             let highest = memories().map(|m| m.version).max().unwrap_or_default().max(version);
-            let accepted = memories().filter_map(|m| m.accepted.clone());
-            self.promised = memories().map(|m| m.promised).max().unwrap_or_default();
-            self.accepted = accepted.filter(|(_, change)| change.after == highest).max();
-            let floor = memories().map(|m| m.floor).max().unwrap_or_default();
+            // What it was told when it asked before counts as well.
+            let accepted = memories().map(|m| &m.accepted).chain([&self.accepted]).flatten();
+            let accepted = accepted.filter(|(_, change)| change.after == highest).max().cloned();
+            self.promised = memories().map(|m| m.promised).chain([self.promised]).max().unwrap_or_default();
+            let floor = memories().map(|m| m.floor).chain([self.floor]).max().unwrap_or_default();
+            self.accepted = accepted;
             self.floor = if majority { floor } else { floor.max(wall_ms.min(MOST_NUMBER / 2)) };
-            self.state = State::Reaching { version: highest };
+            self.state = State::Reaching { version: highest, since: now };
         }
-        if matches!(self.state, State::Reaching { version: needed } if needed <= version) {
+        if matches!(self.state, State::Reaching { version: needed, .. } if needed <= version) {
             self.state = State::Voting;
             self.settle(version);
         }
--- a/src/fleet/config/mod.rs
+++ b/src/fleet/config/mod.rs
@@ -16,7 +16,7 @@
 mod tree;
 
 pub use acceptor::Acceptor;
-pub use message::{Message, Paxos};
+pub use message::{Memory, Message, Paxos};
 pub use proposer::{Proposer, Step};
 pub use replica::{Event, Replica, Rules, Surroundings};
 pub use submit::{Rejected, Submission};
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -5,8 +5,8 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use shaletide::fleet::config::{
-    Change, Digest, Edit, Entry, Event, Key, Kind, Message, Node, Paxos, Replica, Rules, Submission,
-    Surroundings, Value,
+    Acceptor, Change, Digest, Edit, Entry, Event, Key, Kind, Memory, Message, Node, Paxos, Replica, Rules,
+    Submission, Surroundings, Value,
 };
 use shaletide::fleet::lease::{self, Ballot, Token};
 use shaletide::{Micros, Time};
@@ -329,6 +329,46 @@
     }
 }
 
+/// The least fleet: one voter's word is the majority.
+#[test]
+fn one_voter_decides_alone() {
+    let mut fleet = Fleet::new(3, 1, 3, Weather { loss: 0.1, doubled: 0.1, late_us: 50 * MS });
+    fleet.settle(0, 6);
+    for n in 0..3 {
+        let id = fleet.submit(n, vec![edit(n, 9)]);
+        fleet.settle(0, 3);
+        assert!(fleet.acknowledged.contains_key(&id));
+    }
+    assert_eq!((fleet.versions().len(), fleet.chain().len()), (1, 3));
+}
+
+/// Two voters recover from a third that dies before they have what it told of: they ask again, and changes go on.
+#[test]
+fn voters_do_not_wait_for_ever_for_a_version_that_nobody_has() {
+    let rules = lease_rules(3);
+    let mut acceptor = Acceptor::new(rules, 1, 7, Time(0));
+    let (mut now, mut out) = (Time(0) + rules.grant_life(), Vec::new());
+    acceptor.tick(now, WALL, 9, &mut out);
+    let asked = |out: &[Paxos]| match out {
+        [Paxos::Recover { nonce }] => *nonce,
+        _ => panic!("{out:?}"),
+    };
+    let memory = |version| Memory { version, ..Memory::default() };
+    acceptor.known(now, WALL, 9, 0, asked(&out), (true, memory(10)));
+    acceptor.known(now, WALL, 9, 2, asked(&out), (false, memory(9)));
+    assert_eq!((acceptor.reaching(), acceptor.votes()), (Some(10), false));
+    now = now + Micros(59_000_000);
+    out.clear();
+    acceptor.tick(now, WALL, 9, &mut out);
+    assert_eq!(out, []);
+    now = now + Micros(1_000_000);
+    acceptor.tick(now, WALL, 9, &mut out);
+    for other in [0, 2] {
+        acceptor.known(now, WALL, 9, other, asked(&out), (false, memory(9)));
+    }
+    assert!(acceptor.votes());
+}
+
 const OTHER: usize = 7;
 
 /// A proxy that is no voter, with so many changes of one entry each, told by another.
