--- a/src/ask.rs
+++ b/src/ask.rs
@@ -28,8 +28,8 @@
 
 /// How long to wait for a call after one that discovery refused. So it lives, and has a line as long as it lets one grow:
 /// what it took in since stands at the end, and another call of the same proxy costs both their places. In a large fleet it
-/// is less: should the call hang after all, what comes before the next one still fits into [`MOST`]'s sum. That is a pause
-/// of half the gap, or the gap where [`Ask::take_due`] counts anew meanwhile.
+/// is less: should the call hang after all, what comes before the next one still fits into the 6 s. That is a pause
+/// of half the gap, or the gap where the module repeats its question meanwhile.
 pub fn in_line(proxies: u32, within: Micros) -> Micros {
     let half = within.secs() / 2.0;
     let gap = longest(proxies).min(half);
