--- a/benches/scale/fleet.rs
+++ b/benches/scale/fleet.rs
@@ -4,7 +4,7 @@
 use super::plan::Plan;
 use super::protocol::{Absence, Command, Cut, Faults, Learned, Load, Reply, Sample};
 use super::rig::{entry, folder, BackendServer, Client, Proxy, Refusing, SETTINGS};
-use super::{figures, rig, worker};
+use super::{figures, hollow, rig, worker};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
@@ -155,7 +155,8 @@
         let mut links: Vec<Link> =
             ranges.map(|of| if threads { Link::thread(of) } else { Link::process(of) }).collect();
         let seeds: Vec<SocketAddr> = (0..real.max(3).min(size)).map(|n| plan.address(n)).collect();
-        let said = Command::Plan { plan, seeds, cluster: CLUSTER.into(), max_age_s: MAX_AGE_S };
+        let voters = (0..real).map(|n| plan.address(n)).collect();
+        let said = Command::Plan { plan, seeds, voters, cluster: CLUSTER.into(), max_age_s: MAX_AGE_S };
         links.iter_mut().for_each(|link| link.say(&said));
         links.iter().for_each(|link| drop(link.reply()));
         let mut fleet = Fleet { plan, real: Vec::new(), links, backends: None, probes: 0 };
@@ -267,6 +268,28 @@
         (number, at)
     }
 
+    /// Asks a real proxy's door to change one entry, from the version that it is at; the change's number, when it was
+    /// asked and when it was answered, or why not.
+    pub fn change(&mut self, at: usize, from: &mut u64) -> Result<(u32, u64, u64), String> {
+        self.probes += 1;
+        let (number, asked) = (self.probes, mono_us());
+        let body = format!(r#"{{"version":{from},"value":{{"quota_rps":{number}.5}}}}"#);
+        let head = format!("PUT /config/tenants/{} HTTP/1.1\r\nHost: door\r\n", hollow::change(number));
+        let door = self.real[at % self.real.len()].control.ok_or("no door")?;
+        let answer =
+            Client::connect(door).ask(&format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()));
+        let said: serde_json::Value = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+        *from = said["version"].as_u64().ok_or(format!("{}: {said}", answer.status()))?;
+        Ok((number, asked, mono_us()))
+    }
+
+    /// The version at a real proxy's door.
+    pub fn version(&self) -> u64 {
+        let said = self.real.first().map(|p| p.call("GET /config").body).unwrap_or_default();
+        let said: serde_json::Value = serde_json::from_slice(&said).unwrap_or_default();
+        said["version"].as_u64().unwrap_or(0)
+    }
+
     pub fn samples(&mut self) -> Vec<Sample> {
         let replies = self.each(|_| Command::Sample);
         replies.into_iter().filter_map(|r| if let Reply::Sample(s) = r { Some(s) } else { None }).collect()
--- a/benches/scale/hollow.rs
+++ b/benches/scale/hollow.rs
@@ -1,6 +1,7 @@
 //! A hollow proxy: the library's membership, and the module where there is load, on a UDP socket of its own; no HTTP.
 
 use super::balance::Balance;
+use super::carry::{Carry, Mail};
 use super::plan::Plan;
 use super::protocol::{Faults, Load, LATE_US};
 use rand_core::{RngCore, SeedableRng};
@@ -38,6 +39,8 @@
     Replaced,
     /// A probe of that number, see [`probe`].
     Heard,
+    /// A change of that number, see [`change`].
+    InForce,
 }
 
 /// The name of a backend that is none: a verdict on it only shows how it spreads.
@@ -45,6 +48,11 @@
     format!("probe-{number}")
 }
 
+/// The name of an entry that only shows how its change spreads.
+pub fn change(number: u32) -> String {
+    format!("change-{number}")
+}
+
 /// What a place's proxies counted, over all their restarts.
 #[derive(Default)]
 pub struct Tally {
@@ -67,6 +75,7 @@
     seal: Seal,
     membership: RefCell<Membership>,
     balance: RefCell<Option<Balance>>,
+    carry: RefCell<Option<Carry>>,
     faults: Rc<Cell<Faults>>,
     random: RefCell<Pcg32>,
     pub tally: Rc<Tally>,
@@ -78,7 +87,8 @@
 impl Hollow {
     /// Takes its socket and works until it is stopped.
     pub fn start(
-        plan: Plan, number: u32, rules: Rules, faults: Rc<Cell<Faults>>, tally: Rc<Tally>,
+        plan: Plan, number: u32, rules: Rules, voters: Vec<SocketAddr>, faults: Rc<Cell<Faults>>,
+        tally: Rc<Tally>,
     ) -> io::Result<Rc<Hollow>> {
         let address = plan.address(number);
         let socket = std::net::UdpSocket::bind(address)?;
@@ -92,6 +102,7 @@
             seal: Seal::new(rules.cluster, address),
             membership: RefCell::new(Membership::new(rules, address, seed, true, now())),
             balance: RefCell::default(),
+            carry: RefCell::new(Carry::new(voters, address, seed ^ now().wall_us, now().time)),
             faults,
             random: RefCell::new(Pcg32::seed_from_u64(seed)),
             tally,
@@ -106,7 +117,8 @@
         let mut buffer = [0; wire::MOST + 1];
         while !self.stopped.get() {
             let balance = self.balance.borrow().as_ref().and_then(Balance::due);
-            let due = balance.into_iter().fold(self.membership.borrow().due(), Time::min);
+            let carry = self.carry.borrow().as_ref().map(Carry::due);
+            let due = balance.into_iter().chain(carry).fold(self.membership.borrow().due(), Time::min);
             let wait = Duration::from_micros((due - Time(mono_us())).0);
             tokio::select! {
                 got = self.socket.recv_from(&mut buffer) => if let Ok((length, from)) = got {
@@ -117,6 +129,7 @@
                 () = tokio::time::sleep_until(Instant::now() + wait) => {
                     self.turn(Membership::pass);
                     self.serve();
+                    self.carry(|carry, now| carry.pass(now, &self.membership.borrow()));
                 }
                 () = self.wake.notified() => {}
             }
@@ -147,6 +160,11 @@
         self.turn(|m, now, out| m.tell(backend, verdict, now, out));
     }
 
+    /// The version of its copy of the configuration, 0 without one.
+    pub fn version(&self) -> u64 {
+        self.carry.borrow().as_ref().map_or(0, Carry::version)
+    }
+
     /// Live members that it knows, facts that wait, and its counts.
     pub fn seen(&self) -> (u32, u64, Counts) {
         let m = self.membership.borrow();
@@ -164,6 +182,16 @@
         told.into_iter().flatten().for_each(|(backend, verdict)| self.tell(backend, verdict));
     }
 
+    /// One turn of the copy of the configuration, and what comes of it; whether there is one.
+    fn carry(&self, step: impl FnOnce(&mut Carry, Now) -> Mail) -> bool {
+        let done = self.carry.borrow_mut().as_mut().map(|carry| (step(carry, now()), carry.in_force()));
+        let Some((mail, names)) = done else { return false };
+        mail.into_iter().for_each(|(to, bytes)| self.send(to, wire::Body::Duty(bytes)));
+        let numbers = names.iter().filter_map(|name| name.strip_prefix("change-")?.parse().ok());
+        numbers.for_each(|number| self.keep(number, Change::InForce));
+        true
+    }
+
     fn turn(&self, step: impl FnOnce(&mut Membership, Now, &mut Vec<Output>)) {
         let mut out = Vec::new();
         step(&mut self.membership.borrow_mut(), now(), &mut out);
@@ -188,7 +216,11 @@
                     balance.heard(&backend, heard, Time(mono_us()));
                 }
             }
-            News::Duty(..) => self.turn(|m, now, out| m.refuse(Refused::Unheard, now, out)),
+            News::Duty(from, bytes) => {
+                if !self.carry(|carry, now| carry.take(from, &bytes, now)) {
+                    self.turn(|m, now, out| m.refuse(Refused::Unheard, now, out));
+                }
+            }
             // It learned nothing that a snapshot could hold, and logs nothing.
             News::Wanted { .. } | News::Snapshot(_) | News::NoSnapshot { .. } | News::Refused(_) => {}
             News::TimerFailed(_) | News::AnnounceFailed(..) => {}
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -6,9 +6,20 @@
 //! phase and role, then the tables; `-- --table FILE ..` prints the tables of lines that earlier runs wrote.
 
 mod balance;
+mod carry;
 mod figures;
 mod fleet;
 mod hollow;
+/// The codec of what is said about duties is the program's.
+#[allow(dead_code)] // the program uses more of it
+#[path = "../../src/net/duties/message.rs"]
+mod message;
+/// What that takes from the program is the library's there as well.
+mod net {
+    pub mod peers {
+        pub use shaletide::fleet::membership::wire;
+    }
+}
 mod phases;
 mod plan;
 mod protocol;
@@ -113,6 +124,7 @@
         quiet: seconds(20),
         churn: seconds(40),
         facts: seconds(10),
+        changes: seconds(40),
         loss: seconds(20),
         gone: seconds(30),
         back: seconds(15),
--- a/benches/scale/phases.rs
+++ b/benches/scale/phases.rs
@@ -20,7 +20,21 @@
 const RESTARTED: Duration = Duration::from_secs(2);
 const REPLACED: Duration = Duration::from_secs(20);
 
-pub const ALL: [&str; 9] = ["quiet", "churn", "probes", "facts", "storm", "loss", "rack", "zone", "region"];
+pub const ALL: [&str; 13] = [
+    "quiet",
+    "churn",
+    "probes",
+    "facts",
+    "storm",
+    "changes",
+    "changes-churn",
+    "changes-lost",
+    "changes-worst",
+    "loss",
+    "rack",
+    "zone",
+    "region",
+];
 
 /// How long the phases last.
 #[derive(Clone, Copy)]
@@ -28,6 +42,7 @@
     pub quiet: Duration,
     pub churn: Duration,
     pub facts: Duration,
+    pub changes: Duration,
     pub loss: Duration,
     /// After proxies went, until the others must know.
     pub gone: Duration,
@@ -46,6 +61,8 @@
     probes: Vec<(u32, u64)>,
     cut: Option<Cut>,
     whole: Whole,
+    /// Milliseconds until each change was answered.
+    answered: Vec<u32>,
     events: u32,
 }
 
@@ -76,6 +93,15 @@
             "probes" => self.watch("probes", self.spans.quiet, Play::probes),
             "facts" => self.facts("3 of 9 dead", TROUBLE),
             "storm" => self.facts("3 of 43 dead at 117/s", STORM),
+            "changes" => self.changes("changes", Faults::default(), 0.0),
+            "changes-churn" => self.changes("changes, churn x10", Faults::default(), 10.0),
+            "changes-lost" => {
+                self.changes("changes, 1% lost", Faults { lost: 0.01, ..Faults::default() }, 0.0)
+            }
+            "changes-worst" => {
+                let faults = Faults { lost: 0.1, doubled: 0.1, late: 0.1, cut: None };
+                self.changes("changes, 10% lost", faults, 0.0);
+            }
             "loss" => {
                 self.loss("1% lost", 0.01);
                 self.loss("10% lost", 0.1);
@@ -120,8 +146,7 @@
     /// Restarts and failures at so many times the plan's rate a proxy, drawn by the seed, all back by the end.
     fn churn(&mut self, name: &str, times: f64) {
         let span = self.spans.churn;
-        let rate = (RESTARTS + FAILURES) / DAY / PLANNED * f64::from(self.fleet.plan.size) * times;
-        let events = (rate * span.as_secs_f64()).round() as u32;
+        let events = self.events_in(span, times);
         self.watch(name, span, |play| {
             let begun = Instant::now();
             let mut done = Done { events, ..Done::default() };
@@ -182,6 +207,58 @@
         self.settle();
     }
 
+    /// Operators change the configuration five times a second, at one real proxy's door after the other.
+    fn changes(&mut self, name: &str, faults: Faults, churn: f64) {
+        self.fleet.faults(faults);
+        let span = self.spans.changes;
+        self.watch(name, span + Duration::from_secs(5), |play| {
+            let (begun, mut from) = (Instant::now(), play.fleet.version());
+            let count = (span.as_secs_f64() * 5.0) as u32;
+            let mut done = Done::default();
+            let mut returns = Vec::new();
+            let rate = play.events_in(span, churn);
+            for n in 0..count {
+                let at = begun + span.mul_f64(f64::from(n) / f64::from(count));
+                play.back_until(at, &mut returns, &mut done.absences);
+                if rate > 0 && n % (count / rate).max(1) == 0 {
+                    let proxy = play.drawn(&done.absences);
+                    done.absences.push(Absence { proxy, from: mono_us(), to: None });
+                    play.fleet.stop(&[proxy], true);
+                    returns.push((Instant::now() + RESTARTED, done.absences.len() - 1));
+                }
+                match play.fleet.change(n as usize, &mut from) {
+                    Ok((number, asked, answered)) => {
+                        done.probes.push((number, asked));
+                        done.answered.push(((answered - asked) / 1000) as u32);
+                    }
+                    Err(why) => {
+                        eprintln!("{name}: change {n}: {why}");
+                        from = play.fleet.version();
+                    }
+                }
+            }
+            play.back_until(begun + span, &mut returns, &mut done.absences);
+            done.answered.sort_unstable();
+            let last = done.answered.last().copied();
+            eprintln!("{name}: {} of {count} taken, answered after ms: last {last:?}", done.probes.len());
+            Done { events: done.probes.len() as u32, ..done }
+        });
+        self.fleet.faults(Faults::default());
+        let versions = self
+            .fleet
+            .samples()
+            .iter()
+            .fold((u64::MAX, 0), |(low, high), s| (low.min(s.versions.0), high.max(s.versions.1)));
+        eprintln!("{name}: versions at the end {versions:?}, at the door {}", self.fleet.version());
+        self.settle();
+    }
+
+    /// Restarts and failures in a span at so many times the plan's rate a proxy.
+    fn events_in(&self, span: Duration, times: f64) -> u32 {
+        let rate = (RESTARTS + FAILURES) / DAY / PLANNED * f64::from(self.fleet.plan.size) * times;
+        (rate * span.as_secs_f64()).round() as u32
+    }
+
     fn loss(&mut self, name: &str, part: f64) {
         self.fleet.faults(Faults { lost: part, doubled: part, late: part, cut: None });
         self.watch(name, self.spans.loss, |_| Done::default());
--- a/benches/scale/protocol.rs
+++ b/benches/scale/protocol.rs
@@ -48,6 +48,8 @@
     Plan {
         plan: Plan,
         seeds: Vec<SocketAddr>,
+        /// Without any there is no configuration to carry.
+        voters: Vec<SocketAddr>,
         cluster: String,
         max_age_s: f64,
     },
@@ -69,7 +71,7 @@
     Learned {
         since: u64,
         absences: Vec<Absence>,
-        /// Probes by number, and when each was told.
+        /// Probes and changes by number, and when each was told.
         probes: Vec<(u32, u64)>,
         cut: Option<Cut>,
     },
@@ -109,6 +111,8 @@
     pub lacking: u64,
     /// Proxies that lack some.
     pub lack: u32,
+    /// Of the copies of the configuration, the lowest and the highest.
+    pub versions: (u64, u64),
     /// Facts that wait to be passed on, at most.
     pub waiting: u64,
 }
--- a/benches/scale/worker.rs
+++ b/benches/scale/worker.rs
@@ -7,6 +7,7 @@
 use shaletide::{Micros, Verdict};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -22,7 +23,7 @@
 }
 
 pub struct Worker {
-    plan: Option<(Plan, Rules)>,
+    plan: Option<(Plan, Rules, Vec<SocketAddr>)>,
     places: BTreeMap<u32, Place>,
     faults: Rc<Cell<Faults>>,
     load: Option<Load>,
@@ -46,9 +47,9 @@
 impl Worker {
     fn command(&mut self, command: Command) -> Result<Reply, String> {
         match command {
-            Command::Plan { plan, seeds, cluster, max_age_s } => {
+            Command::Plan { plan, seeds, voters, cluster, max_age_s } => {
                 let (cluster, max_age) = (wire::cluster(&cluster), Micros::from_secs(max_age_s));
-                self.plan = Some((plan, Rules { cluster, seeds, max_age, fleet: plan.size }));
+                self.plan = Some((plan, Rules { cluster, seeds, max_age, fleet: plan.size }, voters));
             }
             Command::Start(who) => who.into_iter().try_for_each(|number| self.start(number))?,
             Command::Stop { who, leave } => {
@@ -75,9 +76,9 @@
     }
 
     fn start(&mut self, number: u32) -> Result<(), String> {
-        let (plan, rules) = self.plan.clone().ok_or("no plan yet")?;
+        let (plan, rules, voters) = self.plan.clone().ok_or("no plan yet")?;
         let place = self.places.entry(number).or_default();
-        let hollow = Hollow::start(plan, number, rules, self.faults.clone(), place.tally.clone())
+        let hollow = Hollow::start(plan, number, rules, voters, self.faults.clone(), place.tally.clone())
             .map_err(|e| format!("proxy {number} at {}: {e}", plan.address(number)))?;
         if self.load.is_some() {
             hollow.load(self.load);
@@ -97,6 +98,7 @@
             resident_kb: resident_kb(),
             base_kb: self.base_kb,
             least: u32::MAX,
+            versions: (u64::MAX, 0),
             ..Sample::default()
         };
         for (number, place) in &self.places {
@@ -108,9 +110,11 @@
             let mut of = vec![tally.past.borrow().clone()];
             if let Some((live, waiting, counts)) = place.hollow.as_ref().map(|h| h.seen()) {
                 (s.least, s.most) = (s.least.min(live), s.most.max(live));
-                let lacking = self.plan.as_ref().map_or(0, |(plan, _)| plan.size - 1).saturating_sub(live);
+                let lacking = self.plan.as_ref().map_or(0, |(plan, ..)| plan.size - 1).saturating_sub(live);
                 s.lacking += u64::from(lacking);
                 s.lack += u32::from(lacking > 0);
+                let version = place.hollow.as_ref().map_or(0, |h| h.version());
+                s.versions = (s.versions.0.min(version), s.versions.1.max(version));
                 s.waiting = s.waiting.max(waiting);
                 of.push(counts);
             }
@@ -140,7 +144,7 @@
         let mut false_downs = 0;
         for (number, place) in self.places.iter().filter(|(_, p)| p.hollow.is_some()) {
             let news = place.tally.news.borrow();
-            let region = self.plan.as_ref().map(|(plan, _)| |proxy: u32| plan.region(proxy));
+            let region = self.plan.as_ref().map(|(plan, ..)| |proxy: u32| plan.region(proxy));
             let cross = |peer: u32, cut: Cut| {
                 region.is_some_and(|of| (of(peer) == cut.region) != (of(*number) == cut.region))
             };
@@ -170,7 +174,7 @@
                 }
             }
             for (probe, told) in probes {
-                count(2, *told, first(*probe, *told, &[Change::Heard]));
+                count(2, *told, first(*probe, *told, &[Change::Heard, Change::InForce]));
             }
         }
         let [gone, back, heard] = hists.map(|hist| hist.into_iter().collect());
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -5,6 +5,9 @@
 #[path = "../benches/scale/balance.rs"]
 mod balance;
 #[allow(dead_code)]
+#[path = "../benches/scale/carry.rs"]
+mod carry;
+#[allow(dead_code)]
 #[path = "../benches/scale/figures.rs"]
 mod figures;
 #[allow(dead_code)]
@@ -14,6 +17,14 @@
 #[path = "../benches/scale/hollow.rs"]
 mod hollow;
 #[allow(dead_code)]
+#[path = "../src/net/duties/message.rs"]
+mod message;
+mod net {
+    pub mod peers {
+        pub use shaletide::fleet::membership::wire;
+    }
+}
+#[allow(dead_code)]
 #[path = "../benches/scale/plan.rs"]
 mod plan;
 #[allow(dead_code)]
