Let one check say whether a backend is offered

Change: read() asks offered(); the comment stands where it belongs. Measured: the golden streams, the lists' property test and the size test pass, clippy is clean; the whole suite was not run again.

--- a/src/backends.rs
+++ b/src/backends.rs
@@ -215,11 +215,11 @@
 
     /// What its record says.
     fn read(&mut self, at: usize, cfg: &Config) {
+        let offered = self.offered(&self.records[at]);
         let (p, l) = (&self.records[at], &mut self.loads[at]);
         l.health = 1.0 - p.errors;
         l.silent = p.silent;
-        l.offered = p.entry.state == BackendState::Ready
-            && (self.withdrawn.is_empty() || !self.withdrawn.contains(&p.entry.id));
+        l.offered = offered;
         let boot = p.entry.booted.max(p.back);
         l.warm_at = boot.map_or(Time(0), |boot| boot + Micros(cfg.ramp.0.max(1)));
         let warm_before = boot.map_or(Time(0), |_| l.warm_at + cfg.fall_window);
--- a/src/main.rs
+++ b/src/main.rs
@@ -130,8 +130,9 @@
     let known = std::mem::take(&mut node.known);
     host.take(ListUpdate::Cached, &known.lines);
     let (index, listed) = (known.index, known.lines.len());
-    aside.discard(known); // it may be long
-                          // Only where operators or the platform take part may there be a second process.
+    // It may be long.
+    aside.discard(known);
+    // Only where operators or the platform take part may there be a second process.
     let paired = passed.is_some() || node.control.is_some();
     let at = passed.as_ref().and_then(|s| s.local_addr().ok()).unwrap_or(node.listen);
     let owner = Owner { name: node.name.clone(), listen: at, discovery: node.discovery };
