Hold the backends of a proxy close together, each name once

25,000 backends cost 0.97 kB each: two copies of each name and a half-filled tree in the host (some 370 bytes each), and a list on its way in left five allocations of each line below the tables that outlive it.

The host keeps them in one vector in the order of their numbers, which only rise, with the name shared between the two ways to find one; reasons are a set of bits. A line of a list holds its short texts in itself, and its address once. The module orders new ones in a vector and not in a tree.

--- a/src/backends.rs
+++ b/src/backends.rs
@@ -5,7 +5,7 @@
 use crate::interface::*;
 use crate::rules;
 use crate::state::{Dice, Record};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// What each look over all backends reads of one: what its record says, and what was last solved for it.
 #[derive(Clone, Copy, Default)]
@@ -310,7 +310,7 @@
         if whole {
             self.drop_absent(&list);
         }
-        let (mut fresh, mut moved) = (BTreeMap::new(), false);
+        let (mut fresh, mut moved) = (Vec::new(), false);
         let mut next = 0; // lists mostly stand in the order of numbers
         for entry in list {
             let at = match self.ids.get(next) {
@@ -322,10 +322,18 @@
                     moved |= self.update(at, entry);
                     next = at + 1;
                 }
-                None => drop(fresh.insert(entry.id, entry)),
+                None => fresh.push(entry),
             }
         }
-        fresh.retain(|_, entry: &mut Backend| entry.state != BackendState::Gone);
+        fresh.sort_by_key(|entry| entry.id);
+        fresh.dedup_by(|later, kept| {
+            let same = later.id == kept.id;
+            if same {
+                std::mem::swap(later, kept); // of several on one backend the last counts
+            }
+            same
+        });
+        fresh.retain(|entry| entry.state != BackendState::Gone);
         let gone: Vec<BackendId> = std::mem::take(&mut self.gone);
         let (mut left, mut out) = (Vec::new(), Vec::new());
         for id in gone {
@@ -404,9 +412,9 @@
         self.order.iter_mut().for_each(|at| *at = moved[*at as usize]);
     }
 
-    fn add(&mut self, fresh: BTreeMap<BackendId, Backend>) {
+    fn add(&mut self, fresh: Vec<Backend>) {
         let last = self.ids.last().copied();
-        let behind = fresh.keys().next() > last.as_ref();
+        let behind = fresh.first().map(|entry| entry.id) > last;
         // A whole fleet comes at once: room for it and not for twice as many.
         let more = fresh.len();
         self.ids.reserve(more);
@@ -416,8 +424,8 @@
         self.slice.reserve(more);
         self.marks.reserve(more);
         self.order.reserve(more);
-        for (id, entry) in fresh {
-            let (kind, zone) = (entry.kind, entry.zone);
+        for entry in fresh {
+            let (id, kind, zone) = (entry.id, entry.kind, entry.zone);
             self.order.push(self.ids.len() as u32);
             self.ids.push(id);
             self.marks.push(entry.mark);
--- a/src/bin/shaletide-adapter/wire.rs
+++ b/src/bin/shaletide-adapter/wire.rs
@@ -6,6 +6,9 @@
 use std::collections::HashMap;
 use std::io::Write;
 
+/// A backend's address and its entry.
+type Listed = (String, Row);
+
 /// One instance: its decisions and its own numbering of backends.
 struct Instance {
     balancer: Balancer,
@@ -31,7 +34,7 @@
 pub struct Host {
     /// `None`: its settings were refused and a fault was sent.
     instances: HashMap<String, Option<Instance>>,
-    rosters: HashMap<u64, Vec<Row>>,
+    rosters: HashMap<u64, Vec<Listed>>,
     now: Option<Time>,
     actions: Vec<Action>,
 }
@@ -114,7 +117,7 @@
                     return Err(f.bad(0, "a roster number from 0 to 15"));
                 }
                 let rows = f.values[1].as_array().ok_or_else(|| f.bad(1, "an array of entries"))?;
-                let rows: Result<Vec<Row>, String> = rows.iter().map(row).collect();
+                let rows: Result<Vec<Listed>, String> = rows.iter().map(row).collect();
                 self.rosters.insert(id, rows?);
                 return Ok(false);
             }
@@ -164,7 +167,9 @@
     }
 }
 
-fn event(f: &Fields, to: &mut Instance, rosters: &HashMap<u64, Vec<Row>>) -> Result<Option<Event>, String> {
+fn event(
+    f: &Fields, to: &mut Instance, rosters: &HashMap<u64, Vec<Listed>>,
+) -> Result<Option<Event>, String> {
     Ok(Some(match f.name {
         "VIEW" => {
             let update = match f.text(3, "a list kind")? {
@@ -177,8 +182,8 @@
             let mut backends = Vec::new();
             if update != ListUpdate::Lost {
                 let id = f.whole(1, "a roster number")?;
-                for row in rosters.get(&id).ok_or_else(|| f.bad(1, "a known roster number"))? {
-                    let id = to.backend(&row.address);
+                for (address, row) in rosters.get(&id).ok_or_else(|| f.bad(1, "a known roster number"))? {
+                    let id = to.backend(address);
                     backends.push(to.names.entry(row, id));
                 }
             }
@@ -222,7 +227,7 @@
 }
 
 /// One entry of a list: an array in the order of the wire's page.
-fn row(row: &Value) -> Result<Row, String> {
+fn row(row: &Value) -> Result<Listed, String> {
     let bad = |what: &str| format!("list entry {row}: expected {what}");
     let row = row.as_array().filter(|r| r.len() == 7).ok_or_else(|| bad("an array of 7 values"))?;
     let text = |at: usize, what| row[at].as_str().ok_or_else(|| bad(what));
@@ -247,7 +252,8 @@
         booted: booted.filter(|t| *t > 0).map(Time),
         ..Backend::default()
     };
-    Ok(Row::new(address, address, text(0, "a zone")?, text(2, "a kind")?, entry))
+    let row = Row::new(address, text(0, "a zone")?, text(2, "a kind")?, entry);
+    Ok((address.into(), row))
 }
 
 fn put(reply: &mut Vec<u8>, value: &Value) {
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -2,10 +2,11 @@
 
 use super::super::list::{Endpoint, Line, List};
 use super::super::snapshot::Saved;
-use super::state::{Known, State, Why};
+use super::known::{Known, Why};
+use super::state::State;
 use super::Host;
 use shaletide::*;
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::{debug, info};
@@ -37,9 +38,9 @@
         }
         let id = BackendId(self.next);
         self.next += 1;
-        self.numbers.insert(name.into(), id);
-        let (name, reasons) = (name.into(), BTreeSet::new());
-        self.backends.insert(id, Known { name, address, entry: None, reasons, shut: false });
+        let name: Rc<str> = name.into();
+        self.numbers.insert(name.clone(), id);
+        self.backends.push(Known::new(id, name, address));
         self.unlisted.insert(id);
         id
     }
@@ -75,12 +76,12 @@
     /// What a whole list does not hold is gone. `held` is in the order of numbers.
     fn drop_absent(&mut self, held: &[Backend], changed: &mut Vec<BackendId>) {
         let mut held = held.iter().map(|b| b.id).peekable();
-        for (id, known) in &mut self.backends {
-            while held.next_if(|h| h < id).is_some() {}
+        for (id, known) in self.backends.iter_mut() {
+            while held.next_if(|h| *h < id).is_some() {}
             let entry = known.entry.as_mut().filter(|e| e.state != BackendState::Gone);
-            if let Some(entry) = entry.filter(|_| held.peek() != Some(id)) {
+            if let Some(entry) = entry.filter(|_| held.peek() != Some(&id)) {
                 entry.state = BackendState::Gone;
-                changed.push(*id);
+                changed.push(id);
             }
         }
     }
@@ -107,6 +108,7 @@
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
             let mut changed = Vec::new();
+            s.backends.reserve(lines.len().saturating_sub(s.backends.len()));
             let entry = |line: &Line| match line {
                 Line::Entry(e) => Some(s.listed(e, &mut changed)),
                 Line::Unclear(name) => s.unclear(name, &mut changed),
@@ -164,13 +166,13 @@
             free && !open.contains(id) && !balancer.knows(*id)
         };
         let over: Vec<BackendId> = s.unlisted.iter().copied().filter(over).collect();
-        for id in over {
-            s.unlisted.remove(&id);
-            self.pool.forget(id);
-            if let Some(known) = s.backends.remove(&id) {
-                s.numbers.remove(&known.name);
-                debug!("backend {} is forgotten", id.0);
-            }
+        for id in &over {
+            s.unlisted.remove(id);
+            self.pool.forget(*id);
+            debug!("backend {} is forgotten", id.0);
+        }
+        for known in s.backends.remove(&over) {
+            s.numbers.remove(&known.name);
         }
     }
 
@@ -182,7 +184,7 @@
     /// Whether the backend is kept out for that reason, another or not.
     pub fn withdrawn(&self, name: &str, why: Why) -> bool {
         let s = self.state.borrow();
-        s.numbers.get(name).and_then(|id| s.backends.get(id)).is_some_and(|b| b.reasons.contains(&why))
+        s.numbers.get(name).and_then(|id| s.backends.get(id)).is_some_and(|b| b.reasons.contains(why))
     }
 
     /// Takes the backend out of use; false where none of that name is known.
@@ -223,7 +225,7 @@
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
             let known = s.numbers.get(name).and_then(|id| s.backends.get_mut(id));
-            known.is_some_and(|b| b.reasons.remove(&why))
+            known.is_some_and(|b| b.reasons.remove(why))
         };
         if held {
             self.returned(name, since);
@@ -237,7 +239,7 @@
         let backend = {
             let mut s = self.state.borrow_mut();
             let Some(&id) = s.numbers.get(name) else { return };
-            let reasons = s.backends.get(&id).map(|b| b.reasons.clone()).unwrap_or_default();
+            let reasons = s.backends.get(&id).map(|b| b.reasons).unwrap_or_default();
             if !reasons.is_empty() {
                 info!("{name} stays out: {reasons:?}");
                 return;
@@ -259,14 +261,14 @@
             let part = ready.next_if(|r| r.0 == *id).map_or(0.0, |r| r.1);
             let entry = known.entry.as_ref()?;
             Some(RosterRow {
-                name: known.name.clone(),
+                name: known.name.to_string(),
                 zone: s.names.zone_name(entry.zone).unwrap_or_default().into(),
                 kind: s.names.kind_name(entry.kind).unwrap_or_default().into(),
                 cell: entry.cell.0,
                 listed: entry.state != BackendState::Gone,
                 serving: entry.state == BackendState::Ready,
                 ready: part,
-                by_hand: known.reasons.contains(&Why::Hand),
+                by_hand: known.reasons.contains(Why::Hand),
                 open: open.get(&entry.id).copied().unwrap_or(0),
             })
         };
@@ -282,7 +284,7 @@
     pub fn recollect(&self) -> Saved {
         let s = self.state.borrow();
         let memory = s.balancer.recollect(self.clock.now());
-        let backend = |id: BackendId| s.backends.get(&id).map(|b| b.name.clone());
+        let backend = |id: BackendId| s.backends.get(&id).map(|b| b.name.to_string());
         Saved {
             kinds: memory
                 .kinds
@@ -299,8 +301,8 @@
             withdrawn: s
                 .backends
                 .values()
-                .filter(|b| b.reasons.contains(&Why::Hand))
-                .map(|b| b.name.clone())
+                .filter(|b| b.reasons.contains(Why::Hand))
+                .map(|b| b.name.to_string())
                 .collect(),
         }
     }
@@ -319,7 +321,11 @@
                 kinds: saved.kinds.iter().filter_map(|(n, m)| Some((s.names.kind(n)?, *m))).collect(),
                 classes: saved.classes.iter().filter_map(|(n, m)| Some((s.names.class(n)?, *m))).collect(),
                 overall: saved.overall,
-                backends: saved.backends.iter().filter_map(|(n, m)| Some((*s.numbers.get(n)?, *m))).collect(),
+                backends: saved
+                    .backends
+                    .iter()
+                    .filter_map(|(n, m)| Some((*s.numbers.get(n.as_str())?, *m)))
+                    .collect(),
             }
         };
         self.tell(Event::Recall { memory: Box::new(memory), age });
--- a/src/net/host/backends/tests.rs
+++ b/src/net/host/backends/tests.rs
@@ -2,6 +2,7 @@
 
 use super::super::super::upstream::{Content, Served};
 use super::*;
+use std::collections::BTreeSet;
 
 fn host() -> Rc<Host> {
     let host = Host::example();
@@ -127,7 +128,7 @@
     let s = host.state.borrow();
     assert_eq!(s.numbers.len(), s.backends.len());
     assert!(s.unlisted.iter().all(|id| s.backends.contains_key(id)));
-    s.backends.values().map(|b| b.name.clone()).collect()
+    s.backends.values().map(|b| b.name.to_string()).collect()
 }
 
 /// A day's replacements, by lines and by whole lists, leave nothing behind, and no number means two backends.
@@ -138,7 +139,7 @@
     for n in 0..500 {
         let (old, new) = (format!("r{n}"), format!("r{}", n + 1));
         host.members(ListUpdate::Changes, &lines([named(&old, "SERVING")], false));
-        assert!(numbers.insert(host.state.borrow().numbers[&old]) || n > 0);
+        assert!(numbers.insert(host.state.borrow().numbers[old.as_str()]) || n > 0);
         match n % 2 {
             0 => host.members(
                 ListUpdate::Changes,
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -4,11 +4,13 @@
 mod backends;
 #[cfg(test)]
 mod gone_tests;
+mod known;
 mod report;
 mod state;
 
 pub use backends::RosterRow;
-pub use state::{Answer, Why};
+pub use known::Why;
+pub use state::Answer;
 
 use super::upstream::{Call, Payload, Pool};
 use super::Clock;
@@ -237,7 +239,7 @@
                 let known = s.backends.get(&backend);
                 if let Some((tell, b)) = self.tell.borrow().as_ref().zip(known) {
                     // A full queue drops the newest: a verdict late by so many is of no use.
-                    let _ = tell.try_send((b.name.clone(), verdict));
+                    let _ = tell.try_send((b.name.to_string(), verdict));
                 }
             }
             Action::Log(text) => info!("{text}"),
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -1,12 +1,12 @@
 //! What the host keeps between events: requests, attempts, backends, timers and counts.
 
 use super::super::upstream::{Call, Served};
+use super::known::Directory;
 use imbl::Vector;
 use shaletide::settings::Names;
 use shaletide::*;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
-use std::net::SocketAddr;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
@@ -42,35 +42,6 @@
     pub task: AbortHandle,
 }
 
-/// Why a backend is kept out of use, whatever the list says of it. None ends another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Why {
-    /// Operators took it out by hand at this proxy.
-    Hand,
-    /// A maintenance window of the fleet's calendar.
-    Window,
-}
-
-pub struct Known {
-    /// As discovery calls it.
-    pub name: String,
-    pub address: SocketAddr,
-    /// Its line of the list; `None` for one that no list has held yet.
-    pub entry: Option<Backend>,
-    pub reasons: BTreeSet<Why>,
-    /// The pool knows that no connection to it is to be kept.
-    pub shut: bool,
-}
-
-impl Known {
-    pub fn state(&self) -> BackendState {
-        self.entry.as_ref().map_or(BackendState::Gone, |e| e.state)
-    }
-    pub fn open(&self) -> bool {
-        self.state() == BackendState::Ready && self.reasons.is_empty()
-    }
-}
-
 /// What happened since the last line about it.
 #[derive(Default)]
 pub struct Counts {
@@ -116,9 +87,9 @@
     pub names: Names,
     /// The classes as they stand now, once settings have changed.
     pub classes: Vector<Class>,
-    pub numbers: HashMap<String, BackendId>,
+    pub numbers: HashMap<Rc<str>, BackendId>,
     /// By number. No number is ever given again, so that what comes late on one that was forgotten names nothing.
-    pub backends: BTreeMap<BackendId, Known>,
+    pub backends: Directory,
     /// The next number.
     pub next: u32,
     /// Those that the list does not hold.
@@ -163,7 +134,7 @@
             names,
             classes: Vector::new(),
             numbers: HashMap::new(),
-            backends: BTreeMap::new(),
+            backends: Directory::default(),
             next: 0,
             unlisted: BTreeSet::new(),
             requests: HashMap::new(),
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -1,5 +1,6 @@
 //! The backend list in its JSON form.
 
+use compact_str::CompactString;
 use serde::de::{SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
@@ -16,9 +17,9 @@
     pub endpoints: Vec<Value>,
 }
 
-/// An entry that made sense.
+/// An entry that made sense. Short texts stand in it and not beside it: there may be tens of thousands at a time.
 pub struct Endpoint {
-    pub name: String,
+    pub name: CompactString,
     pub address: SocketAddr,
     pub row: Row,
 }
@@ -51,8 +52,8 @@
         let booted = (e.since_ms > 0.0).then_some(Time((e.since_ms * 1e3) as u64));
         let entry = Backend { cell: CellId(e.group), state, booted, ..Backend::default() };
         // The name is the same at every proxy; the address may not be.
-        let row = Row::new(&e.name, &e.address, &e.zone, &e.kind, entry);
-        Ok(Endpoint { name: e.name, address, row })
+        let row = Row::new(&e.name, &e.zone, &e.kind, entry);
+        Ok(Endpoint { name: e.name.into(), address, row })
     }
 }
 
@@ -60,7 +61,7 @@
 pub enum Line {
     Entry(Endpoint),
     /// It speaks of the backend of that name, and more of it does not make sense.
-    Unclear(String),
+    Unclear(CompactString),
 }
 
 /// The lines that say at least which backend they are of.
--- a/src/settings/names.rs
+++ b/src/settings/names.rs
@@ -3,6 +3,7 @@
 
 use super::numbered::Numbered;
 use crate::interface::*;
+use compact_str::CompactString;
 use imbl::Vector;
 
 /// The names that go with a [`Config`]. Places and kinds met first in a list are numbered then.
@@ -167,20 +168,18 @@
 /// An entry of a backend list under its plain names; each proxy has numbers of its own for these.
 #[derive(Clone, Debug)]
 pub struct Row {
-    /// Where it listens.
-    pub address: String,
-    zone: String,
-    kind: String,
+    zone: CompactString,
+    kind: CompactString,
     entry: Backend,
 }
 
 impl Row {
     /// `same` is what every proxy calls the backend: the order that they share is drawn from it.
-    pub fn new(same: &str, address: &str, zone: &str, kind: &str, entry: Backend) -> Row {
+    pub fn new(same: &str, zone: &str, kind: &str, entry: Backend) -> Row {
         let fold = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3); // FNV-1a
         let mark = same.bytes().fold(0xcbf2_9ce4_8422_2325, fold) >> 20;
         let entry = Backend { mark, ..entry };
-        Row { address: address.into(), zone: zone.into(), kind: kind.into(), entry }
+        Row { zone: zone.into(), kind: kind.into(), entry }
     }
 }
 
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -137,7 +137,7 @@
 }
 
 fn meet(names: &mut Names, zone: &str, kind: &str) {
-    names.entry(&Row::new("b", "127.0.0.1:1", zone, kind, Backend::default()), BackendId(0));
+    names.entry(&Row::new("b", zone, kind, Backend::default()), BackendId(0));
 }
 
 /// What the plain way has in force.
