Give what only a backend in trouble has a place of its own

Each record held 208 bytes, of which 104 tell of ejections, verdicts, full answers and a return by hand, which most backends of a fleet never have here.

--- a/src/backends.rs
+++ b/src/backends.rs
@@ -138,7 +138,8 @@
         let Some(at) = self.find(id) else { return };
         let p = self.record_mut(at);
         let (entry, spent, out) = (std::mem::take(&mut p.entry), std::mem::take(&mut p.spent), p.out);
-        *p = Record { entry, spent, out, back, ..Record::default() };
+        *p = Record { entry, spent, out, ..Record::default() };
+        back.into_iter().for_each(|back| p.back = Some(back));
         let l = &mut self.loads[at];
         (l.ready, l.room, l.due, l.coin) = (0.0, 0.0, 0.0, 0.0);
         (self.pull[at], self.slice[at]) = (0.0, 0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::HashMap;
+use std::ops::{Deref, DerefMut};
 
 /// The proxy's own random numbers, the same on every machine for the same seed.
 pub(crate) struct Dice(Pcg32);
@@ -202,12 +203,11 @@
     pub served: Rate,
 }
 
-/// What is known of a backend, but for what is solved over all of them (`src/backends.rs`).
+/// What is known of a backend, but for what is solved over all of them (`src/backends.rs`). What only one in trouble has
+/// is reached through it as its own, and takes no room before.
 #[derive(Default)]
 pub(crate) struct Record {
     pub entry: Backend,
-    /// When operators gave it back: it may have started as late as that, unless the list tells of a start since.
-    pub back: Option<Time>,
     /// How many attempts of this proxy it holds.
     pub out: u32,
     /// Running share of error answers.
@@ -216,12 +216,22 @@
     pub answered: Time,
     /// It owes an answer for suspiciously long.
     pub silent: bool,
-    /// Out of use, until this time at least.
-    pub ejected: Option<Time>,
     /// Ejections without a good answer between them.
     pub strikes: i32,
     /// Good answers since the ejection.
     pub trials: u32,
+    /// Work sent inside the fall window.
+    pub spent: Vec<(Time, f64)>,
+    /// Made by the first write to what is in it.
+    pub trouble: Option<Box<Trouble>>,
+}
+
+/// What is known of a backend that failed, was full or was taken out by hand.
+pub(crate) struct Trouble {
+    /// When operators gave it back: it may have started as late as that, unless the list tells of a start since.
+    pub back: Option<Time>,
+    /// Out of use, until this time at least.
+    pub ejected: Option<Time>,
     /// When this proxy last found it failing.
     pub failed: Time,
     /// Other proxies that found it out, and when: one verdict each.
@@ -232,8 +242,33 @@
     pub hearsay: Option<Time>,
     /// It was full and is left alone until then.
     pub full_until: Time,
-    /// Work sent inside the fall window.
-    pub spent: Vec<(Time, f64)>,
+}
+
+impl Trouble {
+    const NONE: Trouble = Trouble {
+        back: None,
+        ejected: None,
+        failed: Time(0),
+        heard: Vec::new(),
+        word: (Time(0), Time(0)),
+        hearsay: None,
+        full_until: Time(0),
+    };
+}
+
+impl Deref for Record {
+    type Target = Trouble;
+    fn deref(&self) -> &Trouble {
+        static NONE: Trouble = Trouble::NONE;
+        self.trouble.as_deref().unwrap_or(&NONE)
+    }
+}
+
+impl DerefMut for Record {
+    /// Only for writing what differs from none: this makes room for it.
+    fn deref_mut(&mut self) -> &mut Trouble {
+        self.trouble.get_or_insert_with(|| Box::new(Trouble::NONE))
+    }
 }
 
 /// What is learned of a class.
