Carry the holder's word to all by relay, a datagram a proxy

The holder said each second to every member that it is there: 99 KB a second and duty at 1,800 proxies, over the 6 KB of a proxy from some 100 on; a step of a window or an operator's edit went out three times to all. src/fleet/relay.rs has all pass it on: the origin cuts the members, ordered anew for each broadcast, into eight parts and tells one of each, which cuts its part again. One word says both duties where one proxy holds both. The origin's address, time and token stand in the word: the fence answers the origin, its age is checked at each proxy, a repeated one changes nothing, and an overtaken one does not count as heard. Duties' datagrams are version 3.

Eight datagrams a second from the holder, one from each other.

In message.rs the test of last tokens and the drawn messages take the broadcast in the place of the effect that it replaces.

--- a/benches/scale/carry.rs
+++ b/benches/scale/carry.rs
@@ -1,22 +1,26 @@
-//! A hollow proxy's copy of the fleet's configuration. It holds no duty: it passes changes on, compares digests and
-//! repairs, as every proxy does.
+//! A hollow proxy's copy of the fleet's configuration, and its part in others' broadcasts. It holds no duty: it passes on,
+//! compares digests and repairs, as every proxy does.
 
-use super::message::{self, Duties, Duty};
+use super::message::{self, Duties, Duty, Said};
 use shaletide::fleet::config::{Event, Replica, Rules, Surroundings};
 use shaletide::fleet::lease;
 use shaletide::fleet::membership::{Membership, Now};
+use shaletide::fleet::relay::{Header, Relay};
 use shaletide::{Micros, Time};
 use std::net::SocketAddr;
 
 /// How often time passes for the copy, and how often it sees the members, as in service.
 const TURN: Micros = Micros(100_000);
 const SHOW: Micros = Micros(250_000);
+/// How old a broadcast may be, by default.
+const MAX_AGE: Micros = Micros(5_000_000);
 /// The defaults of a fleet's leases.
 const TERM: Micros = Micros(3_000_000);
 const DRIFT: f64 = 0.01;
 
 pub struct Carry {
     replica: Replica,
+    relay: Relay,
     holder: Option<SocketAddr>,
     members: Vec<SocketAddr>,
     turn_at: Time,
@@ -31,7 +35,8 @@
     pub fn new(voters: Vec<SocketAddr>, own: SocketAddr, seed: u64, now: Time) -> Option<Carry> {
         let lease = lease::Rules::new(voters.len(), TERM, DRIFT).ok()?;
         let replica = Replica::new(Rules { lease, voters, own }, seed, now);
-        Some(Carry { replica, holder: None, members: Vec::new(), turn_at: now, show_at: now })
+        let relay = Relay::new(own, seed, MAX_AGE);
+        Some(Carry { replica, relay, holder: None, members: Vec::new(), turn_at: now, show_at: now })
     }
 
     pub fn due(&self) -> Time {
@@ -54,10 +59,7 @@
     /// Takes another proxy's message; nothing where it is not about the configuration, or not used.
     pub fn take(&mut self, from: SocketAddr, bytes: &[u8], now: Now) -> Mail {
         match message::decode(bytes) {
-            Ok(Duties::Effect { duty: Duty::Config, .. }) => {
-                self.holder = Some(from);
-                Mail::new()
-            }
+            Ok(Duties::Broadcast(header, said)) => self.pass_on(&header, &said, now),
             Ok(Duties::Config(message)) => self.act(now, |replica, around, out| {
                 let _ = replica.handle(now.time, around, from, message, out); // refused: it changed nothing
             }),
@@ -65,6 +67,18 @@
         }
     }
 
+    /// Takes a broadcast and passes it on; nothing where it is not used.
+    fn pass_on(&mut self, header: &Header, said: &Said, now: Now) -> Mail {
+        if self.relay.take(header, now.wall_us).is_err() {
+            return Mail::new();
+        }
+        if said.tokens.iter().any(|(duty, _)| *duty == Duty::Config) {
+            self.holder = Some(header.origin);
+        }
+        let next = self.relay.pass_on(header, &self.members);
+        next.into_iter().map(|(to, h)| (to, message::encode(&Duties::Broadcast(h, said.clone())))).collect()
+    }
+
     fn act(
         &mut self, now: Now,
         step: impl FnOnce(&mut Replica, &Surroundings, &mut Vec<(SocketAddr, shaletide::fleet::config::Message)>),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,3 +6,4 @@
 pub mod fence;
 pub mod lease;
 pub mod membership;
+pub mod relay;
--- a/src/net/duties/clock.rs
+++ b/src/net/duties/clock.rs
@@ -2,7 +2,7 @@
 
 use super::door;
 use super::leases::{text, Mail};
-use super::message::{self, Duties, Duty};
+use super::message::{self, Duties, Duty, Said};
 use super::tables::Tables;
 use super::wire::digests;
 use super::{mono, wall, Seen};
@@ -56,7 +56,8 @@
     report_at: Time,
     /// Open requests as they were last reported.
     reported: BTreeMap<String, u32>,
-    token: Option<Token>,
+    /// What this proxy held at the last beat.
+    held: Vec<(Duty, Token)>,
 }
 
 impl Clock {
@@ -65,8 +66,8 @@
     ) -> Clock {
         let now = mono();
         let (digest_at, beat_at, report_at) = (now, now, now);
-        let (turn, reported, token) = (tables.incarnation as usize, BTreeMap::new(), None);
-        Clock { tables, seen, own, alone, started: now, turn, digest_at, beat_at, report_at, reported, token }
+        let (turn, reported, held) = (tables.incarnation as usize, BTreeMap::new(), Vec::new());
+        Clock { tables, seen, own, alone, started: now, turn, digest_at, beat_at, report_at, reported, held }
     }
 
     /// Works until the request loop is gone.
@@ -100,13 +101,14 @@
         let mut mail = Mail::new();
         let next = self.tables.leases.lock().tick(&mut mail);
         self.tables.send(mail);
-        let token = self.step();
-        self.beat(token);
-        self.repeat(token);
+        let config = self.tables.config_tick();
+        let calendar = self.step().map(|token| (Duty::Calendar, token));
+        let ordering = self.tables.config.lock().leases.holds().map(|token| (Duty::Config, token));
+        self.beat(calendar.into_iter().chain(ordering).collect());
+        self.repeat();
         self.tables.derive();
         self.digest();
         self.report();
-        let config = self.tables.config_tick();
         next.into_iter().chain(config).min().unwrap_or_else(|| mono() + TURN)
     }
 
@@ -142,31 +144,30 @@
             (token, at, steps, windows.calendar.changed())
         };
         steps.iter().for_each(|step| tell(step, at));
-        let effect = |entries| Duties::Effect { duty: Duty::Calendar, token, entries };
+        let effect = |entries| Said { tokens: vec![(Duty::Calendar, token)], entries };
         self.tables.spread(entries(changed).into_iter().map(effect).collect(), &AGAIN);
         Some(token)
     }
 
-    /// A holder says that it is there: at once when it comes to hold the duty, then each second.
-    fn beat(&mut self, token: Option<Token>) {
-        let gained = token.is_some() && token != self.token;
-        self.token = token;
+    /// A holder says that it is there: at once when it comes to hold a duty, then each second, one word for all it holds.
+    fn beat(&mut self, held: Vec<(Duty, Token)>) {
+        let gained = held.iter().any(|duty| !self.held.contains(duty));
+        self.held = held.clone();
         let now = mono();
-        if let Some(token) = token.filter(|_| gained || now >= self.beat_at) {
+        if gained || !held.is_empty() && now >= self.beat_at {
             self.beat_at = now + BEAT;
-            self.tables
-                .spread(vec![Duties::Effect { duty: Duty::Calendar, token, entries: Vec::new() }], &[]);
+            self.tables.spread(vec![Said { tokens: held, entries: Vec::new() }], &[]);
         }
     }
 
     /// Says again what is due; a holder's effects only while it holds the duty.
-    fn repeat(&self, held: Option<Token>) {
+    fn repeat(&self) {
         let due = {
             let mut outbox = self.tables.outbox.lock();
             let later = outbox.again.split_off(&(mono() + Micros(1)));
             std::mem::replace(&mut outbox.again, later)
         };
-        let ours = |m: &Duties| !matches!(m, Duties::Effect { token, .. } if Some(*token) != held);
+        let ours = |said: &Said| said.tokens.iter().all(|duty| self.held.contains(duty));
         self.tables.spread(due.into_values().flatten().filter(ours).collect(), &[]);
     }
 
--- a/src/net/duties/config.rs
+++ b/src/net/duties/config.rs
@@ -13,7 +13,7 @@
 use shaletide::fleet::config::{
     Edit, Event, Key, Kind, Message, Refused, Rejected, Replica, Rules, Submission, Surroundings, Value,
 };
-use shaletide::fleet::lease::{self, Token};
+use shaletide::fleet::lease;
 use shaletide::{Micros, Time};
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -23,7 +23,7 @@
 
 /// A change's caller hears within this time, in which the door still answers.
 const ANSWER: Micros = Micros(800_000);
-/// How often a holder says that it is there, and the figures are set.
+/// How often the figures are set.
 const BEAT: Micros = Micros(1_000_000);
 
 pub struct Configuring {
@@ -33,8 +33,6 @@
     calls: BTreeMap<u64, (oneshot::Sender<Answer>, Time)>,
     /// What the request loop is to be told: the version, and the last value of each entry.
     untold: Option<(u64, BTreeMap<Key, Value>)>,
-    /// The token at the last beat.
-    token: Option<Token>,
     beat_at: Time,
 }
 
@@ -49,7 +47,6 @@
             replica: Replica::new(of, drawn(), now),
             calls: BTreeMap::new(),
             untold: None,
-            token: None,
             beat_at: now,
         }
     }
@@ -150,25 +147,21 @@
 
     /// Lets time pass for the configuration; when its lease is to be looked at next.
     pub fn config_tick(&self) -> Option<Time> {
-        let (mut mail, mut beat) = (Mail::new(), None);
+        let mut mail = Mail::new();
         let next = {
             let mut config = self.config.lock();
             if !config.replica.is_new() {
                 config.leases.ready();
             }
             let next = config.leases.tick(&mut mail);
-            let (now, token) = (mono(), config.leases.holds());
-            if now >= config.beat_at || token.is_some() && token != config.token {
-                (config.beat_at, config.token) = (now + BEAT, token);
-                beat = token;
+            let now = mono();
+            if now >= config.beat_at {
+                config.beat_at = now + BEAT;
                 figures(&config);
             }
             next
         };
         self.send(mail);
-        if let Some(token) = beat {
-            self.spread(vec![Duties::Effect { duty: Duty::Config, token, entries: Vec::new() }], &[]);
-        }
         self.configure(|config, now, around, out| {
             config.replica.tick(now, around, out);
             let late = |(_, since): &(oneshot::Sender<Answer>, Time)| now - *since >= ANSWER;
--- a/src/net/duties/leases.rs
+++ b/src/net/duties/leases.rs
@@ -154,15 +154,20 @@
         Ok(())
     }
 
-    /// A holder's effect: refused under a token that a higher one followed, else the holder's word.
-    pub fn effect(&mut self, from: SocketAddr, token: Token, mail: &mut Mail) -> Result<(), Refused> {
+    /// An effect of the holder at `from`, whoever passed it on: refused under a token that a higher one followed, else
+    /// the holder's word, unless a newer one has come.
+    pub fn effect(
+        &mut self, from: SocketAddr, token: Token, newest: bool, mail: &mut Mail,
+    ) -> Result<(), Refused> {
         if let Err(highest) = self.fence.admit(self.duty, token) {
             mail.push((from, Duties::Fenced { duty: self.duty, highest }));
             return Err(Refused::Token);
         }
         let now = mono();
         self.learn(token, mail);
-        self.holder = Some(Holder { token, at: Some(from), heard: now });
+        if newest {
+            self.holder = Some(Holder { token, at: Some(from), heard: now });
+        }
         Ok(())
     }
 
--- a/src/net/duties/message.rs
+++ b/src/net/duties/message.rs
@@ -6,10 +6,11 @@
 use shaletide::fleet::calendar::Digest;
 use shaletide::fleet::config;
 use shaletide::fleet::lease::{Message, Token};
+use shaletide::fleet::relay::{self, Header};
 use std::fmt;
 
 /// Raised whenever a message's shape changes.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 /// Bytes of the entries or names in one message at most, so that it fits a body with all else in it.
 const MOST_LOAD: usize = MOST_BODY - 80;
 
@@ -40,6 +41,15 @@
     pub age_ms: Option<u32>,
 }
 
+/// What one proxy says to all.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Said {
+    /// The duties that it says it for, as their holder; none where an operator asked for it.
+    pub tokens: Vec<(Duty, Token)>,
+    /// Windows that it changed, or none where a holder only says that it is there.
+    pub entries: Vec<Vec<u8>>,
+}
+
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Duties {
@@ -51,8 +61,8 @@
     Ask { ids: Vec<u64> },
     /// Windows as the sender keeps them: bytes of entries.
     Entries { entries: Vec<Vec<u8>> },
-    /// The holder's: windows that it moved on, or none where it only says that it is there.
-    Effect { duty: Duty, token: Token, entries: Vec<Vec<u8>> },
+    /// To all, passed on by all.
+    Broadcast(Header, Said),
     /// To a late holder: a higher token was seen.
     Fenced { duty: Duty, highest: Token },
     /// To the holder: open requests on backends that the sender keeps out for windows.
@@ -76,6 +86,8 @@
     Token,
     /// A token with a number that no clock gives: above it none could follow.
     Number(u64),
+    /// A broadcast that is neither used nor passed on.
+    Broadcast(relay::Refused),
     /// About the configuration: why its state machine does not use it.
     Config(config::Refused),
 }
@@ -91,6 +103,7 @@
             Refused::Stranger => "stranger",
             Refused::Token => "token",
             Refused::Number(_) => "number",
+            Refused::Broadcast(why) => why.cause(),
             Refused::Config(why) => why.cause(),
         }
     }
@@ -107,6 +120,7 @@
             Refused::Stranger => write!(f, "a voter's answer from no voter"),
             Refused::Token => write!(f, "a higher token was seen"),
             Refused::Number(number) => write!(f, "no token has number {number}"),
+            Refused::Broadcast(why) => write!(f, "{why}"),
             Refused::Config(why) => write!(f, "{why}"),
         }
     }
@@ -139,7 +153,8 @@
                 | Message::Release { ballot } => sound(*ballot),
             },
             Duties::Digest { words, .. } => words.iter().try_for_each(|word| sound(word.token)),
-            Duties::Effect { token, .. } | Duties::Fenced { highest: token, .. } => sound(*token),
+            Duties::Broadcast(_, said) => said.tokens.iter().try_for_each(|(_, token)| sound(*token)),
+            Duties::Fenced { highest, .. } => sound(*highest),
             Duties::Config(message) => message.tokens().into_iter().try_for_each(sound),
             Duties::Ask { .. } | Duties::Entries { .. } | Duties::Report { .. } => Ok(()),
         }
@@ -222,6 +237,18 @@
         prop_oneof![7 => of_duty(Duty::Calendar), 2 => of_duty(Duty::Config), 3 => config()]
     }
 
+    /// Some that are fit to be taken now, some that are not.
+    fn header() -> impl Strategy<Value = Header> {
+        let part = (0u32..9, (u32::MAX - 9).., 0u8..12);
+        let part = part.prop_map(|(from, to, hops)| relay::Part { from, to, hops });
+        let wall = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let said = prop_oneof![Just(wall.as_micros() as u64), any::<u64>()];
+        (9u16..14, 0u64..4, said, part).prop_map(|(port, incarnation, said_us, part)| {
+            let origin = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+            Header { origin, incarnation, said_us, part }
+        })
+    }
+
     fn of_duty(duty: Duty) -> impl Strategy<Value = Duties> {
         let token = || (0..MOST_NUMBER, any::<u64>()).prop_map(|(number, by)| Ballot { number, by });
         let entries = || prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..6);
@@ -245,7 +272,12 @@
             }),
             prop::collection::vec(any::<u64>(), 0..50).prop_map(|ids| Duties::Ask { ids }),
             entries().prop_map(|entries| Duties::Entries { entries }),
-            (token(), entries()).prop_map(move |(token, entries)| Duties::Effect { duty, token, entries }),
+            (header(), prop::collection::vec(token(), 0..3), entries()).prop_map(
+                move |(header, tokens, entries)| {
+                    let tokens = tokens.into_iter().map(|token| (duty, token)).collect();
+                    Duties::Broadcast(header, Said { tokens, entries })
+                }
+            ),
             token().prop_map(move |highest| Duties::Fenced { duty, highest }),
             prop::collection::vec(("[a-z0-9-]{0,64}", any::<u32>()), 0..9)
                 .prop_map(|open| Duties::Report { open }),
@@ -282,7 +314,10 @@
                     words.push(Word { duty: Duty::Calendar, token: last, age_ms: None });
                     Duties::Digest { words, digest, new, ask }
                 }
-                Duties::Effect { duty, entries, .. } => Duties::Effect { duty, token: last, entries },
+                Duties::Broadcast(header, mut said) => {
+                    said.tokens.push((Duty::Config, last));
+                    Duties::Broadcast(header, said)
+                }
                 Duties::Config(_) => {
                     let prepare = config::Paxos::Prepare { token: last, round: 1 };
                     Duties::Config(config::Message::Paxos(prepare))
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -2,8 +2,8 @@
 //! keeps: the socket side of [`shaletide::fleet`].
 //!
 //! Two threads work beside the request loop: `wire` takes the other proxies' messages, `clock` lets time pass. They
-//! share five tables. **Lock order**, checked at every lock ([`ranked`]): `leases` before `config` before `calendar` before
-//! `roster` before `outbox`; whoever holds one takes only later ones. The request loop takes none of them. It gets effects from
+//! share six tables. **Lock order**, checked at every lock ([`ranked`]): `leases` before `config` before `calendar` before
+//! `roster` before `outbox` before `relay`; whoever holds one takes only later ones. The request loop takes none of them. It gets effects from
 //! a bounded channel, and shows what it sees through a watch in which the newest wins; operators' calls go to the clock over a
 //! bounded queue and are answered by a oneshot.
 
@@ -31,6 +31,7 @@
 use rustix::time::{clock_gettime, ClockId};
 use shaletide::fleet::calendar::{Budget, Calendar, Rules, Wall};
 use shaletide::fleet::config::Edit;
+use shaletide::fleet::relay::Relay;
 use shaletide::{Micros, Time};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -119,6 +120,7 @@
             calendar: Ranked::new(2, windows),
             roster: Ranked::new(3, Roster::default()),
             outbox: Ranked::new(4, Outbox::new(effects)),
+            relay: Ranked::new(5, Relay::new(own, incarnation, peers.max_age())),
             post: peers.post(),
             incarnation,
         });
--- a/src/net/duties/tables.rs
+++ b/src/net/duties/tables.rs
@@ -2,13 +2,14 @@
 
 use super::config::Configuring;
 use super::leases::{Leases, Mail};
-use super::message::{self, Duties, Refused};
+use super::message::{self, Duties, Refused, Said};
 use super::ranked::Ranked;
 use super::{mono, wall, Effect, Seen};
 use crate::net::host::RosterRow;
 use crate::net::peers::post::Post;
 use crate::net::peers::wire::Body;
 use shaletide::fleet::calendar::{Backend, Calendar, Digest, Fleet, Report, Reports};
+use shaletide::fleet::relay::{Header, Relay};
 use shaletide::{Micros, Time};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
     pub calendar: Ranked<Windows>,
     pub roster: Ranked<Roster>,
     pub outbox: Ranked<Outbox>,
+    pub relay: Ranked<Relay>,
     /// The socket's sending side, which needs no lock.
     pub post: Arc<Post>,
     /// Drawn at this start, as no other.
@@ -55,8 +57,8 @@
 pub struct Outbox {
     /// To the request loop.
     pub effects: mpsc::Sender<Effect>,
-    /// Messages that are said again to all members, in the order of their times, as a datagram may be lost.
-    pub again: BTreeMap<Time, Vec<Duties>>,
+    /// What is said to all again, in the order of the times, as a datagram may be lost.
+    pub again: BTreeMap<Time, Vec<Said>>,
     pub sent: u64,
     pub received: u64,
     pub refused: BTreeMap<&'static str, u64>,
@@ -163,20 +165,24 @@
     }
 
     /// Says something to all live members, and once more after each of these pauses.
-    pub fn spread(&self, messages: Vec<Duties>, again: &[Micros]) {
-        if messages.is_empty() {
-            return;
+    pub fn spread(&self, said: Vec<Said>, again: &[Micros]) {
+        for said in &said {
+            let header = self.relay.lock().begin(wall().0);
+            self.pass_on(&header, said);
         }
-        let members = self.roster.lock().members();
         let now = mono();
-        {
-            let mut outbox = self.outbox.lock();
-            for pause in again {
-                outbox.again.entry(now + *pause).or_default().extend(messages.iter().cloned());
-            }
+        let mut outbox = self.outbox.lock();
+        for pause in again.iter().filter(|_| !said.is_empty()) {
+            outbox.again.entry(now + *pause).or_default().extend(said.iter().cloned());
         }
-        let mail = members.iter().flat_map(|to| messages.iter().map(|m| (*to, m.clone()))).collect();
-        self.send(mail);
+    }
+
+    /// Says a broadcast to those that are to pass it on from here.
+    pub fn pass_on(&self, header: &Header, said: &Said) {
+        let seen = self.roster.lock().seen.clone();
+        let members = seen.as_ref().map_or(&[][..], |seen| &seen.members);
+        let next = self.relay.lock().pass_on(header, members);
+        self.send(next.into_iter().map(|(to, h)| (to, Duties::Broadcast(h, said.clone()))).collect());
     }
 
     /// Derives what this proxy keeps out, and tells the request loop what changed. What the queue has no room for
@@ -248,6 +254,7 @@
             calendar: Ranked::new(2, windows),
             roster: Ranked::new(3, Roster { seen, ..Roster::default() }),
             outbox: Ranked::new(4, Outbox::new(effects)),
+            relay: Ranked::new(5, Relay::new(own, 7, max_age)),
             post: Arc::new(Post::new(socket, [0; 8], own)),
             incarnation: 7,
         };
--- a/src/net/duties/wire.rs
+++ b/src/net/duties/wire.rs
@@ -2,12 +2,13 @@
 
 use super::clock::{entries, Command, AGAIN};
 use super::leases::{Leases, Mail};
-use super::message::{self, sound, Duties, Duty, Refused, Word};
+use super::message::{self, sound, Duties, Duty, Refused, Said, Word};
 use super::tables::Tables;
 use super::wall;
 use crate::net::peers::Passed;
 use shaletide::fleet::calendar::{Digest, Entry, Garbled};
 use shaletide::fleet::lease::Token;
+use shaletide::fleet::relay::Header;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, SyncSender};
 use std::sync::Arc;
@@ -62,13 +63,7 @@
             Ok(())
         }
         Duties::Entries { entries } => merge(tables, &entries, mail),
-        Duties::Effect { duty: Duty::Calendar, token, entries } => {
-            tables.leases.lock().effect(from, token, mail)?;
-            merge(tables, &entries, mail)
-        }
-        Duties::Effect { duty: Duty::Config, token, entries: _ } => {
-            leases(tables, Duty::Config, |l| l.effect(from, token, mail))
-        }
+        Duties::Broadcast(header, said) => broadcast(tables, &header, said, mail),
         Duties::Fenced { duty, highest } => {
             leases(tables, duty, |l| l.learn(highest, mail));
             Ok(())
@@ -81,6 +76,27 @@
     }
 }
 
+/// Takes what one proxy says to all, and passes it on; not what stands under a token that a higher one followed.
+fn broadcast(tables: &Tables, header: &Header, mut said: Said, mail: &mut Mail) -> Result<(), Refused> {
+    let newest = tables.relay.lock().take(header, wall().0).map_err(Refused::Broadcast)?;
+    let tokens = said.tokens.len();
+    said.tokens.retain(|(duty, token)| {
+        leases(tables, *duty, |l| l.effect(header.origin, *token, newest, mail)).is_ok()
+    });
+    let late = said.tokens.len() < tokens;
+    if late {
+        said.entries.clear();
+    }
+    if !said.tokens.is_empty() || !said.entries.is_empty() {
+        tables.pass_on(header, &said);
+    }
+    merge(tables, &said.entries, mail)?;
+    match late {
+        true => Err(Refused::Token),
+        false => Ok(()),
+    }
+}
+
 /// Learns what another proxy knows, and gives and asks for what either lacks.
 fn digested(
     tables: &Tables, from: SocketAddr, words: &[Word], digest: &Digest, (new, ask): (bool, bool),
@@ -156,8 +172,8 @@
 
 /// What operators changed here goes to all members.
 pub fn spread_edits(tables: &Tables, changed: Vec<Entry>) {
-    let messages = entries(changed).into_iter().map(|entries| Duties::Entries { entries }).collect();
-    tables.spread(messages, &AGAIN);
+    let said = |entries| Said { tokens: Vec::new(), entries };
+    tables.spread(entries(changed).into_iter().map(said).collect(), &AGAIN);
 }
 
 #[cfg(test)]
@@ -171,6 +187,8 @@
     use hyper::{Method, StatusCode};
     use proptest::prelude::*;
     use shaletide::fleet::calendar::{Put, Spec, Stamp};
+    use shaletide::fleet::lease::Ballot;
+    use shaletide::fleet::relay::Part;
     use std::collections::BTreeSet;
 
     proptest! {
@@ -220,6 +238,41 @@
             !covers(&[(0, 5), (7, u64::MAX)]) && !covers(&[(1, u64::MAX)]) && !covers(&[(0, u64::MAX - 1)])
         );
     }
+
+    /// A holder's word counts as the holder's, whoever passed it on. One that a newer one overtook makes the holder no younger, one that
+    /// came before or that stands under a lower token changes nothing, and the late holder itself is told.
+    #[test]
+    fn a_word_that_was_passed_on_proves_no_more_than_the_holders_own() {
+        let (tables, _told) = Tables::example();
+        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let part = Part { from: 0, to: u32::MAX, hops: 1 };
+        let now = wall().0;
+        let say = |port, number, said_us| {
+            let header = Header { origin: at(port), incarnation: u64::from(port), said_us, part };
+            let tokens = vec![(Duty::Calendar, Ballot { number, by: u64::from(port) })];
+            let mut mail = Mail::new();
+            let said = Duties::Broadcast(header, Said { tokens, entries: Vec::new() });
+            (take(&tables, at(12), said, &mut mail).map_err(|why| why.cause()), mail)
+        };
+        let holder = || tables.leases.lock().holder();
+        assert_eq!(say(10, 5, now), (Ok(()), Vec::new()));
+        assert_eq!(holder(), Some(at(10)), "not who passed it on");
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        assert_eq!(say(10, 5, now - 1), (Ok(()), Vec::new()), "its content counts");
+        assert_eq!(say(10, 5, now).0, Err("repeated"));
+        assert!(
+            tables.leases.lock().heard() >= shaletide::Micros(20_000),
+            "an overtaken word counted as heard"
+        );
+        let (refused, told) = say(11, 4, now);
+        let highest = Ballot { number: 5, by: 10 };
+        assert_eq!(
+            (refused, told),
+            (Err("token"), vec![(at(11), Duties::Fenced { duty: Duty::Calendar, highest })])
+        );
+        assert_eq!(holder(), Some(at(10)));
+    }
+
     /// Who starts takes part on the word of one that does, and not of another that has just started.
     #[test]
     fn newcomers_do_not_confirm_each_other() {
