Let a file say which changes it contains, and take changes back

Change: `version` in the platform's file. The table wins but for entries numbered at or below it (`fleet/config/file.rs`). A version above what was heard of is refused at SIGHUP; one below what is only in files is, too. `PUT /config/file` is a change of the chain that drops what all files contain, at every copy in the same step; a proxy whose own file is older keeps those entries for itself. `DELETE /config/KIND/NAME/override`, or `as_file` in a change, takes a change back to what the proxy's file says. The duties' message version goes to 3, as a kind of entry is new. `Event::InForce` carries numbers.

The storms submit drops as well.

--- a/benches/scale/carry.rs
+++ b/benches/scale/carry.rs
@@ -84,7 +84,7 @@
     /// Names of the entries that came into force.
     pub fn in_force(&mut self) -> Vec<String> {
         let names = |event| match event {
-            Event::InForce { edits, .. } => edits.into_iter().map(|edit| edit.key.name).collect(),
+            Event::InForce { entries, .. } => entries.into_iter().map(|e| e.edit.key.name).collect(),
             _ => Vec::new(),
         };
         self.replica.events().into_iter().flat_map(names).collect()
--- a/src/fleet/config/mod.rs
+++ b/src/fleet/config/mod.rs
@@ -7,6 +7,7 @@
 //! passes decided changes on and repairs what it missed.
 
 mod acceptor;
+mod file;
 mod message;
 mod proposer;
 mod repair;
@@ -16,6 +17,7 @@
 mod tree;
 
 pub use acceptor::Acceptor;
+pub use file::{FileRefused, Overrides};
 pub use message::{Memory, Message, Paxos};
 pub use proposer::{Proposer, Step};
 pub use replica::{Event, Replica, Rules, Surroundings};
@@ -54,6 +56,8 @@
     Route,
     /// A tenant, with its quota.
     Tenant,
+    /// The platform's files, with the one entry [`Key::contained`].
+    File,
 }
 
 impl Kind {
@@ -62,6 +66,7 @@
         match self {
             Kind::Route => "routes",
             Kind::Tenant => "tenants",
+            Kind::File => "file",
         }
     }
 }
@@ -76,6 +81,12 @@
 }
 
 impl Key {
+    /// The entry that says up to which number all changes are in the platform's files: the change that sets it drops the entries up to
+    /// there, at every copy alike.
+    pub fn contained() -> Key {
+        Key { kind: Kind::File, name: "version".into() }
+    }
+
     /// Where it stands among all keys: the first bytes of its BLAKE3.
     pub fn position(&self) -> u64 {
         let mut hasher = blake3::Hasher::new();
@@ -133,6 +144,21 @@
         self.key.name.len() + value + 6
     }
 
+    /// That the platform's files contain the changes up to that number.
+    pub fn contains(number: u64) -> Edit {
+        Edit { key: Key::contained(), value: Value::Set(number.to_string().into_bytes()) }
+    }
+
+    /// Up to which number it says that they do, where it says so.
+    pub fn contained(&self) -> Option<u64> {
+        match &self.value {
+            Value::Set(bytes) if self.key == Key::contained() => {
+                std::str::from_utf8(bytes).ok()?.parse().ok()
+            }
+            _ => None,
+        }
+    }
+
     /// Checks it by itself.
     ///
     /// # Errors
@@ -140,6 +166,9 @@
     pub fn check(&self) -> Result<(), Invalid> {
         self.key.check()?;
         let why = |why: String| Err(Invalid { key: self.key.to_string(), why });
+        if self.key.kind == Kind::File && self.contained().is_none_or(|number| number >= MOST_NUMBER) {
+            return why("expected a version".into());
+        }
         match &self.value {
             Value::Set(bytes) if bytes.len() > MOST_VALUE => {
                 why(format!("a value has up to {MOST_VALUE} bytes, not {}", bytes.len()))
@@ -207,6 +236,11 @@
         self.edits.iter().map(Edit::size).sum::<usize>() + 28
     }
 
+    /// The entries that it makes.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.edits.iter().map(|edit| Entry { edit: edit.clone(), number: self.number }).collect()
+    }
+
     /// Checks a change that another proxy told.
     ///
     /// # Errors
@@ -215,6 +249,10 @@
         if self.number <= self.after || self.number >= MOST_NUMBER {
             return Err(Refused::Number(self.number));
         }
+        if let Some(ahead) = self.edits.iter().filter_map(Edit::contained).find(|number| *number > self.after)
+        {
+            return Err(Refused::Number(ahead));
+        }
         check(&self.edits).map_err(Refused::Entry)
     }
 }
--- a/src/fleet/config/repair.rs
+++ b/src/fleet/config/repair.rs
@@ -161,8 +161,8 @@
         if fetching.todo.is_empty() && fetching.staged.is_whole() {
             let Some(fetching) = self.repair.fetching.take() else { return };
             let (from, version) = (fetching.from, fetching.staged.target.version);
-            if let Some(edits) = self.table.go_to(fetching.staged) {
-                self.new_in_force(version, edits);
+            if let Some(entries) = self.table.go_to(fetching.staged) {
+                self.new_in_force(version, entries);
                 self.follow();
                 out.push((from, Message::Since { version }));
             }
--- a/src/fleet/config/replica.rs
+++ b/src/fleet/config/replica.rs
@@ -5,8 +5,8 @@
 use super::proposer::{Proposer, Step};
 use super::repair::Repair;
 use super::submit::{Rejected, Submissions};
-use super::table::{Applied, Digest, Table};
-use super::{Change, Edit, Refused, MOST_NUMBER, MOST_WAITING};
+use super::table::{Applied, Digest, Entry, Table};
+use super::{Change, Refused, MOST_NUMBER, MOST_WAITING};
 use crate::fleet::lease::{self, Token};
 use crate::interface::{Micros, Time};
 use rand_core::{RngCore, SeedableRng};
@@ -69,7 +69,7 @@
         /// The version.
         version: u64,
         /// What is different from before.
-        edits: Vec<Edit>,
+        entries: Vec<Entry>,
     },
     /// What became of a submission of this proxy: the change's number, or why it is not taken.
     Outcome {
@@ -357,7 +357,7 @@
         let applied = self.table.apply(change)?;
         match applied {
             Applied::New => {
-                self.new_in_force(change.number, change.edits.clone());
+                self.new_in_force(change.number, change.entries());
                 self.settled(change.id, Ok(change.number)); // the holder's own answer may be lost
                 self.follow();
             }
@@ -377,7 +377,7 @@
     pub(super) fn follow(&mut self) {
         while let Some(change) = self.waiting.remove(&self.table.version()) {
             if self.table.apply(&change) == Ok(Applied::New) {
-                self.new_in_force(change.number, change.edits);
+                self.new_in_force(change.number, change.entries());
                 self.settled(change.id, Ok(change.number));
             }
         }
@@ -385,8 +385,8 @@
     }
 
     /// The copy went to another version.
-    pub(super) fn new_in_force(&mut self, version: u64, edits: Vec<Edit>) {
-        self.events.push(Event::InForce { version, edits });
+    pub(super) fn new_in_force(&mut self, version: u64, entries: Vec<Entry>) {
+        self.events.push(Event::InForce { version, entries });
         self.repair = Repair::default(); // what was staged beside the old one does not fit any more
     }
 
--- a/src/fleet/config/submit.rs
+++ b/src/fleet/config/submit.rs
@@ -115,6 +115,10 @@
             continue;
         }
         changes = true;
+        if edit.contained().is_some_and(|number| number > table.version() || number < table.contained()) {
+            let why = format!("expected {} to {}", table.contained(), table.version());
+            return Err(Rejected::Invalid(Invalid { key: edit.key.to_string(), why }));
+        }
         match entry {
             Some(entry) if entry.edit.key != edit.key => {
                 let why = format!("its name's hash is that of {}", entry.edit.key);
--- a/src/fleet/config/table.rs
+++ b/src/fleet/config/table.rs
@@ -1,7 +1,7 @@
 //! A proxy's copy: the entries, the tree of hashes over them, and the last changes.
 
 use super::tree::{Node, Tree, CHILDREN};
-use super::{first, Change, Edit, Refused, MOST_BYTES, MOST_ENTRIES, MOST_LOG, MOST_LOG_BYTES};
+use super::{first, Change, Edit, Key, Refused, MOST_BYTES, MOST_ENTRIES, MOST_LOG, MOST_LOG_BYTES};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -76,6 +76,12 @@
         self.entries.is_empty()
     }
 
+    /// Up to this number changes are only in the platform's files, 0 where all are here.
+    pub fn contained(&self) -> u64 {
+        let entry = self.get(Key::contained().position());
+        entry.and_then(|entry| entry.edit.contained()).unwrap_or_default()
+    }
+
     /// The entry at a position.
     pub fn get(&self, position: u64) -> Option<&Entry> {
         self.entries.get(&position)
@@ -131,6 +137,9 @@
             let entry = Entry { edit: edit.clone(), number: change.number };
             self.put(edit.key.position(), Some(entry));
         }
+        if let Some(contained) = change.edits.iter().find_map(Edit::contained) {
+            self.forget(contained);
+        }
         self.version = change.number;
         self.log_bytes += change.size();
         self.log.push_back(change.clone());
@@ -146,6 +155,13 @@
         node.children().map(|child| self.tree.hash(child)).collect()
     }
 
+    /// Drops what all files contain.
+    fn forget(&mut self, contained: u64) {
+        let old = self.entries.iter().filter(|(_, entry)| entry.number <= contained);
+        let old: Vec<u64> = old.map(|(position, _)| *position).collect();
+        old.into_iter().for_each(|position| self.put(position, None));
+    }
+
     fn put(&mut self, position: u64, entry: Option<Entry>) {
         let new = entry.as_ref().map_or(0, Entry::hash);
         self.bytes += entry.as_ref().map_or(0, |entry| entry.edit.size());
@@ -230,26 +246,30 @@
 
 impl Table {
     /// Goes to a state that was fetched, in one step, and gives what differs. `None`, and no change, unless it is whole and later.
-    pub fn go_to(&mut self, staged: Staged) -> Option<Vec<Edit>> {
-        if !staged.is_whole() || staged.target.version <= self.version {
+    pub fn go_to(&mut self, staged: Staged) -> Option<Vec<Entry>> {
+        let number = staged.target.version;
+        if !staged.is_whole() || number <= self.version {
             return None;
         }
-        let mut differs = Vec::new();
+        let (mut differs, mut gone) = (Vec::new(), Vec::new());
         for (position, entry) in staged.fetched {
-            if self.get(position) == entry.as_ref() {
+            let old = self.get(position);
+            if old == entry.as_ref() {
                 continue;
             }
-            match (&entry, self.get(position)) {
-                (Some(entry), _) => differs.push(entry.edit.clone()),
-                (None, Some(old)) => {
-                    let key = old.edit.key.clone();
-                    differs.push(Edit { key, value: super::Value::AsFile });
-                }
+            match (&entry, old) {
+                (Some(entry), _) => differs.push(entry.clone()),
+                (None, Some(old)) => gone.push((old.number, old.edit.key.clone())),
                 (None, None) => {}
             }
             self.put(position, entry);
         }
-        self.version = staged.target.version;
+        // What is not there any more is in the files; else it was of a chain that the fleet lost.
+        let contained = self.contained();
+        let lost = gone.into_iter().filter(|(old, _)| *old > contained);
+        differs
+            .extend(lost.map(|(_, key)| Entry { edit: Edit { key, value: super::Value::AsFile }, number }));
+        self.version = number;
         self.log.clear();
         self.log_bytes = 0;
         Some(differs)
--- a/src/main.rs
+++ b/src/main.rs
@@ -176,7 +176,7 @@
         }
         None => None,
     };
-    let overlay = Rc::new(Overlay::new(in_force.clone()));
+    let overlay = Rc::new(Overlay::new(in_force.clone(), node.version));
     let duties = match peers.as_ref().zip(node.duties.as_ref()) {
         Some((peers, rules)) => {
             let duties = Duties::start(host.clone(), peers, rules, config.ramp, overlay.clone());
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -4,6 +4,7 @@
 use super::snapshot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use shaletide::fleet::config::MOST_NUMBER;
 use shaletide::fleet::lease;
 use shaletide::settings::{sift, Change, InForce, Lists, Reading, Settings, Sink};
 use shaletide::Micros;
@@ -93,6 +94,8 @@
     pub settings: [u8; 32],
     /// The same of what the proxies of one fleet share of them.
     pub shared: [u8; 32],
+    /// The file contains the changes of the fleet's configuration up to this one, 0 for none.
+    pub version: u64,
     /// All keys of the file but those inside lists.
     pub keys: BTreeSet<String>,
     /// Where and how often what was learned is kept; without it nothing is.
@@ -234,6 +237,7 @@
     Unknown(Vec<String>),
     Settings(String),
     Duties(String),
+    Version(String),
 }
 
 impl fmt::Display for NodeError {
@@ -252,6 +256,7 @@
             NodeError::Unknown(keys) => write!(f, "unknown: {}", keys.join(", ")),
             NodeError::Settings(text) => write!(f, "settings: {text}"),
             NodeError::Duties(text) => write!(f, "duties: {text}"),
+            NodeError::Version(text) => write!(f, "version: {text}"),
         }
     }
 }
@@ -262,6 +267,9 @@
 #[derive(Deserialize, Serialize)]
 struct File {
     name: String,
+    /// Up to this one the file contains the changes of the fleet's configuration.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    version: Option<u64>,
     listen: SocketAddr,
     #[serde(skip_serializing_if = "Option::is_none")]
     discovery: Option<SocketAddr>,
@@ -282,7 +290,13 @@
 }
 
 impl File {
-    fn duties(&self) -> Result<(), NodeError> {
+    /// Checks what concerns the fleet.
+    fn check(&self) -> Result<(), NodeError> {
+        if self.version.is_some_and(|version| version >= MOST_NUMBER) {
+            return Err(NodeError::Version(format!(
+                "expected a version of the configuration, below {MOST_NUMBER}"
+            )));
+        }
         let checked = self.duties.as_ref().map_or(Ok(()), |duties| duties.check(self.peers.as_ref()));
         checked.map_err(NodeError::Duties)
     }
@@ -305,12 +319,12 @@
     }
 }
 
-/// The paths of all keys. The door may come and go; all else that stood in a file belongs in the next.
+/// The paths of all keys. The door and the version may come and go; all else that stood in a file belongs in the next.
 fn collect(value: &Value, path: &str, keys: &mut BTreeSet<String>) {
     for (name, inner) in value.as_object().into_iter().flatten() {
         let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
         collect(inner, &path, keys);
-        if path != "control" {
+        if path != "control" && path != "version" {
             keys.insert(path);
         }
     }
@@ -493,7 +507,7 @@
     let mut errors: Vec<String> = parsed.unknown.iter().map(|key| format!("{key}: unknown key")).collect();
     let found = parsed.settings.errors().into_iter().chain(seed(&parsed.file.seed).err());
     errors.extend(found.map(|e| NodeError::Settings(e).to_string()));
-    errors.extend(parsed.file.duties().err().map(|e| e.to_string()));
+    errors.extend(parsed.file.check().err().map(|e| e.to_string()));
     errors
 }
 
@@ -546,7 +560,7 @@
         if !unknown.is_empty() {
             return Err(NodeError::Unknown(unknown));
         }
-        file.duties()?;
+        file.check()?;
         // Two processes may read one file: what only this one is told comes first.
         let control = match std::env::var("NODE_CONTROL") {
             Ok(text) if !text.is_empty() => Some(text.parse().map_err(|_| NodeError::Control(text))?),
@@ -569,6 +583,7 @@
             known,
             settings: settings.digest(&[]),
             shared: settings.digest(&snapshot::OWN),
+            version: file.version.unwrap_or_default(),
             keys,
             snapshot,
             peers: file.peers,
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -175,9 +175,11 @@
     match segments[..] {
         ["status" | "peers" | "metrics" | "windows" | "duties"] => &[Method::GET],
         ["config"] => &[Method::GET, Method::PUT],
+        ["config", "file"] => &[Method::PUT],
         ["config", "routes" | "tenants", name] if !name.is_empty() => {
             &[Method::GET, Method::PUT, Method::DELETE]
         }
+        ["config", "routes" | "tenants", name, "override"] if !name.is_empty() => &[Method::DELETE],
         ["maintenance", "enter" | "exit"] => &[Method::PUT],
         ["windows", id] if !id.is_empty() => &[Method::PUT, Method::DELETE],
         ["windows", id, "extend" | "begin"] if !id.is_empty() => &[Method::POST],
--- a/src/net/duties/config.rs
+++ b/src/net/duties/config.rs
@@ -6,18 +6,20 @@
 use super::message::{Duties, Duty};
 use super::tables::Tables;
 use super::{mono, wall, Effect};
-use crate::net::overlay::Overlay;
+use crate::net::overlay::{Newest, Overlay};
 use hyper::{Method, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
 use shaletide::fleet::config::{
-    Edit, Event, Key, Kind, Message, Refused, Rejected, Replica, Rules, Submission, Surroundings, Value,
+    Edit, Entry, Event, Key, Kind, Message, Refused, Rejected, Replica, Rules, Submission, Surroundings,
+    Value,
 };
 use shaletide::fleet::lease::{self, Token};
 use shaletide::{Micros, Time};
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use tokio::sync::oneshot;
 use tracing::{info, warn};
 
@@ -32,7 +34,9 @@
     /// Who waits for the outcome of a change, since when.
     calls: BTreeMap<u64, (oneshot::Sender<Answer>, Time)>,
     /// What the request loop is to be told: the version, and the last value of each entry.
-    untold: Option<(u64, BTreeMap<Key, Value>)>,
+    untold: Option<(u64, BTreeMap<Key, Entry>)>,
+    /// The newest version that was heard of, for the request loop.
+    newest: Newest,
     /// The token at the last beat.
     token: Option<Token>,
     beat_at: Time,
@@ -40,7 +44,7 @@
 
 impl Configuring {
     pub fn new(
-        rules: lease::Rules, voters: Vec<SocketAddr>, own: SocketAddr, incarnation: u64,
+        rules: lease::Rules, voters: Vec<SocketAddr>, own: SocketAddr, incarnation: u64, newest: Newest,
     ) -> Configuring {
         let now = mono();
         let of = Rules { lease: rules, voters: voters.clone(), own };
@@ -49,6 +53,7 @@
             replica: Replica::new(of, drawn(), now),
             calls: BTreeMap::new(),
             untold: None,
+            newest,
             token: None,
             beat_at: now,
         }
@@ -58,10 +63,10 @@
     fn settle(&mut self, mail: &mut Mail) {
         for event in self.replica.events() {
             match event {
-                Event::InForce { version, edits } => {
+                Event::InForce { version, entries } => {
                     let untold = self.untold.get_or_insert_with(Default::default);
                     untold.0 = version;
-                    untold.1.extend(edits.into_iter().map(|edit| (edit.key, edit.value)));
+                    untold.1.extend(entries.into_iter().map(|entry| (entry.edit.key.clone(), entry)));
                 }
                 Event::Outcome { id, result } => {
                     if let Some((answer, _)) = self.calls.remove(&id) {
@@ -128,6 +133,9 @@
                     "the configuration is at another version"
                 );
             }
+            if !config.replica.is_new() {
+                config.newest.store(config.replica.newest(), Ordering::Relaxed);
+            }
             self.tell(&mut config);
             (result, new && !config.replica.is_new())
         };
@@ -141,10 +149,10 @@
 
     /// Tells the request loop what changed, in one step; while its queue is full that grows together.
     fn tell(&self, config: &mut Configuring) {
-        let Some((version, edits)) = config.untold.take() else { return };
-        let list = edits.iter().map(|(key, value)| Edit { key: key.clone(), value: value.clone() }).collect();
+        let Some((version, entries)) = config.untold.take() else { return };
+        let list = entries.values().cloned().collect();
         if self.outbox.lock().effects.try_send(Effect::Config(version, list)).is_err() {
-            config.untold = Some((version, edits));
+            config.untold = Some((version, entries));
         }
     }
 
@@ -223,12 +231,13 @@
 
     pub fn config_status(&self) -> serde_json::Value {
         let config = self.config.lock();
-        let in_force = self.roster.lock().seen.as_ref().map(|seen| seen.config);
+        let seen = self.roster.lock().seen.as_ref().map(|seen| (seen.config, seen.file));
         let (table, digest) = (config.replica.table(), config.replica.table().digest());
         let mut status = config.leases.status();
         let more = json!({
             "version": digest.version, "digest": format!("{:016x}", digest.root), "entries": table.len(),
-            "in_force": in_force, "newest": config.replica.newest(), "new": config.replica.is_new(),
+            "contained": table.contained(),
+            "in_force": seen.map(|seen| seen.0), "file": seen.map(|seen| seen.1), "newest": config.replica.newest(), "new": config.replica.is_new(),
             "proposed": config.replica.proposed(), "keeps": config.replica.keeps(),
             "fetching": config.replica.is_fetching(), "votes": config.replica.votes(),
             "unanswered": config.replica.unanswered().iter().map(SocketAddr::to_string).collect::<Vec<_>>(),
@@ -246,11 +255,14 @@
     let path: Vec<&str> = call.path.iter().map(String::as_str).collect();
     let read = match (&call.method, path.as_slice()) {
         (&Method::PUT, ["config"]) => read(&call.body),
+        (&Method::PUT, ["config", "file"]) => read_contained(&call.body, overlay),
         (&Method::PUT, ["config", kind, name]) => read_one(&call.body, kind, name, false),
         (&Method::DELETE, ["config", kind, name]) => read_one(&call.body, kind, name, true),
+        (&Method::DELETE, ["config", kind, name, "override"]) => read_override(&call.body, kind, name),
         _ => return None,
     };
     Some(read.and_then(|(base, edits)| {
+        taken_back(&edits, overlay)?;
         let unfit = overlay.check(&edits);
         let error = |text: &String| match text.split_once(": ") {
             Some((field, why)) => (field.to_string(), why.to_string()),
@@ -263,6 +275,22 @@
     }))
 }
 
+/// Only what was changed, and not since by a file, can be taken back.
+fn taken_back(edits: &[Edit], overlay: &Overlay) -> Result<(), Answer> {
+    let all = || edits.iter().filter(|edit| edit.value == Value::AsFile).map(|edit| &edit.key);
+    let none: Vec<_> = all().filter(|key| !overlay.is_changed(key)).collect();
+    if !none.is_empty() {
+        let error = |key: &&Key| (key.to_string(), "never changed since the file".to_string());
+        return Err(refused(StatusCode::NOT_FOUND, none.iter().map(error).collect()));
+    }
+    let contained: Vec<_> = all().filter(|key| !overlay.is_over(key)).collect();
+    if !contained.is_empty() {
+        let error = |key: &&Key| (key.to_string(), "the file contains that change".to_string());
+        return Err(wrong(contained.iter().map(error).collect()));
+    }
+    Ok(())
+}
+
 /// A number that no other proxy draws.
 fn drawn() -> u64 {
     RandomState::new().build_hasher().finish()
@@ -297,6 +325,9 @@
     name: String,
     #[serde(default)]
     value: Option<serde_json::Value>,
+    /// The change is taken back: what the file says counts again.
+    #[serde(default)]
+    as_file: bool,
 }
 
 /// The body of a change of one entry, whose path names it.
@@ -308,6 +339,21 @@
     value: Option<serde_json::Value>,
 }
 
+/// The body of the taking back of a change, whose path names the entry.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Taken {
+    version: u64,
+}
+
+/// The body of the change that says which changes are in the platform's files.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Contained {
+    version: u64,
+    contains: u64,
+}
+
 fn parsed<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Answer> {
     let mut reader = serde_json::Deserializer::from_slice(body);
     let read = serde_path_to_error::deserialize(&mut reader);
@@ -318,10 +364,14 @@
 
 /// A no that names every error by its key.
 fn wrong(errors: Vec<(String, String)>) -> Answer {
+    refused(StatusCode::UNPROCESSABLE_ENTITY, errors)
+}
+
+fn refused(status: StatusCode, errors: Vec<(String, String)>) -> Answer {
     let errors: Vec<_> = errors.iter().map(|(field, why)| json!({ "field": field, "why": why })).collect();
     let mut told = errors.first().cloned().unwrap_or_default();
     told["errors"] = errors.into();
-    (StatusCode::UNPROCESSABLE_ENTITY, line(&told))
+    (status, line(&told))
 }
 
 fn kind_of(name: &str) -> Option<Kind> {
@@ -334,6 +384,19 @@
     checked(several.version, items.collect())
 }
 
+fn read_contained(body: &[u8], overlay: &Overlay) -> Result<(u64, Vec<Edit>), Answer> {
+    let Contained { version, contains } = parsed(body)?;
+    // Who says so has rolled the file out: here it is in force, too.
+    let most = overlay.file_version().min(version);
+    if contains > most {
+        return Err(wrong(vec![(
+            "contains".into(),
+            format!("expected at most {most}, the version of the file in force here"),
+        )]));
+    }
+    Ok((version, vec![Edit::contains(contains)]))
+}
+
 fn read_one(body: &[u8], kind: &str, name: &str, remove: bool) -> Result<(u64, Vec<Edit>), Answer> {
     let One { version, value } = parsed(body)?;
     if remove && value.is_some() {
@@ -342,7 +405,13 @@
     if !remove && value.is_none() {
         return Err(wrong(vec![("value".into(), "missing".into())]));
     }
-    let item = Item { kind: kind.into(), name: name.into(), value };
+    let item = Item { kind: kind.into(), name: name.into(), value, as_file: false };
+    checked(version, vec![(String::new(), item)])
+}
+
+fn read_override(body: &[u8], kind: &str, name: &str) -> Result<(u64, Vec<Edit>), Answer> {
+    let Taken { version } = parsed(body)?;
+    let item = Item { kind: kind.into(), name: name.into(), value: None, as_file: true };
     checked(version, vec![(String::new(), item)])
 }
 
@@ -361,7 +430,12 @@
             continue;
         }
         let value = match item.value {
+            None if item.as_file => Value::AsFile,
             None => Value::Removed,
+            Some(_) if item.as_file => {
+                errors.push((at("value"), "not where the change is taken back".into()));
+                continue;
+            }
             Some(value) if !value.is_object() => {
                 errors.push((at("value"), "expected an object".into()));
                 continue;
--- a/src/net/duties/message.rs
+++ b/src/net/duties/message.rs
@@ -9,7 +9,7 @@
 use std::fmt;
 
 /// Raised whenever a message's shape changes.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 /// Bytes of the entries or names in one message at most, so that it fits a body with all else in it.
 const MOST_LOAD: usize = MOST_BODY - 80;
 
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -30,7 +30,7 @@
 use ranked::Ranked;
 use rustix::time::{clock_gettime, ClockId};
 use shaletide::fleet::calendar::{Budget, Calendar, Rules, Wall};
-use shaletide::fleet::config::Edit;
+use shaletide::fleet::config::Entry;
 use shaletide::{Micros, Time};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -61,7 +61,7 @@
     /// No window has it any more.
     Back(String),
     /// These entries of the configuration changed together; that is its version now.
-    Config(u64, Vec<Edit>),
+    Config(u64, Vec<Entry>),
     /// Calendar and configuration are as the others know them: clients may come.
     Ready,
 }
@@ -75,6 +75,8 @@
     pub applied: BTreeSet<String>,
     /// The configuration's version in force.
     pub config: u64,
+    /// The changes up to this one are in the file in force, as that says.
+    pub file: u64,
 }
 
 /// The monotonic clock, which all processes of a machine share.
@@ -115,7 +117,10 @@
                 0,
                 Leases::new(Duty::Calendar, leases, rules.voters.clone(), own, incarnation),
             ),
-            config: Ranked::new(1, Configuring::new(leases, rules.voters.clone(), own, incarnation)),
+            config: Ranked::new(
+                1,
+                Configuring::new(leases, rules.voters.clone(), own, incarnation, overlay.newest()),
+            ),
             calendar: Ranked::new(2, windows),
             roster: Ranked::new(3, Roster::default()),
             outbox: Ranked::new(4, Outbox::new(effects)),
@@ -197,8 +202,11 @@
                 info!(event = "window_back", backend = name, mono_us = mono().0, "no window has it any more");
                 applied.out.borrow_mut().remove(&name);
             }
-            Effect::Config(version, edits) => applied.overlay.add(version, edits),
-            Effect::Ready => drop(ready.send_replace(true)),
+            Effect::Config(version, entries) => applied.overlay.add(version, entries),
+            Effect::Ready => {
+                applied.overlay.hear();
+                ready.send_replace(true);
+            }
         }
     }
 }
@@ -208,8 +216,9 @@
     host: Rc<Host>, peers: Rc<Peers>, applied: Rc<Applied>, show: watch::Sender<Option<Arc<Seen>>>,
 ) {
     loop {
-        let (out, config) = (applied.out.borrow().clone(), applied.overlay.version());
-        let seen = Seen { rows: host.roster(), members: peers.members(), applied: out, config };
+        let (out, overlay) = (applied.out.borrow().clone(), &applied.overlay);
+        let (config, file) = (overlay.version(), overlay.file_version());
+        let seen = Seen { rows: host.roster(), members: peers.members(), applied: out, config, file };
         show.send_replace(Some(Arc::new(seen)));
         tokio::time::sleep(SHOW).await;
     }
--- a/src/net/duties/tables.rs
+++ b/src/net/duties/tables.rs
@@ -236,10 +236,10 @@
         let (ramp, max_age) = (Micros(1_000_000), Micros(5_000_000));
         let calendar = Calendar::new(Rules { budget: Budget { kind: 0.5, zone: 0.5 }, ramp, max_age });
         let windows = Windows { calendar, out: BTreeSet::new(), covered: Some(Vec::new()) };
-        let mut config = Configuring::new(rules, voters.clone(), own, 7);
+        let mut config = Configuring::new(rules, voters.clone(), own, 7, Default::default());
         config.replica.take_part();
         let (rows, members, applied) = (Vec::new(), voters[1..].to_vec(), BTreeSet::new());
-        let seen = Some(Arc::new(Seen { rows, members, applied, config: 0 }));
+        let seen = Some(Arc::new(Seen { rows, members, applied, config: 0, file: 0 }));
         let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
         let (effects, told) = mpsc::channel(64);
         let tables = Tables {
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -102,6 +102,13 @@
     }
 }
 
+/// What the fleet changed, over a file that was read.
+struct Entries {
+    change: Option<Change>,
+    /// The configuration's version where it has all of them.
+    version: Option<u64>,
+}
+
 /// What a new configuration may change, and what it is checked against.
 pub struct Reload {
     pub host: Rc<Host>,
@@ -140,7 +147,7 @@
             let begun = Instant::now();
             let read = self.read().await;
             let (read_ms, step) = (begun.elapsed().as_millis(), Instant::now());
-            let taken = read.and_then(|(again, amended)| self.take(again, amended));
+            let taken = read.and_then(|(again, over)| self.take(again, over));
             let step_us = step.elapsed().as_micros(); // so long nothing else ran
             match taken {
                 Ok(told) => {
@@ -153,23 +160,36 @@
 
     /// Reads, checks and compares, while requests go on. Nothing but [`Reload::take`] changes what it compares with,
     /// apart from places and kinds that lists name meanwhile, which that sees to.
-    async fn read(&self) -> Result<(Again, Option<Change>), String> {
-        let (source, keys, entries) = (self.source.clone(), self.keys.clone(), self.overlay.entries());
+    async fn read(&self) -> Result<(Again, Entries), String> {
+        let (source, keys, over) = (self.source.clone(), self.keys.clone(), self.overlay.over());
         let in_force = InForce { names: self.host.names(), ..self.in_force.clone() };
         let read = move || {
             let again = Node::read_again(&source, &keys, &in_force).map_err(|e| e.to_string())?;
-            let amended = again.change.as_ref().ok().and_then(|change| overlay::over(&change.to, &entries));
-            Ok((again, amended))
+            let version = again.node.version;
+            over.check(version).map_err(|e| e.to_string())?;
+            let file = again.change.as_ref().ok().map(|change| &change.to);
+            let (change, all) =
+                file.map_or((None, true), |file| overlay::over(file, version, &over.overrides));
+            Ok((again, Entries { change, version: all.then_some(over.version) }))
         };
         self.aside.run(read).await?
     }
 
     /// Puts the entries that the fleet changed in force, all in one step: none of them where one does not fit.
     async fn amend(&mut self) {
-        let (version, entries) = self.overlay.fresh();
+        let (version, entries) = match self.overlay.fresh() {
+            Ok(fresh) => fresh,
+            Err(why) => {
+                warn!(
+                    event = "config_file_old",
+                    "not in force until a newer file is read, all stays as it was: {why}"
+                );
+                return;
+            }
+        };
         let base = InForce { names: self.host.names(), ..self.in_force.clone() };
-        let count = entries.len();
-        let amended = move || overlay::amended(&base, &entries).map_err(|why| why.join("; "));
+        let (file, count) = (self.overlay.file(), entries.len());
+        let amended = move || overlay::amended(&base, &file, &entries).map_err(|why| why.join("; "));
         let amended = self.aside.run(amended).await;
         match amended.and_then(|change| change) {
             Ok(change) => {
@@ -201,7 +221,7 @@
     }
 
     /// Puts it in force: one step, in which nothing else runs, and none that takes time by the size of the tables.
-    fn take(&mut self, again: Again, amended: Option<Change>) -> Result<String, String> {
+    fn take(&mut self, again: Again, over: Entries) -> Result<String, String> {
         let Again { node, change } = again;
         if node.discovery.is_some() != self.discovery.is_some() {
             return Err("discovery: expected as before, it comes and goes only with a restart".into());
@@ -224,10 +244,11 @@
         self.host.pool.limit(room / 2);
         self.server.limit(room - room / 2);
         self.put(change);
-        if let Some(amended) = amended {
+        self.overlay.took_file(self.in_force.clone(), node.version);
+        if let Some(amended) = over.change {
             self.put(amended);
         }
-        self.overlay.took(None, self.in_force.clone());
+        self.overlay.took(over.version, self.in_force.clone());
         self.shared.set(node.shared);
         self.owner.discovery = node.discovery;
         self.keeper.iter().for_each(|k| k.stand(self.owner.clone(), node.settings));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -60,6 +60,16 @@
         change::change(settings, self)
     }
 
+    /// The class of that name as it stands in `profiles`, for [`Amendment::SetProfile`]; `None` where there is none.
+    pub fn profile(&self, name: &str) -> Option<Value> {
+        change::profile(self, name)
+    }
+
+    /// The tenant of that name as it stands in `customers`, for [`Amendment::SetCustomer`]; `None` where there is none.
+    pub fn customer(&self, name: &str) -> Option<Value> {
+        change::customer_entry(self, name)
+    }
+
     /// The settings in force with these entries changed, all or none of them: else every error, each by its key path.
     /// Takes time by what it names, and by how often those were changed before.
     pub fn amend(&self, amendments: &[Amendment]) -> Result<Change, Vec<String>> {
--- a/src/settings/change.rs
+++ b/src/settings/change.rs
@@ -5,7 +5,7 @@
 use super::read::{customer, route, Customer, Read, Route, Settings};
 use super::{Change, InForce, Network};
 use crate::interface::*;
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
 impl Change {
@@ -216,6 +216,37 @@
     }
 }
 
+/// A class in use, as it stands in `profiles`.
+pub(super) fn profile(of: &InForce, name: &str) -> Option<Value> {
+    let ClassId(number) = of.names.class(name)?;
+    let (class, deadline) = (of.config.classes.get(number)?, of.network.deadlines.get(number)?);
+    let mut entry = json!({
+        "name": name, "aim_us": class.aim.0, "aim_stretch": class.aim_stretch, "deadline_us": deadline.0,
+        "gain": class.worth, "late_worth": class.late_worth,
+    });
+    entry["effect"] = match class.effect {
+        Effect::Free => "free",
+        Effect::Keyed(..) => "guarded",
+        Effect::Unsafe => "single_shot",
+    }
+    .into();
+    if let Effect::Keyed(scope, window) = class.effect {
+        let scope = match scope {
+            KeyScope::All => "all",
+            KeyScope::Zone => "zone",
+            KeyScope::Cell => "cell",
+        };
+        (entry["key_scope"], entry["window_us"]) = (scope.into(), window.0.into());
+    }
+    Some(entry)
+}
+
+/// A tenant in use, as it stands in `customers`.
+pub(super) fn customer_entry(of: &InForce, name: &str) -> Option<Value> {
+    let TenantId(number) = of.names.tenant(name)?;
+    Some(json!({ "name": name, "quota_rps": of.config.tenants.get(number)?.quota_per_s }))
+}
+
 /// The settings in force with these entries changed, all or none of them: else every error, each by its key. Costs by
 /// what it names: nothing by the size of the tables.
 pub(super) fn amend(base: &InForce, amendments: &[Amendment]) -> Result<Change, Vec<String>> {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -133,10 +133,10 @@
         let mut versions = Vec::new();
         for event in proxy.replica.events() {
             match event {
-                Event::InForce { version, edits } => {
+                Event::InForce { version, entries } => {
                     assert!(version > proxy.version, "proxy {n} went from {} to {version}", proxy.version);
                     proxy.version = version;
-                    self.steps_of_many += u64::from(edits.len() > 2);
+                    self.steps_of_many += u64::from(entries.len() > 2);
                     versions.push(version);
                 }
                 Event::Outcome { id, result: Ok(number) } => drop(self.acknowledged.insert(id, number)),
@@ -269,6 +269,12 @@
             }
             _ => {
                 let n = fleet.draw(size);
+                if fleet.chance(0.1) {
+                    // Files are rolled out that contain a part of the changes, now and then one that nobody made.
+                    let upto = fleet.proxies[n].version / (1 + fleet.draw(3)) as u64 + fleet.draw(2) as u64;
+                    fleet.submit(n, vec![Edit::contains(upto)]);
+                    continue;
+                }
                 let edits: BTreeMap<usize, u64> =
                     (0..1 + fleet.draw(3)).map(|_| (fleet.draw(30), fleet.random.next_u64())).collect();
                 fleet.submit(n, edits.into_iter().map(|(name, value)| edit(name, value)).collect());
@@ -451,9 +457,24 @@
     let mut first = filled(8, chain.into_iter());
     let mut second = filled(9, std::iter::empty());
     let (passed, events) = repair(&mut first, &mut second, 0.02, later);
-    let Event::InForce { version, edits } = &events[0] else { panic!("{:?}", events[0]) };
-    println!("{passed} messages; first in force {version} with {} entries", edits.len());
-    assert!(*version >= 8990 && edits.len() == 6000, "{version}, {}", edits.len());
+    let Event::InForce { version, entries } = &events[0] else { panic!("{:?}", events[0]) };
+    println!("{passed} messages; first in force {version} with {} entries", entries.len());
+    assert!(*version >= 8990 && entries.len() == 6000, "{version}, {}", entries.len());
+}
+
+/// What the files contain is dropped, also at a copy that has it and gets the newest state by ranges: there the entries are gone
+/// without a word, as the proxy's own file may not contain them yet.
+#[test]
+fn a_fetched_state_says_nothing_of_what_the_files_contain() {
+    let edits = (0..9000).map(|n| if n == 8000 { Edit::contains(4000) } else { edit(n, 9) });
+    let chain: Vec<Change> = changes(edits).collect();
+    let mut second = filled(9, chain[..3000].iter().cloned());
+    let mut first = filled(8, chain.into_iter());
+    assert_eq!((first.table().len(), first.table().contained()), (5000, 4000));
+    let (_, events) = repair(&mut first, &mut second, 0.0, Vec::new());
+    let Event::InForce { version, entries } = &events[0] else { panic!("{:?}", events[0]) };
+    assert_eq!((*version, entries.len()), (9000, 5000));
+    assert!(entries.iter().all(|entry| entry.edit.value != Value::AsFile));
 }
 
 /// A copy that differs in few of many entries asks for these ranges only.
@@ -465,8 +486,8 @@
     let mut second = filled(9, chain[..most].iter().cloned());
     let mut first = filled(8, chain.into_iter());
     let (passed, events) = repair(&mut first, &mut second, 0.0, Vec::new());
-    let Event::InForce { version, edits } = &events[0] else { panic!("{:?}", events[0]) };
-    assert_eq!((*version, edits.len()), (most as u64 + 5000, 10));
+    let Event::InForce { version, entries } = &events[0] else { panic!("{:?}", events[0]) };
+    assert_eq!((*version, entries.len()), (most as u64 + 5000, 10));
     println!("{passed} messages");
     assert!(passed < 120, "{passed} messages");
 }
--- a/tests/fleet_config.rs
+++ b/tests/fleet_config.rs
@@ -3,32 +3,14 @@
 
 mod rig;
 
-use rig::fleet::{Fleet, Shape};
-use rig::holdings::{self, contradictions, events, field, holdings_of, number, Token};
+use rig::changes::*;
+use rig::fleet::Fleet;
+use rig::holdings::{self, contradictions, holdings_of, Token};
 use rig::*;
-use serde_json::{json, Value};
-use std::collections::HashMap;
+use serde_json::json;
 use std::io::Write;
 use std::time::{Duration, Instant};
 
-const ALL: [usize; 5] = [0, 1, 2, 3, 4];
-
-/// Five proxies, three of them voters.
-fn fleet(seed: u64, backend: &BackendServer) -> Fleet {
-    let known = vec![entry("b0", backend.address, "SERVING")];
-    let lease_ms = 800;
-    Fleet::of(Shape {
-        size: 5,
-        seed,
-        known,
-        voters: 3,
-        lease_ms,
-        floor: 0.5,
-        max_age_s: 5.0,
-        ..Shape::default()
-    })
-}
-
 /// Waits until one proxy holds the duty under a token above that one, and may propose.
 fn holder(fleet: &Fleet, above: &Token) -> (usize, Token) {
     fleet.wait("a holder", |fleet| {
@@ -38,83 +20,6 @@
     })
 }
 
-fn status(fleet: &Fleet, n: usize) -> Value {
-    fleet.json(n, "/config")
-}
-
-fn version(fleet: &Fleet, n: usize) -> u64 {
-    status(fleet, n)["version"].as_u64().expect("a version")
-}
-
-/// A change of one tenant at a proxy's door, made from that version.
-fn put(fleet: &Fleet, n: usize, name: &str, base: u64, quota: u64) -> (u16, Value) {
-    let body = json!({ "version": base, "value": { "name": name, "quota_rps": quota as f64 } });
-    said(&fleet.call(n, &format!("PUT /config/tenants/{name}"), &body.to_string()))
-}
-
-fn said(answer: &Message) -> (u16, Value) {
-    (answer.status(), serde_json::from_slice(&answer.body).unwrap_or_default())
-}
-
-/// What a call comes to, once somebody holds the duty: on a machine that is short of time a lease may end in between.
-fn answered(fleet: &Fleet, n: usize, line: &str, body: &str) -> (u16, Value) {
-    fleet.wait("an answer", |fleet| {
-        let answer = said(&fleet.call(n, line, body));
-        (answer.0 != 503).then_some(answer)
-    })
-}
-
-fn put_answered(fleet: &Fleet, n: usize, name: &str, base: u64, quota: u64) -> (u16, Value) {
-    fleet.wait("an answer", |fleet| Some(put(fleet, n, name, base, quota)).filter(|answer| answer.0 != 503))
-}
-
-/// The same until it is taken; its version.
-fn put_surely(fleet: &Fleet, n: usize, name: &str, quota: u64) -> u64 {
-    fleet.wait("a change to be taken", |fleet| {
-        let (status, told) = put(fleet, n, name, version(fleet, n), quota);
-        eprintln!("proxy {n}, {name}: {status} {told}");
-        (status == 200).then(|| told["version"].as_u64().expect("its version"))
-    })
-}
-
-/// What a proxy has of a tenant: its quota, none where it never changed.
-fn quota(fleet: &Fleet, n: usize, name: &str) -> Option<u64> {
-    let (status, told) = said(&fleet.call(n, &format!("GET /config/tenants/{name}"), ""));
-    (status == 200).then(|| told["value"]["quota_rps"].as_f64().expect("its quota") as u64)
-}
-
-/// Waits until these have one version, at least that one, in force and with one content; which.
-fn equal(fleet: &Fleet, of: &[usize], least: u64) -> u64 {
-    fleet.wait("equal copies", |fleet| {
-        let all: Vec<Value> = of.iter().map(|n| status(fleet, *n)).collect();
-        let version = all[0]["version"].as_u64().filter(|version| *version >= least)?;
-        let same = |s: &Value| {
-            s["version"] == version && s["in_force"] == version && s["digest"] == all[0]["digest"]
-        };
-        all.iter().all(same).then_some(version)
-    })
-}
-
-/// Over all processes that ever were: no two states of one version, no copy that went back, one holder at a time.
-fn consistent(fleet: &Fleet) {
-    let lives = fleet.lives();
-    let wrong = contradictions(&lives);
-    assert!(wrong.is_empty(), "{wrong:#?}");
-    let mut digests: HashMap<u64, String> = HashMap::new();
-    for life in &lives {
-        let mut last = 0;
-        for line in events(&life.log, "config_copy") {
-            let (version, digest) = (number(line, "version").unwrap(), field(line, "digest").unwrap());
-            assert!(version > last, "proxy {} went from {last} to {version}", life.proxy);
-            last = version;
-            let known = digests.entry(version).or_insert(digest.into());
-            assert_eq!(known, digest, "proxy {}: two states have version {version}", life.proxy);
-        }
-        assert_eq!(events(&life.log, "config_diverged").next(), None);
-    }
-    assert!(!digests.is_empty(), "too few versions to prove anything");
-}
-
 #[test]
 fn changes_at_any_door_come_into_force_at_all_or_are_refused_with_the_reason() {
     let backend = BackendServer::start(|_| ok("x"));
--- a/tests/rig/fleet.rs
+++ b/tests/rig/fleet.rs
@@ -65,6 +65,8 @@
     pub floor: f64,
     /// How long facts are used, and how long a proxy that hears of no holder goes by what it last heard.
     pub max_age_s: f64,
+    /// More keys of the file, each with a comma before it.
+    pub more: String,
 }
 
 impl Shape {
@@ -89,7 +91,8 @@
         );
         let tmp = ("TMPDIR", folder().to_str().unwrap().to_string());
         let variables = [&self.variables[..], &[tmp]].concat();
-        let proxy = Proxy::seeded(n as u64 + 1, &self.known, &settings, &(peers + &duties), &variables);
+        let proxy =
+            Proxy::seeded(n as u64 + 1, &self.known, &settings, &(peers + &duties + &self.more), &variables);
         faults.started(n, &proxy.said);
         proxy
     }
@@ -117,6 +120,11 @@
         begun.elapsed()
     }
 
+    /// More keys of the file for the processes that start from now on.
+    pub fn write_more(&mut self, more: String) {
+        self.shape.more = more;
+    }
+
     /// A new process under the name and address of number `n`, with nothing in its memory. Where its turn has come
     /// after a truncation, it is the next.
     pub fn restart(&mut self, n: usize) {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::time::Duration;
 
+pub mod changes;
 pub mod faults;
 pub mod fleet;
 pub mod holdings;
