Share the generator of large configurations between benches

The scale run needs the file that benches/tables.rs makes. Its settings and requests move to benches/common/generated.rs unchanged; benches/tables.rs uses them from there (built, not run again).

--- a/benches/tables.rs
+++ b/benches/tables.rs
@@ -3,9 +3,12 @@
 //! `cargo bench --bench tables`, with states behind `--` (`routes=2100`, `tenants=130000`, `backends=25000`, `all`) where
 //! not all are wanted; never by the tests.
 
+#[path = "common/generated.rs"]
+mod generated;
 #[path = "../tests/rig/mod.rs"]
 mod rig;
 
+use generated::{request, settings, Size};
 use rig::*;
 use shaletide::settings::{Amendment, Change, InForce, Reading, Settings};
 use shaletide::{Balancer, Event, Time};
@@ -25,14 +28,6 @@
 const SERVERS: usize = 4;
 const AMENDMENTS: usize = 1000;
 
-/// How much of each stands in the file.
-#[derive(Clone, Copy)]
-struct Size {
-    routes: usize,
-    tenants: usize,
-    backends: usize,
-}
-
 const LEAST: Size = Size { routes: 2, tenants: 0, backends: 100 };
 
 /// The states that the arguments name, or all.
@@ -46,34 +41,6 @@
     states.filter(|(name, _)| named.is_empty() || named.contains(name)).collect()
 }
 
-fn settings(size: Size, first_quota: f64) -> String {
-    let route = |n: usize| {
-        format!(
-            r#"{{"name":"route-{n:05}","aim_us":900000,"deadline_us":3000000,"effect":"free","gain":1.0,"late_worth":0.5}}"#
-        )
-    };
-    let quota = |n: usize| if n == 0 { first_quota } else { 0.5 + (n % 7) as f64 };
-    let tenant = |n: usize| format!(r#"{{"name":"tenant-{n:06}","quota_rps":{}}}"#, quota(n));
-    let routes: Vec<String> = (0..size.routes).map(route).collect();
-    let tenants: Vec<String> = (0..size.tenants).map(tenant).collect();
-    let (from, to) = (SETTINGS.find("\"profiles\":[").unwrap(), SETTINGS.find("\"rules\"").unwrap());
-    let text = format!("{}\"profiles\":[{}],\n{}", &SETTINGS[..from], routes.join(","), &SETTINGS[to..]);
-    text.replace(r#"[{"name":"north","quota_rps":500.0}]"#, &format!("[{}]", tenants.join(",")))
-}
-
-/// The n-th request: routes and tenants in turns, with strides that meet all of them.
-fn request(size: Size, n: usize) -> String {
-    let route = (n * 7919) % size.routes;
-    let text = read(2.0).replace("/read/", &format!("/route-{route:05}/"));
-    match size.tenants {
-        0 => text,
-        tenants => {
-            let tenant = (n * 104_729) % tenants;
-            text.replace("\r\n\r\n", &format!("\r\nX-Account: tenant-{tenant:06}\r\n\r\n"))
-        }
-    }
-}
-
 /// MB that the process holds.
 fn resident(proxy: &Proxy) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap_or_default();
