--- a/benches/scale/figures.rs
+++ b/benches/scale/figures.rs
@@ -47,11 +47,42 @@
     Some([at(0.5)?.0, at(0.99)?.0, at(1.0)?.0])
 }
 
+/// A machine that is busier says nothing of the program.
+pub const MOST_BUSY: f64 = 90.0;
+
+/// How long changes took until they were in force at the last proxy.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Spread {
+    pub changes: u32,
+    /// Milliseconds of half, 99 in 100 and the last of those that came.
+    pub ms: Option<[u32; 3]>,
+    /// So many came within the aim and the bound.
+    pub within_2s: u32,
+    pub within_5s: u32,
+    /// So many did not come in the phase.
+    pub never: u32,
+}
+
+impl Spread {
+    /// Of each change the milliseconds, `None` where it is not in force at some.
+    pub fn of(slowest: impl Iterator<Item = Option<u32>>) -> Option<Spread> {
+        let all: Vec<Option<u32>> = slowest.collect();
+        let mut came: Vec<u32> = all.iter().copied().flatten().collect();
+        came.sort_unstable();
+        let hist: Vec<(u32, u32)> = came.iter().map(|ms| (*ms, 1)).collect();
+        let within = |bound: u32| came.iter().filter(|ms| **ms <= bound).count() as u32;
+        let (within_2s, within_5s) = (within(2000), within(5000));
+        let (changes, never) = (all.len() as u32, (all.len() - came.len()) as u32);
+        (changes > 0).then(|| Spread { changes, ms: quantiles(&hist), within_2s, within_5s, never })
+    }
+}
+
 /// The role of hollow proxies.
 pub const HOLLOW: &str = "hollow";
 
 /// One phase at one size, for one role.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Row {
     pub size: u32,
     pub phase: String,
@@ -93,6 +124,19 @@
     /// Of the whole machine, and of it by this run.
     pub busy_percent: f64,
     pub own_percent: f64,
+    /// The machine was too busy for the row to say anything of the program.
+    pub void: bool,
+    /// From the call at a door until a change was in force at the last proxy of the role.
+    pub in_force: Option<Spread>,
+    /// Of the proxy of the role that has most; the mean of the role in the quiet phase; resident memory of the smallest
+    /// program.
+    pub most_cpu_percent: f64,
+    pub quiet_cpu_percent: Option<f64>,
+    pub most_resident_kb: f64,
+    pub smallest_kb: f64,
+    /// What became of what was tried, in words, and whether that is as it must be.
+    pub outcome: Option<String>,
+    pub wrong: bool,
 }
 
 /// A straight line through points by least squares.
@@ -149,9 +193,21 @@
     ]);
     for r in rows {
         println!(
-            "| {} | {} | {} ({}) | {:.0} | {:.1} | {:.0} | {:.0} | {:.3} | {:.3} | {:.0} | {} | {:.2} | {:.0} ({:.1}) |",
-            r.size, r.phase, r.role, r.proxies, r.seconds, r.datagrams, r.bytes, r.most_bytes,
-            r.cpu_percent, r.module_percent, r.resident_kb, r.told, r.heard, r.busy_percent, r.own_percent,
+            "| {} | {} | {} ({}) | {:.0} | {:.1} | {:.0} | {:.0} | {:.3} | {:.3} | {:.0} | {} | {:.2} | {} |",
+            r.size,
+            r.phase,
+            r.role,
+            r.proxies,
+            r.seconds,
+            r.datagrams,
+            r.bytes,
+            r.most_bytes,
+            r.cpu_percent,
+            r.module_percent,
+            r.resident_kb,
+            r.told,
+            r.heard,
+            load(r),
         );
     }
     println!();
@@ -191,6 +247,89 @@
     }
 }
 
+/// What control may spend on a proxy: percent of a core, kB over the smallest program, bytes a second.
+const BUDGET: [f64; 3] = [1.4, 32_000.0, 6_000.0];
+
+/// Prints when changes were in force at the last proxy, what control spent, and what became of faults.
+pub fn control(rows: &[Row]) {
+    head(&[
+        "proxies",
+        "phase",
+        "role",
+        "changes",
+        "in force at the last, ms: half / 99% / last",
+        "within 2 s",
+        "within 5 s",
+        "never",
+        "machine busy % (own)",
+    ]);
+    for (r, s) in rows.iter().filter_map(|r| Some((r, r.in_force.as_ref()?))) {
+        let ms = s.ms.map_or("-".into(), |[half, most, last]| format!("{half} / {most} / {last}"));
+        println!(
+            "| {} | {} | {} | {} | {ms} | {} | {} | {} | {} |",
+            r.size,
+            r.phase,
+            r.role,
+            s.changes,
+            s.within_2s,
+            s.within_5s,
+            s.never,
+            load(r),
+        );
+    }
+    println!();
+    head(&[
+        "proxies",
+        "phase",
+        "role",
+        "% of a core: mean, most (quiet)",
+        "kB over the smallest program: mean, most",
+        "bytes/s: mean, most",
+        "over 1.4% / 32 MB / 6 KB in the mean",
+        "machine busy % (own)",
+    ]);
+    for r in rows.iter().filter(|r| r.smallest_kb > 0.0) {
+        let (mean_kb, most_kb) = (r.resident_kb - r.smallest_kb, r.most_resident_kb - r.smallest_kb);
+        let over = [r.cpu_percent, mean_kb, r.bytes].into_iter().zip(BUDGET).map(|(used, allowed)| {
+            if used > allowed {
+                format!("+{:.0}%", (used / allowed - 1.0) * 100.0)
+            } else {
+                "no".into()
+            }
+        });
+        println!(
+            "| {} | {} | {} ({}) | {:.3}, {:.3} ({}) | {mean_kb:.0}, {most_kb:.0} | {:.0}, {:.0} | {} | {} |",
+            r.size,
+            r.phase,
+            r.role,
+            r.proxies,
+            r.cpu_percent,
+            r.most_cpu_percent,
+            r.quiet_cpu_percent.map_or("-".into(), |q| format!("{q:.3}")),
+            r.bytes,
+            r.most_bytes,
+            over.collect::<Vec<_>>().join(" / "),
+            load(r),
+        );
+    }
+    println!();
+    head(&["proxies", "phase", "outcome", "as it must be", "machine busy % (own)"]);
+    for (r, outcome) in rows.iter().filter_map(|r| Some((r, r.outcome.as_ref()?))) {
+        println!(
+            "| {} | {} | {outcome} | {} | {} |",
+            r.size,
+            r.phase,
+            if r.wrong { "**no**" } else { "yes" },
+            load(r)
+        );
+    }
+}
+
+/// How busy the machine was, and whether that makes the row void.
+fn load(r: &Row) -> String {
+    format!("{:.0} ({:.1}){}", r.busy_percent, r.own_percent, if r.void { " void" } else { "" })
+}
+
 type Figure = (&'static str, fn(&Row) -> Option<f64>);
 
 const FIGURES: [Figure; 8] = [
--- a/benches/scale/fleet.rs
+++ b/benches/scale/fleet.rs
@@ -2,19 +2,21 @@
 
 use super::hollow::mono_us;
 use super::plan::Plan;
-use super::protocol::{Absence, Command, Cut, Faults, Learned, Load, Reply, Sample};
-use super::rig::{entry, folder, BackendServer, Client, Proxy, Refusing, SETTINGS};
-use super::{figures, hollow, rig, worker};
-use std::collections::BTreeMap;
+use super::protocol::{Absence, Command, Conditions, Cut, Faults, Isolation, Learned, Load, Reply, Sample};
+use super::real::{self, wait, Real, RealProxy, Recipe, CLUSTER, MAX_AGE_S};
+use super::relay::Shared;
+use super::rig::{holdings, Client};
+use super::{figures, hollow, in_force, rig, worker};
+use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::process::{Child, ChildStdin, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
 
-const CLUSTER: &str = "scale";
-const MAX_AGE_S: f64 = 5.0;
 /// No answer of a worker takes as long, however busy the machine is.
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Backends that proxies know, of which the first so many are dead, and requests a second at each under trouble.
@@ -32,12 +34,12 @@
     seat: Seat,
     replies: Receiver<Reply>,
     /// Its proxies.
-    of: std::ops::Range<u32>,
+    of: Vec<u32>,
 }
 
 impl Link {
     /// This executable once more, as a worker.
-    fn process(of: std::ops::Range<u32>) -> Link {
+    fn process(of: Vec<u32>) -> Link {
         let own = std::env::current_exe().expect("this executable");
         let mut command = std::process::Command::new(own);
         let piped = command.arg(super::HIDDEN).stdin(Stdio::piped()).stdout(Stdio::piped());
@@ -55,7 +57,7 @@
         Link { seat: Seat::Process(child, input), replies, of }
     }
 
-    fn thread(of: std::ops::Range<u32>) -> Link {
+    fn thread(of: Vec<u32>) -> Link {
         let (tell, replies) = channel();
         let (say, commands) = tokio::sync::mpsc::unbounded_channel();
         std::thread::spawn(move || {
@@ -98,8 +100,10 @@
 pub struct Shape {
     pub size: u32,
     pub seed: u64,
-    /// Of `size`, so many are real processes: the first, which all others join through, and voters on duties.
+    /// Of `size`, so many are real processes, even over the zones: all others join through them, and up to five vote on duties.
     pub real: u32,
+    /// These have the plan's whole file, or a small one.
+    pub full: bool,
     /// Hollow proxies to a worker.
     pub each: u32,
     /// Workers are threads of this process.
@@ -108,13 +112,28 @@
 
 pub struct Fleet {
     pub plan: Plan,
-    pub real: Vec<Proxy>,
+    pub real: Vec<RealProxy>,
+    pub recipe: Recipe,
+    /// Resident kB of the program with the smallest file.
+    pub smallest_kb: u64,
     links: Vec<Link>,
-    /// Behind the real ones.
-    backends: Option<(Vec<BackendServer>, Vec<Refusing>)>,
+    conditions: Conditions,
+    /// The same for the relays.
+    shared: Shared,
+    /// Clients of real ones go on.
+    asking: Arc<AtomicBool>,
     probes: u32,
 }
 
+/// A change that was taken: its number, its version, and when it was asked for and answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Changed {
+    pub number: u32,
+    pub version: u64,
+    pub asked: u64,
+    pub answered: u64,
+}
+
 /// Seconds until all knew all, and until they lacked no more than one pair in [`NEARLY`]; `None` where that did not
 /// come in time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -129,67 +148,45 @@
 pub struct Moment {
     pub at: Instant,
     pub hollow: Vec<Sample>,
-    /// Each real one's datagrams and bytes sent, facts told and heard, members, then processor time and memory.
     pub real: Vec<Real>,
     pub machine: figures::Machine,
 }
 
-#[derive(Clone, Copy)]
-pub struct Real {
-    pub sent: u64,
-    pub bytes: u64,
-    pub told: u64,
-    pub heard: u64,
-    pub members: u32,
-    pub cpu_ns: u64,
-    pub resident_kb: u64,
-}
-
 impl Fleet {
-    /// Starts the real ones and the workers; hollow proxies start with [`Fleet::join`].
+    /// Starts the real ones, one after the other, and the workers; hollow proxies start with [`Fleet::join`].
     pub fn new(shape: Shape) -> Fleet {
-        let Shape { size, seed, real, each, threads } = shape;
+        let Shape { size, seed, real, full, each, threads } = shape;
         let plan = Plan { size, port: free_port(), seed };
-        let starts = (real..size).step_by(each as usize);
-        let ranges = starts.map(|from| from..(from + each).min(size));
+        let numbers = plan.real(real);
+        let votes = real::voting(real);
+        let voters: Vec<SocketAddr> = votes.iter().map(|n| plan.address(numbers[*n as usize])).collect();
+        let seeds: Vec<SocketAddr> = match numbers.as_slice() {
+            [] => (0..size.min(3)).map(|n| plan.address(n)).collect(),
+            numbers => numbers.iter().map(|n| plan.address(*n)).collect(),
+        };
+        let recipe = Recipe::new(plan, &seeds, &voters, full, TROUBLE.backends, TROUBLE.dead);
+        let smallest_kb = if real > 0 { real::smallest_kb() } else { 0 };
+        let shared = Shared::default();
+        let start = |(n, number): (u32, &u32)| {
+            RealProxy::start(&recipe, n, *number, votes.contains(&n), shared.clone())
+        };
+        let started: Vec<RealProxy> = (0..).zip(&numbers).map(start).collect();
+        let hollow: Vec<u32> = (0..size).filter(|n| !numbers.contains(n)).collect();
+        let parts = hollow.chunks(each as usize).map(<[u32]>::to_vec);
         let mut links: Vec<Link> =
-            ranges.map(|of| if threads { Link::thread(of) } else { Link::process(of) }).collect();
-        let seeds: Vec<SocketAddr> = (0..real.max(3).min(size)).map(|n| plan.address(n)).collect();
-        let voters = (0..real).map(|n| plan.address(n)).collect();
+            parts.map(|of| if threads { Link::thread(of) } else { Link::process(of) }).collect();
         let said = Command::Plan { plan, seeds, voters, cluster: CLUSTER.into(), max_age_s: MAX_AGE_S };
         links.iter_mut().for_each(|link| link.say(&said));
         links.iter().for_each(|link| drop(link.reply()));
-        let mut fleet = Fleet { plan, real: Vec::new(), links, backends: None, probes: 0 };
-        fleet.start_real(real);
-        fleet
-    }
-
-    fn start_real(&mut self, count: u32) {
-        if count == 0 {
-            return;
-        }
-        let dead: Vec<Refusing> = (0..TROUBLE.dead).map(|_| Refusing::new()).collect();
-        let live: Vec<BackendServer> =
-            (TROUBLE.dead..TROUBLE.backends).map(|_| BackendServer::start(|_| rig::ok("x"))).collect();
-        let at = dead.iter().map(Refusing::address).chain(live.iter().map(|b| b.address));
-        let known: Vec<String> =
-            at.enumerate().map(|(n, at)| entry(&format!("b{n}"), at, "SERVING")).collect();
-        let all: Vec<String> = (0..count).map(|n| format!("\"{}\"", self.plan.address(n))).collect();
-        let all = all.join(",");
-        for n in 0..count {
-            let group = format!(r#""position":{n},"group_size":{},"#, self.plan.size);
-            let settings = SETTINGS.replace(r#""position":0,"group_size":1,"#, &group);
-            let at = self.plan.address(n);
-            let voters =
-                if count % 2 == 1 { format!(r#","duties":{{"voters":[{all}]}}"#) } else { String::new() };
-            let more = format!(
-                r#","peers":{{"listen":"{at}","cluster":"{CLUSTER}","seeds":[{all}],"max_age_s":{MAX_AGE_S}}}{voters}"#
-            );
-            let tmp = ("TMPDIR", folder().to_str().expect("a name").to_string());
-            let seed = self.plan.seed + u64::from(n) + 1;
-            self.real.push(Proxy::seeded(seed, &known, &settings, &more, &[tmp]));
+        let (conditions, asking) = (Conditions::default(), Arc::default());
+        let fleet =
+            Fleet { plan, real: started, recipe, smallest_kb, links, conditions, shared, asking, probes: 0 };
+        let met = |r: &RealProxy| r.json("/peers")["members"].as_array().map_or(0, Vec::len) + 1;
+        let all = || fleet.real.iter().all(|r| met(r) >= fleet.real.len());
+        if !wait(PATIENCE, all) {
+            eprintln!("the real ones do not know each other yet");
         }
-        self.backends = Some((live, dead));
+        fleet
     }
 
     /// Starts all hollow proxies, so many of each worker at a time, and waits until all know all.
@@ -198,8 +195,8 @@
         let longest = self.links.iter().map(|l| l.of.len() as u32).max().unwrap_or(0);
         for from in (0..longest).step_by(wave as usize) {
             let part = |link: &Link| {
-                let at = |n: u32| (link.of.start + n).min(link.of.end);
-                Command::Start((at(from)..at(from + wave)).collect())
+                let part = link.of.iter().skip(from as usize).take(wave as usize);
+                Command::Start(part.copied().collect())
             };
             self.each(part);
             std::thread::sleep(pause);
@@ -249,7 +246,17 @@
     }
 
     pub fn faults(&mut self, faults: Faults) -> u64 {
-        self.each(|_| Command::Faults(faults));
+        self.conditions(Conditions { faults, ..self.conditions })
+    }
+
+    pub fn isolate(&mut self, isolation: Isolation) -> u64 {
+        self.conditions(Conditions { isolation, ..self.conditions })
+    }
+
+    fn conditions(&mut self, conditions: Conditions) -> u64 {
+        self.conditions = conditions;
+        *self.shared.lock().expect("no panic under it") = conditions;
+        self.each(|_| Command::Conditions(conditions));
         mono_us()
     }
 
@@ -268,26 +275,89 @@
         (number, at)
     }
 
-    /// Asks a real proxy's door to change one entry, from the version that it is at; the change's number, when it was
-    /// asked and when it was answered, or why not.
-    pub fn change(&mut self, at: usize, from: &mut u64) -> Result<(u32, u64, u64), String> {
+    /// The entry of a change of its own, and the call that sets it from that version.
+    pub fn next_change(&mut self, from: u64) -> (u32, String, String) {
         self.probes += 1;
-        let (number, asked) = (self.probes, mono_us());
-        let body = format!(r#"{{"version":{from},"value":{{"quota_rps":{number}.5}}}}"#);
-        let head = format!("PUT /config/tenants/{} HTTP/1.1\r\nHost: door\r\n", hollow::change(number));
-        let door = self.real[at % self.real.len()].control.ok_or("no door")?;
-        let answer =
-            Client::connect(door).ask(&format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()));
+        let (number, name) = (self.probes, hollow::change(self.probes));
+        let body = format!(r#"{{"version":{from},"value":{{"name":"{name}","quota_rps":{number}.5}}}}"#);
+        (number, format!("PUT /config/tenants/{name}"), body)
+    }
+
+    /// Asks a real proxy's door to change one entry, from the version that it is at, or why not.
+    pub fn change(&mut self, at: usize, from: &mut u64) -> Result<Changed, String> {
+        let (number, line, body) = self.next_change(*from);
+        let asked = mono_us();
+        let answer = self.real[at % self.real.len()].call(&line, &body).ok_or("no answer")?;
         let said: serde_json::Value = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
-        *from = said["version"].as_u64().ok_or(format!("{}: {said}", answer.status()))?;
-        Ok((number, asked, mono_us()))
+        let refused = || format!("{}: {said}", answer.status());
+        let taken = said["version"].as_u64().filter(|_| answer.status() == 200);
+        let version = taken.ok_or_else(refused)?;
+        *from = version;
+        Ok(Changed { number, version, asked, answered: mono_us() })
     }
 
-    /// The version at a real proxy's door.
+    /// The newest version at a real proxy's door.
     pub fn version(&self) -> u64 {
-        let said = self.real.first().map(|p| p.call("GET /config").body).unwrap_or_default();
-        let said: serde_json::Value = serde_json::from_slice(&said).unwrap_or_default();
-        said["version"].as_u64().unwrap_or(0)
+        let version = |r: &RealProxy| r.json("/config")["version"].as_u64().unwrap_or(0);
+        self.real.iter().map(version).max().unwrap_or(0)
+    }
+
+    /// Milliseconds until each change was in force at the last of these real ones, `None` where it is not at some.
+    pub fn real_slowest(
+        &self, changes: &[Changed], of: impl Fn(&RealProxy) -> bool,
+    ) -> BTreeMap<u32, Option<u32>> {
+        let mut slowest = BTreeMap::new();
+        for came in self.real.iter().filter(|r| of(r)).map(RealProxy::came) {
+            for change in changes {
+                let at = came.iter().find(|(version, _)| *version >= change.version);
+                let ms = at.map(|(_, at)| (at.saturating_sub(change.asked) / 1000) as u32);
+                in_force::merge(&mut slowest, change.number, ms);
+            }
+        }
+        slowest
+    }
+
+    /// Which real one holds the configuration's duty under a token above that one, and its token.
+    pub fn holder(&self, above: Option<&holdings::Token>) -> Option<(usize, holdings::Token)> {
+        let lives: Vec<_> = self.real.iter().flat_map(RealProxy::lives).collect();
+        let all = holdings::holdings_of("config", &lives);
+        let now = all.iter().rfind(|h| h.to == u64::MAX && above.is_none_or(|above| h.token > *above))?;
+        let at = self.real.iter().position(|r| r.number as usize == now.proxy)?;
+        Some((at, now.token.clone()))
+    }
+
+    /// What contradicts that a version has one content, that no copy goes back, and that one holds the duty at a time.
+    pub fn contradictions(&self) -> Vec<String> {
+        let lives: Vec<_> = self.real.iter().flat_map(RealProxy::lives).collect();
+        let mut wrong = holdings::contradictions(&lives);
+        let mut digests: HashMap<u64, String> = HashMap::new();
+        for life in &lives {
+            let mut last = 0;
+            for line in holdings::events(&life.log, "config_copy") {
+                let Some(version) = holdings::number(line, "version") else { continue };
+                let digest = holdings::field(line, "digest").unwrap_or_default();
+                if version <= last {
+                    wrong.push(format!("proxy {} went from {last} to {version}", life.proxy));
+                }
+                last = version;
+                if digests.entry(version).or_insert(digest.into()) != digest {
+                    wrong.push(format!("two states have version {version}"));
+                }
+            }
+            wrong.extend(holdings::events(&life.log, "config_diverged").map(String::from));
+        }
+        wrong
+    }
+
+    pub fn hollow_versions(&mut self) -> (u64, u64) {
+        let all = self.samples();
+        all.iter().fold((u64::MAX, 0), |(low, high), s| (low.min(s.versions.0), high.max(s.versions.1)))
+    }
+
+    /// Whether every copy, of hollow proxies and of these real ones, is at that version or above.
+    pub fn reached(&mut self, version: u64, of: impl Fn(&RealProxy) -> bool) -> bool {
+        self.real.iter().filter(|r| of(r)).all(|r| r.in_force() >= version)
+            && self.hollow_versions().0 >= version
     }
 
     pub fn samples(&mut self) -> Vec<Sample> {
@@ -304,6 +374,7 @@
         let mut hists = [(); 3].map(|()| BTreeMap::<u32, u32>::new());
         for reply in self.each(|_| said.clone()) {
             let Reply::Learned(one) = reply else { continue };
+            one.slowest.iter().for_each(|(n, ms)| in_force::merge(&mut all.slowest, *n, *ms));
             for (hist, part) in hists.iter_mut().zip([one.gone, one.back, one.heard]) {
                 part.into_iter().for_each(|(ms, n)| *hist.entry(ms).or_default() += n);
             }
@@ -317,7 +388,7 @@
     }
 
     pub fn moment(&mut self) -> Moment {
-        let real = self.real.iter().map(Real::of).collect();
+        let real = self.real.iter().map(RealProxy::counts).collect();
         let hollow = self.samples();
         Moment { at: Instant::now(), hollow, real, machine: figures::Machine::now() }
     }
@@ -325,7 +396,7 @@
     /// Asks the real ones as often as the load says, but no more than ten times a second, until that time.
     pub fn ask_real(&self, load: Load, end: Instant) {
         let pause = Duration::from_secs_f64(1.0 / load.per_second.min(10.0));
-        for at in self.real.iter().map(|p| p.address) {
+        for at in self.real.iter().map(|r| r.proxy.address) {
             std::thread::spawn(move || {
                 let mut client = Client::connect(at);
                 while Instant::now() < end {
@@ -335,27 +406,41 @@
             });
         }
     }
-}
 
-impl Real {
-    fn of(proxy: &Proxy) -> Real {
-        let status: serde_json::Value =
-            serde_json::from_slice(&proxy.call("GET /peers").body).expect("JSON at the door");
-        let count = |name: &str| status[name].as_u64().expect("a count");
-        let process = proxy.child.id();
-        let tasks = std::fs::read_dir(format!("/proc/{process}/task"));
-        let each = tasks.into_iter().flatten().flatten();
-        let cpu_ns = each.map(|t| worker::first_number(&format!("{}/schedstat", t.path().display()))).sum();
-        Real {
-            sent: count("sent"),
-            bytes: count("sent_bytes"),
-            told: count("facts_told"),
-            heard: count("facts_heard"),
-            members: status["members"].as_array().map_or(0, |m| m.len() as u32),
-            cpu_ns,
-            resident_kb: worker::resident_of(&process.to_string()),
+    /// Lets clients ask the last so many real ones that do not vote, so often a second each, until [`Fleet::calm`].
+    pub fn ask(&mut self, count: usize, per_second: f64) {
+        self.asking.store(true, Relaxed);
+        for real in self.real.iter_mut().rev().filter(|r| !r.votes).take(count) {
+            real.asked = true;
+            let requests: Vec<String> = (0..1000).map(|n| self.recipe.request(n)).collect();
+            let (at, asking, pause) =
+                (real.proxy.address, self.asking.clone(), Duration::from_secs_f64(1.0 / per_second));
+            std::thread::spawn(move || {
+                let mut client = Client::connect(at);
+                for request in requests.iter().cycle() {
+                    std::thread::sleep(pause);
+                    if !asking.load(Relaxed) {
+                        return;
+                    }
+                    client.send(request);
+                    if client.answer().is_none() {
+                        client = Client::connect(at);
+                    }
+                }
+            });
         }
     }
+
+    pub fn calm(&mut self) {
+        self.asking.store(false, Relaxed);
+        self.real.iter_mut().for_each(|r| r.asked = false);
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.calm();
+    }
 }
 
 /// A port that nobody has now, for all addresses of a run.
--- a/benches/scale/hollow.rs
+++ b/benches/scale/hollow.rs
@@ -3,7 +3,7 @@
 use super::balance::Balance;
 use super::carry::{Carry, Mail};
 use super::plan::Plan;
-use super::protocol::{Faults, Load, LATE_US};
+use super::protocol::{Conditions, Load, LATE_US};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use shaletide::fleet::membership::wire::{self, Refused, Seal};
@@ -78,7 +78,7 @@
     membership: RefCell<Membership>,
     balance: RefCell<Option<Balance>>,
     carry: RefCell<Option<Carry>>,
-    faults: Rc<Cell<Faults>>,
+    conditions: Rc<Cell<Conditions>>,
     random: RefCell<Pcg32>,
     pub tally: Rc<Tally>,
     /// Something changed, or this proxy is to stop.
@@ -89,7 +89,7 @@
 impl Hollow {
     /// Takes its socket and works until it is stopped.
     pub fn start(
-        plan: Plan, number: u32, rules: Rules, voters: Vec<SocketAddr>, faults: Rc<Cell<Faults>>,
+        plan: Plan, number: u32, rules: Rules, voters: Vec<SocketAddr>, conditions: Rc<Cell<Conditions>>,
         tally: Rc<Tally>,
     ) -> io::Result<Rc<Hollow>> {
         let address = plan.address(number);
@@ -105,7 +105,7 @@
             membership: RefCell::new(Membership::new(rules, address, seed, true, now())),
             balance: RefCell::default(),
             carry: RefCell::new(Carry::new(voters, address, seed ^ now().wall_us, now().time)),
-            faults,
+            conditions,
             random: RefCell::new(Pcg32::seed_from_u64(seed)),
             tally,
             wake: Notify::new(),
@@ -124,7 +124,7 @@
             let wait = Duration::from_micros((due - Time(mono_us())).0);
             tokio::select! {
                 got = self.socket.recv_from(&mut buffer) => if let Ok((length, from)) = got {
-                    if !self.cut(from) {
+                    if self.hears(from) {
                         self.turn(|m, now, out| m.datagram(&buffer[..length], now, out));
                     }
                 },
@@ -240,10 +240,13 @@
         }
     }
 
-    fn cut(&self, other: SocketAddr) -> bool {
-        let Some(region) = self.faults.get().cut else { return false };
-        let there = self.plan.proxy(other).map(|proxy| self.plan.region(proxy) == region);
-        there.is_some_and(|there| there != (self.plan.region(self.number) == region))
+    /// Whether a datagram from there arrives. One of a real proxy, whose socket has another port, is lost here, as it has no
+    /// sending side of ours; those of hollow ones are lost where they are sent.
+    fn hears(&self, from: SocketAddr) -> bool {
+        let conditions = self.conditions.get();
+        let passes =
+            self.plan.proxy(from).is_none_or(|from| conditions.passes(&self.plan, from, self.number));
+        passes && (from.port() == self.plan.port || self.drawn() >= conditions.faults.lost)
     }
 
     /// Seals and sends, as far as the faults let it.
@@ -251,8 +254,10 @@
         let Ok(bytes) = self.seal.seal(body, now().wall_us) else { return };
         self.tally.sent.set(self.tally.sent.get() + 1);
         self.tally.bytes.set(self.tally.bytes.get() + bytes.len() as u64);
-        let faults = self.faults.get();
-        if self.cut(to) || self.drawn() < faults.lost {
+        let conditions = self.conditions.get();
+        let faults = conditions.faults;
+        let passes = self.plan.proxy(to).is_none_or(|to| conditions.passes(&self.plan, self.number, to));
+        if !passes || self.drawn() < faults.lost {
             return;
         }
         let copies = if self.drawn() < faults.doubled { 2 } else { 1 };
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -1,16 +1,22 @@
 //! What a fleet costs as it grows, and how quick it is: hollow proxies, many to a process, beside a few real ones in one
 //! cluster on loopback, in the plan's regions and zones. Never run by the tests.
 //!
-//! `cargo bench --bench scale -- [SIZE ..] [--phases NAME,..] [--seed N] [--real N] [--each N] [--cut SECONDS]
-//! [--wave N] [--patience SECONDS] [--json FILE] [--clockwork]` plays these sizes (30 100 300 900 1800) and prints a JSON line for each
-//! phase and role, then the tables; `-- --table FILE ..` prints the tables of lines that earlier runs wrote.
+//! `cargo bench --bench scale -- [SIZE ..] [--phases NAME,..] [--seed N] [--real N] [--full] [--each N] [--cut SECONDS]
+//! [--wave N] [--patience SECONDS] [--deadline SECONDS] [--json FILE] [--clockwork]` plays these sizes (30 100 300 900 1800) and
+//! prints a JSON line for each phase and role, then the tables; `-- --table FILE ..` prints the tables of lines that earlier
+//! runs wrote. With `--full` the real ones have the plan's whole file. A phase that fails ends the run; the rows before it are kept.
 
 mod balance;
 mod carry;
+mod changes;
 mod clockwork;
 mod figures;
 mod fleet;
+#[path = "../common/generated.rs"]
+mod generated;
+mod holder;
 mod hollow;
+mod in_force;
 mod learned;
 /// The codec of what is said about duties is the program's.
 #[allow(dead_code)] // the program uses more of it
@@ -25,15 +31,19 @@
 mod phases;
 mod plan;
 mod protocol;
+mod real;
+mod relay;
 #[path = "../../tests/rig/mod.rs"]
 mod rig;
+mod rows;
 mod worker;
 
 use figures::Row;
 use fleet::{Fleet, Shape};
 use phases::{Play, Spans};
 use std::io::Write;
-use std::time::Duration;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::time::{Duration, Instant};
 
 /// The argument by which this executable is a worker of another run.
 pub const HIDDEN: &str = "--hollow";
@@ -45,17 +55,21 @@
 const HOLLOW_KB: u64 = 900;
 const PROCESS_KB: u64 = 8_000;
 const REAL_KB: u64 = 40_000;
+const FULL_KB: u64 = 90_000;
 
 struct Asked {
     sizes: Vec<u32>,
     phases: Vec<String>,
     seed: u64,
     real: u32,
+    full: bool,
     each: u32,
     cut: u64,
     /// Hollow proxies of each worker that start at a time, twice a second, and seconds until all are to know all.
     wave: u32,
     patience: u64,
+    /// Seconds after which the run ends whatever it does.
+    deadline: u64,
     json: Option<String>,
     /// Without sockets, on a clock of our own.
     clockwork: bool,
@@ -67,10 +81,12 @@
         phases: phases::ALL.map(String::from).to_vec(),
         seed: 1,
         real: 5,
+        full: false,
         each: 60,
         cut: 60,
         wave: 4,
         patience: 30,
+        deadline: 3600,
         json: None,
         clockwork: false,
     };
@@ -87,6 +103,8 @@
             "--phases" => asked.phases = value()?.split(',').map(String::from).collect(),
             "--seed" => asked.seed = u64::from(number(value()?)?),
             "--real" => asked.real = number(value()?)?,
+            "--full" => asked.full = true,
+            "--deadline" => asked.deadline = u64::from(number(value()?)?),
             "--each" => asked.each = number(value()?)?.max(1),
             "--cut" => asked.cut = u64::from(number(value()?)?),
             "--wave" => asked.wave = number(value()?)?.max(1),
@@ -110,7 +128,9 @@
         return Err(format!("{processes} processes, over {MOST_PROCESSES}"));
     }
     let hollow = u64::from(size) * HOLLOW_KB;
-    let needed = hollow + u64::from(workers) * PROCESS_KB + u64::from(asked.real) * REAL_KB;
+    let needed = hollow
+        + u64::from(workers) * PROCESS_KB
+        + u64::from(asked.real) * if asked.full { FULL_KB } else { REAL_KB };
     let available = figures::available_kb();
     if needed > available / 2 {
         return Err(format!("{needed} kB needed, over half of the {available} kB that can be had"));
@@ -118,17 +138,29 @@
     Ok(())
 }
 
-fn play(size: u32, asked: &Asked) -> Result<Vec<Row>, String> {
+/// Plays all phases, or those before one that fails; whether all were played.
+fn play(size: u32, asked: &Asked, rows: &mut Vec<Row>) -> Result<bool, String> {
     fits(size, asked)?;
+    let open = |path| std::fs::OpenOptions::new().create(true).append(true).open(path);
+    let mut kept = asked.json.as_ref().map(open).transpose().map_err(|e| e.to_string())?;
     if asked.clockwork {
         let plan = plan::Plan { size, port: 1, seed: asked.seed };
-        return Ok(clockwork::Clockwork::new(plan).rows(&asked.phases));
+        for row in clockwork::Clockwork::new(plan).rows(&asked.phases) {
+            if let Some(file) = &mut kept {
+                writeln!(file, "{}", serde_json::to_string(&row).expect("plain data"))
+                    .map_err(|e| e.to_string())?;
+            }
+            rows.push(row);
+        }
+        return Ok(true);
     }
-    let real = asked.real.min(size / 3);
-    let shape = Shape { size, seed: asked.seed, real, each: asked.each, threads: false };
+    let (real, full) = (asked.real.min(size / 3), asked.full);
+    let shape = Shape { size, seed: asked.seed, real, full, each: asked.each, threads: false };
+    let begun = Instant::now();
     let mut fleet = Fleet::new(shape);
+    eprintln!("{} real ones started: {:.1?}", fleet.real.len(), begun.elapsed());
     let joined = fleet.join(asked.wave, Duration::from_millis(500), Duration::from_secs(asked.patience));
-    eprintln!("{size} started: {joined:?}");
+    eprintln!("{size} started: {:.1?}, {joined:?}", begun.elapsed());
     let seconds = Duration::from_secs;
     let spans = Spans {
         quiet: seconds(20),
@@ -142,10 +174,27 @@
         heal: seconds(15),
         settle: seconds(10),
     };
-    let mut play = Play::new(fleet, spans);
+    let mut play = Play::new(fleet, spans, kept);
     std::thread::sleep(spans.settle);
-    asked.phases.iter().for_each(|phase| play.phase(phase));
-    Ok(play.rows())
+    let whole = asked.phases.iter().all(|phase| {
+        let played = catch_unwind(AssertUnwindSafe(|| play.phase(phase)));
+        eprintln!("{phase}: {} at {:.0?}", if played.is_ok() { "played" } else { "FAILED" }, begun.elapsed());
+        played.is_ok()
+    });
+    rows.extend(play.rows());
+    Ok(whole)
+}
+
+/// Ends this process, and with it the workers, and the real ones, if the run takes longer.
+fn guard(deadline: Duration) {
+    std::thread::spawn(move || {
+        std::thread::sleep(deadline);
+        eprintln!("scale: over its {deadline:?}");
+        for process in real::LIVE.lock().expect("no panic under it").iter() {
+            let _ = std::process::Command::new("kill").args(["-KILL", &process.to_string()]).status();
+        }
+        std::process::exit(3);
+    });
 }
 
 fn read(files: &[String]) -> Result<Vec<Row>, String> {
@@ -162,6 +211,8 @@
 fn tables(rows: &[Row]) {
     figures::table(rows);
     println!();
+    figures::control(rows);
+    println!();
     figures::lines(rows, PLAN);
 }
 
@@ -172,24 +223,17 @@
         return Ok(());
     }
     let asked = asked(args)?;
-    let mut rows = Vec::new();
+    guard(Duration::from_secs(asked.deadline));
+    let (mut rows, mut whole) = (Vec::new(), true);
     for size in &asked.sizes {
-        let played = play(*size, &asked)?;
-        if let Some(path) = &asked.json {
-            let mut file = std::fs::OpenOptions::new()
-                .create(true)
-                .append(true)
-                .open(path)
-                .map_err(|e| e.to_string())?;
-            for row in &played {
-                writeln!(file, "{}", serde_json::to_string(row).expect("plain data"))
-                    .map_err(|e| e.to_string())?;
-            }
-        }
-        rows.extend(played);
+        whole &= play(*size, &asked, &mut rows)?;
     }
     tables(&rows);
-    Ok(())
+    if whole {
+        Ok(())
+    } else {
+        Err("a phase failed".into())
+    }
 }
 
 fn main() {
--- a/benches/scale/phases.rs
+++ b/benches/scale/phases.rs
@@ -1,12 +1,16 @@
 //! What befalls the fleet, and what is counted meanwhile.
 
-use super::figures::{quantiles, Row, HOLLOW};
-use super::fleet::{Fleet, Moment, Whole, STORM, TROUBLE};
+use super::figures::{Row, Spread, HOLLOW};
+use super::fleet::{Changed, Fleet, Whole, STORM, TROUBLE};
+use super::holder::{Fate, Heard};
 use super::hollow::mono_us;
-use super::protocol::{Absence, Cut, Faults, Learned, Load};
+use super::protocol::{Absence, Cut, Faults, Load};
+use super::rows::{self, ALL_REAL};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 /// The plan's day over 1,800 proxies: restarts and replacements, and failures.
@@ -17,10 +21,13 @@
 /// Out of so many events one is a failure.
 const ONE_FAILS_OF: u32 = 20;
 /// A restarted proxy is away so long, a failed one's replacement comes so late.
-const RESTARTED: Duration = Duration::from_secs(2);
+pub const RESTARTED: Duration = Duration::from_secs(2);
 const REPLACED: Duration = Duration::from_secs(20);
 
-pub const ALL: [&str; 13] = [
+/// A tenth of the datagrams lost, as many doubled, as many late.
+pub const WORST: Faults = Faults { lost: 0.1, doubled: 0.1, late: 0.1, cut: None };
+
+pub const ALL: [&str; 16] = [
     "quiet",
     "churn",
     "probes",
@@ -30,6 +37,9 @@
     "changes-churn",
     "changes-lost",
     "changes-worst",
+    "changes-lost10-rack",
+    "changes-region",
+    "changes-holder",
     "loss",
     "rack",
     "zone",
@@ -56,14 +66,17 @@
 
 /// What happened in a phase.
 #[derive(Default)]
-struct Done {
-    absences: Vec<Absence>,
-    probes: Vec<(u32, u64)>,
-    cut: Option<Cut>,
-    whole: Whole,
-    /// Milliseconds until each change was answered.
-    answered: Vec<u32>,
-    events: u32,
+pub struct Done {
+    pub absences: Vec<Absence>,
+    pub probes: Vec<(u32, u64)>,
+    pub cut: Option<Cut>,
+    pub whole: Whole,
+    /// Changes that were taken.
+    pub changes: Vec<Changed>,
+    pub events: u32,
+    /// What became of it, in words, and whether that is not as it must be.
+    pub outcome: Option<String>,
+    pub wrong: bool,
 }
 
 pub struct Play {
@@ -71,12 +84,16 @@
     pub spans: Spans,
     random: Pcg32,
     rows: Vec<Row>,
+    /// Each row goes there as soon as it is known.
+    kept: Option<File>,
+    /// Percent of a core that each role took in the quiet phase.
+    quiet: BTreeMap<String, f64>,
 }
 
 impl Play {
-    pub fn new(fleet: Fleet, spans: Spans) -> Play {
+    pub fn new(fleet: Fleet, spans: Spans, kept: Option<File>) -> Play {
         let random = Pcg32::seed_from_u64(fleet.plan.seed);
-        Play { fleet, spans, random, rows: Vec::new() }
+        Play { fleet, spans, random, rows: Vec::new(), kept, quiet: BTreeMap::new() }
     }
 
     pub fn rows(self) -> Vec<Row> {
@@ -99,8 +116,15 @@
                 self.changes("changes, 1% lost", Faults { lost: 0.01, ..Faults::default() }, 0.0)
             }
             "changes-worst" => {
-                let faults = Faults { lost: 0.1, doubled: 0.1, late: 0.1, cut: None };
-                self.changes("changes, 10% lost", faults, 0.0);
+                self.changes("changes, 10% lost", WORST, 0.0);
+            }
+            "changes-lost10-rack" => self.changes_without_rack(),
+            "changes-region" => self.changes_while_cut(),
+            "changes-holder" => {
+                for fate in [Fate::Killed, Fate::Stopped, Fate::CutOff] {
+                    self.without_holder(Heard::Nobody, fate);
+                    self.without_holder(Heard::All, fate);
+                }
             }
             "loss" => {
                 self.loss("1% lost", 0.01);
@@ -114,31 +138,53 @@
     }
 
     /// Counts over a span what comes of it.
-    fn watch(&mut self, phase: &str, span: Duration, during: impl FnOnce(&mut Play) -> Done) {
+    pub fn watch(&mut self, phase: &str, span: Duration, during: impl FnOnce(&mut Play) -> Done) {
         let (since, before) = (mono_us(), self.fleet.moment());
         let done = during(self);
         std::thread::sleep(span.saturating_sub(before.at.elapsed()));
         let after = self.fleet.moment();
         let learned = self.fleet.learned(since, &done.absences, &done.probes, done.cut);
-        let rows = rows(self.fleet.plan.size, phase, &before, &after, &done, &learned);
-        for row in &rows {
-            println!("{}", serde_json::to_string(row).expect("plain data"));
+        let mut rows = rows::rows(&self.fleet, phase, &before, &after, &done, &learned);
+        let plan = self.fleet.plan;
+        let connected = |number: u32| done.cut.is_none_or(|cut| plan.region(number) != cut.region);
+        let real = self.fleet.real_slowest(&done.changes, |r| connected(r.number));
+        for row in &mut rows {
+            row.in_force = match row.role.as_str() {
+                HOLLOW if done.cut.is_none() && !done.changes.is_empty() => {
+                    Spread::of(learned.slowest.values().copied())
+                }
+                ALL_REAL => Spread::of(real.values().copied()),
+                _ => None,
+            };
+            if phase == "quiet" {
+                self.quiet.insert(row.role.clone(), row.cpu_percent);
+            }
+            row.quiet_cpu_percent = self.quiet.get(&row.role).copied();
+            let line = serde_json::to_string(row).expect("plain data");
+            println!("{line}");
+            if let Some(Err(why)) = self.kept.as_mut().map(|file| writeln!(file, "{line}")) {
+                eprintln!("a row is not kept: {why}");
+            }
         }
         self.rows.extend(rows);
     }
 
     /// A hollow proxy that is none of these, and no seed.
-    fn drawn(&mut self, but: &[Absence]) -> u32 {
-        let first = (self.fleet.real.len() as u32).max(3);
+    pub fn drawn(&mut self, but: &[Absence]) -> u32 {
+        let first = if self.fleet.real.is_empty() { 3 } else { 0 };
         loop {
             let n = first + self.random.next_u32() % (self.fleet.plan.size - first);
-            if but.iter().all(|a| a.proxy != n) {
+            if !self.is_real(n) && but.iter().all(|a| a.proxy != n) {
                 return n;
             }
         }
     }
 
-    fn settle(&mut self) {
+    fn is_real(&self, number: u32) -> bool {
+        self.fleet.real.iter().any(|r| r.number == number)
+    }
+
+    pub fn settle(&mut self) {
         self.fleet.whole(Instant::now(), self.spans.heal);
         std::thread::sleep(self.spans.settle);
     }
@@ -168,7 +214,9 @@
     }
 
     /// Waits until then, and meanwhile brings back whoever is due.
-    fn back_until(&mut self, end: Instant, returns: &mut Vec<(Instant, usize)>, absences: &mut [Absence]) {
+    pub fn back_until(
+        &mut self, end: Instant, returns: &mut Vec<(Instant, usize)>, absences: &mut [Absence],
+    ) {
         loop {
             returns.sort();
             let due = returns.first().copied().filter(|r| r.0 <= end);
@@ -207,54 +255,8 @@
         self.settle();
     }
 
-    /// Operators change the configuration five times a second, at one real proxy's door after the other.
-    fn changes(&mut self, name: &str, faults: Faults, churn: f64) {
-        self.fleet.faults(faults);
-        let span = self.spans.changes;
-        self.watch(name, span + Duration::from_secs(5), |play| {
-            let (begun, mut from) = (Instant::now(), play.fleet.version());
-            let count = (span.as_secs_f64() * 5.0) as u32;
-            let mut done = Done::default();
-            let mut returns = Vec::new();
-            let rate = play.events_in(span, churn);
-            for n in 0..count {
-                let at = begun + span.mul_f64(f64::from(n) / f64::from(count));
-                play.back_until(at, &mut returns, &mut done.absences);
-                if rate > 0 && n % (count / rate).max(1) == 0 {
-                    let proxy = play.drawn(&done.absences);
-                    done.absences.push(Absence { proxy, from: mono_us(), to: None });
-                    play.fleet.stop(&[proxy], true);
-                    returns.push((Instant::now() + RESTARTED, done.absences.len() - 1));
-                }
-                match play.fleet.change(n as usize, &mut from) {
-                    Ok((number, asked, answered)) => {
-                        done.probes.push((number, asked));
-                        done.answered.push(((answered - asked) / 1000) as u32);
-                    }
-                    Err(why) => {
-                        eprintln!("{name}: change {n}: {why}");
-                        from = play.fleet.version();
-                    }
-                }
-            }
-            play.back_until(begun + span, &mut returns, &mut done.absences);
-            done.answered.sort_unstable();
-            let last = done.answered.last().copied();
-            eprintln!("{name}: {} of {count} taken, answered after ms: last {last:?}", done.probes.len());
-            Done { events: done.probes.len() as u32, ..done }
-        });
-        self.fleet.faults(Faults::default());
-        let versions = self
-            .fleet
-            .samples()
-            .iter()
-            .fold((u64::MAX, 0), |(low, high), s| (low.min(s.versions.0), high.max(s.versions.1)));
-        eprintln!("{name}: versions at the end {versions:?}, at the door {}", self.fleet.version());
-        self.settle();
-    }
-
     /// Restarts and failures in a span at so many times the plan's rate a proxy.
-    fn events_in(&self, span: Duration, times: f64) -> u32 {
+    pub fn events_in(&self, span: Duration, times: f64) -> u32 {
         let rate = (RESTARTS + FAILURES) / DAY / PLANNED * f64::from(self.fleet.plan.size) * times;
         (rate * span.as_secs_f64()).round() as u32
     }
@@ -268,9 +270,7 @@
 
     /// So many at one place gone at once without a word, a third of the fleet at most, and back cold.
     fn group(&mut self, name: &str, count: u32) {
-        let size = self.fleet.plan.size;
-        let from = self.fleet.plan.in_zone(super::plan::ZONES / 2).start;
-        let who: Vec<u32> = (from..size).take(count.min(size / 3) as usize).collect();
+        let who = self.neighbours(count);
         let mut gone_at = 0;
         self.watch(&format!("{name} gone"), self.spans.gone, |play| {
             gone_at = mono_us();
@@ -289,6 +289,13 @@
         self.settle();
     }
 
+    /// So many hollow ones of one place, a third of the fleet at most.
+    pub fn neighbours(&self, count: u32) -> Vec<u32> {
+        let size = self.fleet.plan.size;
+        let from = self.fleet.plan.in_zone(super::plan::ZONES / 2).start;
+        (from..size).filter(|n| !self.is_real(*n)).take(count.min(size / 3) as usize).collect()
+    }
+
     /// The last region hears nobody else, and nobody hears it, until it heals.
     fn region(&mut self) {
         let region = super::plan::REGIONS - 1;
@@ -306,88 +313,3 @@
         self.settle();
     }
 }
-
-/// The rows of a phase: one for the hollow proxies, and of real ones one for who sent most and one for the others.
-fn rows(size: u32, phase: &str, before: &Moment, after: &Moment, done: &Done, learned: &Learned) -> Vec<Row> {
-    let seconds = (after.at - before.at).as_secs_f64();
-    let busy_percent = after.machine.busy_since(before.machine);
-    let hollow_ns: u64 =
-        after.hollow.iter().zip(&before.hollow).map(|(a, b)| a.cpu_ns.saturating_sub(b.cpu_ns)).sum();
-    let real: Vec<_> = after.real.iter().zip(&before.real).collect();
-    let real_ns: u64 = real.iter().map(|(a, b)| a.cpu_ns.saturating_sub(b.cpu_ns)).sum();
-    let cores = std::thread::available_parallelism().map_or(1, usize::from) as f64;
-    let percent = |ns: u64| ns as f64 / 1e9 / seconds * 100.0;
-    let common = Row {
-        size,
-        phase: phase.into(),
-        seconds,
-        events: done.events,
-        whole_s: done.whole.all_s,
-        nearly_s: done.whole.nearly_s,
-        busy_percent,
-        own_percent: percent(hollow_ns + real_ns) / cores,
-        ..Row::default()
-    };
-    let proxies: u32 = after.hollow.iter().map(|s| s.proxies).sum();
-    let each = f64::from(proxies.max(1));
-    let grown = |of: fn(&super::protocol::Sample) -> u64| {
-        let sum: u64 =
-            after.hollow.iter().zip(&before.hollow).map(|(a, b)| of(a).saturating_sub(of(b))).sum();
-        sum as f64
-    };
-    let mut bytes: BTreeMap<u32, u64> = BTreeMap::new();
-    after.hollow.iter().for_each(|s| bytes.extend(&s.bytes));
-    for (proxy, earlier) in before.hollow.iter().flat_map(|s| &s.bytes) {
-        bytes.entry(*proxy).and_modify(|b| *b -= earlier);
-    }
-    let resident: u64 = after.hollow.iter().map(|s| s.resident_kb.saturating_sub(s.base_kb)).sum();
-    let hollow = Row {
-        role: HOLLOW.into(),
-        proxies,
-        datagrams: grown(|s| s.sent) / seconds / each,
-        bytes: bytes.values().sum::<u64>() as f64 / seconds / each,
-        most_bytes: bytes.values().max().copied().unwrap_or(0) as f64 / seconds,
-        cpu_percent: percent(hollow_ns) / each,
-        module_percent: percent(grown(|s| s.balancers_ns) as u64) / each,
-        resident_kb: resident as f64 / each,
-        told: grown(|s| s.told) as u64,
-        heard: grown(|s| s.heard) / seconds / each,
-        rejoined: grown(|s| s.rejoined) as u64,
-        false_downs: learned.false_downs,
-        gone_ms: quantiles(&learned.gone),
-        back_ms: quantiles(&learned.back),
-        heard_ms: quantiles(&learned.heard),
-        missing: [learned.gone_missing, learned.back_missing, learned.heard_missing],
-        lacking: after.hollow.iter().map(|s| s.lacking).sum(),
-        lack: after.hollow.iter().map(|s| s.lack).sum(),
-        least_known: after.hollow.iter().map(|s| s.least).min().unwrap_or(0),
-        ..common.clone()
-    };
-    let mut rows = vec![hollow];
-    let holder = real.iter().enumerate().max_by_key(|(_, (a, b))| a.bytes - b.bytes).map(|(n, _)| n);
-    for (role, holds) in [("real, holder", true), ("real, voter", false)] {
-        let of: Vec<_> =
-            real.iter().enumerate().filter(|(n, _)| (Some(*n) == holder) == holds).map(|(_, r)| r).collect();
-        let each = of.len() as f64;
-        let mean = |figure: fn(&super::fleet::Real) -> u64| {
-            of.iter().map(|(a, b)| figure(a).saturating_sub(figure(b)) as f64).sum::<f64>() / each
-        };
-        if of.is_empty() {
-            continue;
-        }
-        rows.push(Row {
-            role: role.into(),
-            proxies: of.len() as u32,
-            datagrams: mean(|r| r.sent) / seconds,
-            bytes: mean(|r| r.bytes) / seconds,
-            most_bytes: of.iter().map(|(a, b)| a.bytes - b.bytes).max().unwrap_or(0) as f64 / seconds,
-            cpu_percent: percent(mean(|r| r.cpu_ns) as u64),
-            resident_kb: of.iter().map(|(a, _)| a.resident_kb as f64).sum::<f64>() / each,
-            told: of.iter().map(|(a, b)| a.told - b.told).sum(),
-            heard: mean(|r| r.heard) / seconds,
-            least_known: of.iter().map(|(a, _)| a.members).min().unwrap_or(0),
-            ..common.clone()
-        });
-    }
-    rows
-}
--- a/benches/scale/plan.rs
+++ b/benches/scale/plan.rs
@@ -23,6 +23,11 @@
         self.zone(proxy) * REGIONS / ZONES
     }
 
+    /// Which proxies are real processes where so many are: even over the zones.
+    pub fn real(&self, count: u32) -> Vec<u32> {
+        (0..count).map(|n| n * self.size / count).collect()
+    }
+
     /// All proxies of a zone.
     pub fn in_zone(&self, zone: u32) -> std::ops::Range<u32> {
         let begin = |zone: u32| (zone * self.size).div_ceil(ZONES);
--- a/benches/scale/protocol.rs
+++ b/benches/scale/protocol.rs
@@ -18,6 +18,31 @@
 
 pub const LATE_US: u64 = 50_000;
 
+/// A proxy that the others do not hear, or that does not hear them, of whatever kind they are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Isolation {
+    /// Nobody hears it.
+    pub mute: Option<u32>,
+    /// It hears nobody.
+    pub deaf: Option<u32>,
+}
+
+/// All that is wrong with the ways between proxies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Conditions {
+    pub faults: Faults,
+    pub isolation: Isolation,
+}
+
+impl Conditions {
+    /// Whether anything passes that way at all.
+    pub fn passes(&self, plan: &Plan, from: u32, to: u32) -> bool {
+        let Conditions { faults, isolation } = self;
+        let cut = faults.cut.is_some_and(|r| (plan.region(from) == r) != (plan.region(to) == r));
+        !cut && isolation.mute != Some(from) && isolation.deaf != Some(to)
+    }
+}
+
 /// Requests at each proxy, and the backends behind them: the first are dead.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -59,7 +84,7 @@
         who: Vec<u32>,
         leave: bool,
     },
-    Faults(Faults),
+    Conditions(Conditions),
     Load(Option<Load>),
     /// Let this proxy tell a probe of that number.
     Probe {
@@ -129,4 +154,6 @@
     pub heard_missing: u32,
     /// Live proxies that were taken for down.
     pub false_downs: u32,
+    /// Of each change, by its number, milliseconds until it was in force at the last; `None` where it is not at some.
+    pub slowest: BTreeMap<u32, Option<u32>>,
 }
--- /dev/null
+++ b/benches/scale/real.rs
@@ -0,0 +1,263 @@
+//! The real ones of a fleet: processes of the program with a door, each behind a relay at its place in the plan.
+
+use super::generated::{self, Size};
+use super::plan::Plan;
+use super::relay::{Relay, Shared};
+use super::rig::{entry, folder, holdings, BackendServer, Client, Message, Proxy, Refusing, SETTINGS};
+use super::{rig, worker};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+pub const CLUSTER: &str = "scale";
+pub const MAX_AGE_S: f64 = 5.0;
+/// The plan's file, and the smallest.
+pub const FULL: Size = Size { routes: 21_000, tenants: 130_000, backends: 25_000 };
+const SERVERS: usize = 8;
+/// A process has loaded its file by then, and what it was read with is given back.
+const LOADED: Duration = Duration::from_millis(500);
+
+/// Processes of real proxies that live now, for whoever has to end them in a hurry.
+pub static LIVE: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+fn noted(proxy: Proxy) -> Proxy {
+    LIVE.lock().expect("no panic under it").insert(proxy.child.id());
+    proxy
+}
+
+/// What all real ones are started with.
+pub struct Recipe {
+    plan: Plan,
+    seeds: String,
+    voters: String,
+    known: Vec<String>,
+    settings: String,
+    pub full: bool,
+    /// Behind them.
+    _backends: (Vec<BackendServer>, Vec<Refusing>),
+}
+
+/// Of so many real ones, which vote: five at most, an odd number, even over the others.
+pub fn voting(count: u32) -> Vec<u32> {
+    let voters = if count < 5 { count.saturating_sub(1) / 2 * 2 + count.min(1) } else { 5 };
+    (0..voters).map(|n| n * count / voters).collect()
+}
+
+/// As the settings name addresses.
+fn listed(addresses: &[SocketAddr]) -> String {
+    let each: Vec<String> = addresses.iter().map(|at| format!("\"{at}\"")).collect();
+    each.join(",")
+}
+
+impl Recipe {
+    /// With the plan's whole file, or a small one with `backends` of which the first `dead` refuse.
+    pub fn new(
+        plan: Plan, seeds: &[SocketAddr], voters: &[SocketAddr], full: bool, backends: u32, dead: u32,
+    ) -> Recipe {
+        let dead: Vec<Refusing> = (0..if full { 0 } else { dead }).map(|_| Refusing::new()).collect();
+        let count = if full { SERVERS } else { backends as usize - dead.len() };
+        let live: Vec<BackendServer> = (0..count).map(|_| BackendServer::start(|_| rig::ok("x"))).collect();
+        let total = if full { FULL.backends } else { backends as usize };
+        let at = dead.iter().map(Refusing::address).chain(live.iter().map(|b| b.address).cycle());
+        let known =
+            at.take(total).enumerate().map(|(n, at)| entry(&format!("b{n}"), at, "SERVING")).collect();
+        let settings = if full { generated::settings(FULL, 1.0) } else { SETTINGS.into() };
+        let (seeds, voters) = (listed(seeds), listed(voters));
+        Recipe { plan, seeds, voters, known, settings, full, _backends: (live, dead) }
+    }
+
+    fn start(&self, position: u32, number: u32) -> Proxy {
+        let group = format!(r#""position":{position},"group_size":{},"#, self.plan.size);
+        let settings = self.settings.replacen(r#""position":0,"group_size":1,"#, &group, 1);
+        let own = self.plan.address(number);
+        let duties = match self.voters.as_str() {
+            "" => String::new(),
+            voters => format!(r#","duties":{{"voters":[{voters}]}}"#),
+        };
+        let more = format!(
+            r#","peers":{{"listen":"{}:0","advertise":"{own}","cluster":"{CLUSTER}","seeds":[{}],"max_age_s":{MAX_AGE_S}}}{duties}"#,
+            own.ip(),
+            self.seeds
+        );
+        let tmp = ("TMPDIR", folder().to_str().expect("a name").to_string());
+        let seed = self.plan.seed + u64::from(position) + 1;
+        noted(Proxy::seeded(seed, &self.known, &settings, &more, &[tmp]))
+    }
+
+    /// The n-th request of a client.
+    pub fn request(&self, n: usize) -> String {
+        if self.full {
+            generated::request(FULL, n)
+        } else {
+            rig::read(2.0)
+        }
+    }
+}
+
+/// Resident kB of the program with the smallest file and nobody to talk to.
+pub fn smallest_kb() -> u64 {
+    let tmp = ("TMPDIR", folder().to_str().expect("a name").to_string());
+    let proxy = noted(Proxy::operated(&[], SETTINGS, &[tmp]));
+    std::thread::sleep(LOADED);
+    let kb = worker::resident_of(&proxy.child.id().to_string());
+    forget(&proxy);
+    kb
+}
+
+fn forget(proxy: &Proxy) {
+    LIVE.lock().expect("no panic under it").remove(&proxy.child.id());
+    let _ = std::fs::remove_file(&proxy.config); // may be gone
+}
+
+pub struct RealProxy {
+    /// Among the real ones, and in the plan.
+    position: u32,
+    pub number: u32,
+    pub votes: bool,
+    /// Clients ask it now.
+    pub asked: bool,
+    pub proxy: Proxy,
+    relay: Relay,
+    /// When its process was killed, if it is not restarted yet, and what earlier ones logged.
+    killed: Option<u64>,
+    past: Vec<holdings::Life>,
+}
+
+impl Drop for RealProxy {
+    fn drop(&mut self) {
+        forget(&self.proxy);
+    }
+}
+
+impl RealProxy {
+    pub fn start(recipe: &Recipe, position: u32, number: u32, votes: bool, shared: Shared) -> RealProxy {
+        let relay = Relay::start(recipe.plan, number, shared).expect("an address of the plan");
+        let proxy = recipe.start(position, number);
+        let (asked, killed, past) = Default::default();
+        let real = RealProxy { position, number, votes, asked, proxy, relay, killed, past };
+        real.place();
+        real
+    }
+
+    /// Lets the relay know where the process listens.
+    fn place(&self) {
+        let line = self.proxy.said.lines().find(|l| l.contains("peers_start")).expect("it shares state");
+        let at = holdings::field(line, "listen").and_then(|at| at.parse().ok()).expect("an address");
+        self.relay.target(at);
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.proxy.child.kill();
+        let _ = self.proxy.child.wait();
+        self.killed = Some(super::hollow::mono_us());
+    }
+
+    /// Another process in the place of one that was killed, which knows nothing.
+    pub fn restart(&mut self, recipe: &Recipe) {
+        forget(&self.proxy);
+        self.past.push(self.life());
+        self.proxy = recipe.start(self.position, self.number);
+        self.killed = None;
+        self.place();
+    }
+
+    fn life(&self) -> holdings::Life {
+        let log = self.proxy.lines("event=").join("\n");
+        holdings::Life { proxy: self.number as usize, log, killed: self.killed }
+    }
+
+    /// Every process that ever was in its place.
+    pub fn lives(&self) -> Vec<holdings::Life> {
+        let now = self.life();
+        self.past.iter().cloned().chain([now]).collect()
+    }
+
+    /// One call at its door, which may fail as the process may be gone or stand still.
+    pub fn call(&self, line: &str, body: &str) -> Option<Message> {
+        let door = self.proxy.control?;
+        let mut client = Client(std::io::BufReader::new(std::net::TcpStream::connect(door).ok()?));
+        client.0.get_ref().set_read_timeout(Some(rig::PATIENCE)).ok()?;
+        client.send(&call(line, body));
+        client.answer()
+    }
+
+    pub fn json(&self, path: &str) -> serde_json::Value {
+        let answer = self.call(&format!("GET {path}"), "");
+        answer.and_then(|answer| serde_json::from_slice(&answer.body).ok()).unwrap_or_default()
+    }
+
+    /// The version of the configuration that its requests go by.
+    pub fn in_force(&self) -> u64 {
+        self.json("/config")["in_force"].as_u64().unwrap_or(0)
+    }
+
+    /// When each version came into force, as its log says, in its order; a version that was passed over came with the next.
+    pub fn came(&self) -> Vec<(u64, u64)> {
+        let lines = self.proxy.lines("event=\"config_in_force\"");
+        let of =
+            |line: &String| Some((holdings::number(line, "version")?, holdings::number(line, "mono_us")?));
+        lines.iter().filter_map(of).collect()
+    }
+
+    pub fn counts(&self) -> Real {
+        let status = self.json("/peers");
+        let count = |name: &str| status[name].as_u64().unwrap_or(0);
+        let process = self.proxy.child.id();
+        let tasks = std::fs::read_dir(format!("/proc/{process}/task"));
+        let each = tasks.into_iter().flatten().flatten();
+        let cpu_ns = each.map(|t| worker::first_number(&format!("{}/schedstat", t.path().display()))).sum();
+        let role = match (self.asked, self.votes) {
+            (true, _) => ASKED,
+            _ if self.json("/config")["held"].is_string() => HOLDER,
+            (_, true) => VOTER,
+            _ => OTHER,
+        };
+        Real {
+            role,
+            sent: count("sent"),
+            bytes: count("sent_bytes"),
+            told: count("facts_told"),
+            heard: count("facts_heard"),
+            members: status["members"].as_array().map_or(0, |m| m.len() as u32),
+            cpu_ns,
+            resident_kb: worker::resident_of(&process.to_string()),
+        }
+    }
+}
+
+/// A call as it is written.
+pub fn call(line: &str, body: &str) -> String {
+    format!("{line} HTTP/1.1\r\nHost: door\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Roles of real ones: who holds the configuration's duty, the other voters, the others, and of those the ones with clients.
+pub const HOLDER: &str = "real, holder";
+pub const VOTER: &str = "real, voter";
+pub const OTHER: &str = "real, other";
+pub const ASKED: &str = "real, asked";
+
+/// What a real one counted: datagrams and bytes sent, facts told and heard, members, processor time and memory.
+#[derive(Clone, Copy)]
+pub struct Real {
+    pub role: &'static str,
+    pub sent: u64,
+    pub bytes: u64,
+    pub told: u64,
+    pub heard: u64,
+    pub members: u32,
+    pub cpu_ns: u64,
+    pub resident_kb: u64,
+}
+
+/// Waits until something is so, and says whether it came.
+pub fn wait(patience: Duration, mut done: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + patience;
+    while !done() {
+        if Instant::now() > end {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    true
+}
--- /dev/null
+++ b/benches/scale/relay.rs
@@ -0,0 +1,89 @@
+//! A real proxy's place in the plan: what others send there comes through here, so that the same befalls it as befalls
+//! what hollow ones send.
+
+use super::plan::Plan;
+use super::protocol::{Conditions, LATE_US};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How often it looks whether it is to end.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// What is wrong now, for all relays of a fleet.
+pub type Shared = Arc<Mutex<Conditions>>;
+
+struct Relaying {
+    plan: Plan,
+    number: u32,
+    socket: UdpSocket,
+    conditions: Shared,
+    /// Where the process in that place listens, while there is one.
+    target: Mutex<Option<SocketAddr>>,
+    ended: AtomicBool,
+}
+
+/// Ends when it is dropped.
+pub struct Relay(Arc<Relaying>);
+
+impl Relay {
+    pub fn start(plan: Plan, number: u32, conditions: Shared) -> io::Result<Relay> {
+        let socket = UdpSocket::bind(plan.address(number))?;
+        socket.set_read_timeout(Some(LOOK))?;
+        let (target, ended) = Default::default();
+        let relaying = Arc::new(Relaying { plan, number, socket, conditions, target, ended });
+        let of = relaying.clone();
+        std::thread::spawn(move || of.run());
+        Ok(Relay(relaying))
+    }
+
+    /// From now on there is a process at that address.
+    pub fn target(&self, address: SocketAddr) {
+        *self.0.target.lock().expect("no panic under it") = Some(address);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.0.ended.store(true, Relaxed);
+    }
+}
+
+impl Relaying {
+    fn run(self: Arc<Self>) {
+        let mut random = Pcg32::seed_from_u64(self.plan.seed ^ (u64::from(self.number) << 32));
+        let mut chance = move || f64::from(random.next_u32()) / (f64::from(u32::MAX) + 1.0);
+        let mut bytes = [0; 2048];
+        while !self.ended.load(Relaxed) {
+            let Ok((length, from)) = self.socket.recv_from(&mut bytes) else { continue };
+            let Some(target) = *self.target.lock().expect("no panic under it") else { continue };
+            let conditions = *self.conditions.lock().expect("no panic under it");
+            let passes = |from| conditions.passes(&self.plan, from, self.number);
+            if !self.plan.proxy(from).is_none_or(passes) {
+                continue;
+            }
+            // What comes from the plan's own port is a hollow one's, which lost its part already.
+            let faults = if from.port() == self.plan.port { Default::default() } else { conditions.faults };
+            if chance() < faults.lost {
+                continue;
+            }
+            let copies = if chance() < faults.doubled { 2 } else { 1 };
+            for _ in 0..copies {
+                if chance() >= faults.late {
+                    let _ = self.socket.send_to(&bytes[..length], target); // UDP is not sure to arrive
+                    continue;
+                }
+                let (of, data) = (self.clone(), bytes[..length].to_vec());
+                let wait = Duration::from_micros((chance() * LATE_US as f64) as u64);
+                std::thread::spawn(move || {
+                    std::thread::sleep(wait);
+                    let _ = of.socket.send_to(&data, target);
+                });
+            }
+        }
+    }
+}
--- a/benches/scale/worker.rs
+++ b/benches/scale/worker.rs
@@ -1,9 +1,10 @@
 //! Holds some of the hollow proxies on one thread, and does what the conductor says.
 
 use super::hollow::{probe, Hollow, Tally};
+use super::in_force::slowest;
 use super::learned::learned;
 use super::plan::Plan;
-use super::protocol::{Absence, Command, Cut, Faults, Learned, Load, Reply, Sample};
+use super::protocol::{Absence, Command, Conditions, Cut, Learned, Load, Reply, Sample};
 use shaletide::fleet::membership::{wire, Rules};
 use shaletide::{Micros, Verdict};
 use std::cell::Cell;
@@ -22,7 +23,7 @@
 pub struct Worker {
     plan: Option<(Plan, Rules, Vec<SocketAddr>)>,
     places: BTreeMap<u32, Place>,
-    faults: Rc<Cell<Faults>>,
+    conditions: Rc<Cell<Conditions>>,
     load: Option<Load>,
     base_kb: u64,
 }
@@ -33,8 +34,8 @@
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async move {
         let base_kb = resident_kb();
-        let (faults, places) = (Rc::default(), BTreeMap::new());
-        let mut worker = Worker { plan: None, places, faults, load: None, base_kb };
+        let (conditions, places) = (Rc::default(), BTreeMap::new());
+        let mut worker = Worker { plan: None, places, conditions, load: None, base_kb };
         while let Some(command) = commands.recv().await {
             reply(worker.command(command).unwrap_or_else(Reply::Failed));
         }
@@ -55,7 +56,7 @@
                     hollow.ok_or(format!("proxy {number} is not there"))?.stop(leave);
                 }
             }
-            Command::Faults(faults) => self.faults.set(faults),
+            Command::Conditions(conditions) => self.conditions.set(conditions),
             Command::Load(load) => {
                 self.load = load;
                 self.hollows().for_each(|hollow| hollow.load(load));
@@ -75,7 +76,7 @@
     fn start(&mut self, number: u32) -> Result<(), String> {
         let (plan, rules, voters) = self.plan.clone().ok_or("no plan yet")?;
         let place = self.places.entry(number).or_default();
-        let hollow = Hollow::start(plan, number, rules, voters, self.faults.clone(), place.tally.clone())
+        let hollow = Hollow::start(plan, number, rules, voters, self.conditions.clone(), place.tally.clone())
             .map_err(|e| format!("proxy {number} at {}: {e}", plan.address(number)))?;
         if self.load.is_some() {
             hollow.load(self.load);
@@ -132,7 +133,8 @@
         let there = self.places.iter().filter(|(_, place)| place.hollow.is_some());
         let news: Vec<_> = there.map(|(number, place)| (*number, place.tally.news.borrow())).collect();
         let asked = news.iter().map(|(number, news)| (*number, news.as_slice()));
-        learned(plan, asked, since, absences, probes, cut)
+        let slowest = slowest(asked.clone(), absences, probes);
+        Learned { slowest, ..learned(plan, asked, since, absences, probes, cut) }
     }
 }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -14,8 +14,13 @@
 #[path = "../benches/scale/fleet.rs"]
 mod fleet;
 #[allow(dead_code)]
+#[path = "../benches/common/generated.rs"]
+mod generated;
+#[allow(dead_code)]
 #[path = "../benches/scale/hollow.rs"]
 mod hollow;
+#[path = "../benches/scale/in_force.rs"]
+mod in_force;
 #[path = "../benches/scale/learned.rs"]
 mod learned;
 #[allow(dead_code)]
@@ -32,16 +37,23 @@
 #[allow(dead_code)]
 #[path = "../benches/scale/protocol.rs"]
 mod protocol;
+#[allow(dead_code)]
+#[path = "../benches/scale/real.rs"]
+mod real;
+#[allow(dead_code)]
+#[path = "../benches/scale/relay.rs"]
+mod relay;
 mod rig;
 #[allow(dead_code)]
 #[path = "../benches/scale/worker.rs"]
 mod worker;
 
-use figures::{quantiles, Line};
-use fleet::{Fleet, Shape, Whole, TROUBLE};
+use figures::{quantiles, Line, Spread};
+use fleet::{Changed, Fleet, Shape, Whole, TROUBLE};
 use hollow::mono_us;
 use plan::Plan;
-use protocol::{Absence, Faults, Learned};
+use protocol::{Absence, Faults, Isolation, Learned};
+use real::{wait, RealProxy};
 use std::time::{Duration, Instant};
 
 /// Workers are threads here.
@@ -50,7 +62,7 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 fn joined(size: u32, real: u32) -> Fleet {
-    let mut fleet = Fleet::new(Shape { size, seed: 5, real, each: 12, threads: true });
+    let mut fleet = Fleet::new(Shape { size, seed: 5, real, full: false, each: 12, threads: true });
     assert!(fleet.join(12, Duration::ZERO, PATIENCE).all_s.is_some(), "they never knew all");
     fleet
 }
@@ -140,6 +152,81 @@
     }
 }
 
+/// A change at that door that is taken in the end.
+fn changed(fleet: &mut Fleet, door: usize) -> Changed {
+    let mut taken = None;
+    let came = wait(PATIENCE, || {
+        let mut base = fleet.version();
+        taken = fleet.change(door, &mut base).ok();
+        taken.is_some()
+    });
+    assert!(came, "no change was taken");
+    taken.unwrap()
+}
+
+/// Of how many changes it is told that they are in force at the last hollow proxy, and at the last real one.
+fn told_in_force(fleet: &mut Fleet, changes: &[Changed]) -> [usize; 2] {
+    let asked: Vec<(u32, u64)> = changes.iter().map(|c| (c.number, c.asked)).collect();
+    let hollow = fleet.learned(0, &[], &asked, None).slowest;
+    let real = fleet.real_slowest(changes, |_| true);
+    [hollow, real].map(|slowest| slowest.values().flatten().count())
+}
+
+/// A change at a door is in force at each hollow proxy and at each real one, and the run says so; where one of them, hollow
+/// or real, hears nobody, the run says that it is not, until it hears again.
+#[test]
+fn a_change_counts_once_it_is_in_force_at_the_last_proxy() {
+    let mut fleet = joined(SIZE, 4);
+    let voting: Vec<u32> = fleet.real.iter().filter(|r| r.votes).map(|r| r.number).collect();
+    let other = fleet.real.iter().find(|r| !r.votes).unwrap().number;
+    assert_eq!((voting.as_slice(), other), (&[0, 9, 18][..], 27));
+    let mut changes = vec![changed(&mut fleet, 0)];
+    let came = wait(PATIENCE, || told_in_force(&mut fleet, &changes) == [1, 1]);
+    assert!(came, "{:?}", told_in_force(&mut fleet, &changes));
+    for (deaf, told) in [(20, [1, 2]), (other, [3, 2])] {
+        fleet.isolate(Isolation { deaf: Some(deaf), ..Isolation::default() });
+        changes.push(changed(&mut fleet, 1));
+        let version = changes.last().unwrap().version;
+        let hears = |r: &RealProxy| r.number != deaf;
+        let others = SIZE - 4 - u32::from(deaf == 20);
+        let number = changes.last().unwrap().number;
+        let came = wait(PATIENCE, || {
+            let heard = fleet.learned(0, &[], &[(number, 0)], None).heard;
+            let hollow: u32 = heard.iter().map(|(_, n)| n).sum();
+            hollow == others && fleet.real.iter().filter(|r| hears(r)).all(|r| r.in_force() >= version)
+        });
+        assert!(came, "all but {deaf} should have it");
+        assert_eq!(told_in_force(&mut fleet, &changes), told, "{deaf} has it, or is not asked");
+        fleet.isolate(Isolation::default());
+        let all = changes.len();
+        assert!(wait(PATIENCE, || told_in_force(&mut fleet, &changes) == [all, all]), "{deaf} never had it");
+    }
+    assert_eq!(fleet.contradictions(), [""; 0]);
+}
+
+/// By hand: of five changes one never came, and of the others three came within two seconds.
+#[test]
+fn a_spread_counts_what_came_and_what_did_not() {
+    let slowest = [Some(10), Some(5001), None, Some(2000), Some(20)];
+    let spread = Spread::of(slowest.into_iter()).unwrap();
+    let by_hand = Spread { changes: 5, ms: Some([20, 5001, 5001]), within_2s: 3, within_5s: 3, never: 1 };
+    assert_eq!(spread, by_hand);
+    assert_eq!(Spread::of(std::iter::empty()), None);
+}
+
+#[test]
+fn real_proxies_are_spread_over_the_plan_and_five_of_them_vote() {
+    let plan = Plan { size: 1800, port: 7, seed: 1 };
+    let real = plan.real(20);
+    let zones: std::collections::BTreeSet<u32> = real.iter().map(|n| plan.zone(*n)).collect();
+    assert_eq!(zones.len(), 20);
+    let voting: Vec<u32> = real::voting(20).iter().map(|n| plan.region(real[*n as usize])).collect();
+    assert_eq!(voting, [0, 1, 2, 4, 5], "no region has two, and the last none");
+    assert_eq!(plan.region(real[19]), 6);
+    assert_eq!([1, 2, 3, 4, 5, 9].map(|count| real::voting(count).len()), [1, 1, 3, 3, 5, 5]);
+    assert!(real::voting(0).is_empty());
+}
+
 #[test]
 fn each_place_of_the_plan_has_an_address_of_its_own() {
     for size in [30, 100, 300, 900, 1800] {
