Take a whole list in pieces that the allocator gives back

glibc keeps whatever is smaller than the largest block that it gave back, and so a list of 25,000 lines in one table of 4 MB let it keep 8 MB of a configuration's text after a reload. Lines are held in pieces of half a MiB, and discovery's answer is read from the pieces that it came in, not from one text put together.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: what this proxy is told at its start, as JSON by the platform or as TOML by operators.
 
-use super::list::{Line, Lines, List};
+use super::list::{Lines, List, Pieces};
 use super::snapshot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -73,7 +73,7 @@
 #[derive(Default)]
 pub struct Known {
     pub index: u64,
-    pub lines: Vec<Line>,
+    pub lines: Pieces,
 }
 
 /// Everything that the program starts with.
@@ -476,7 +476,8 @@
     collect(&slim, "", &mut keys);
     let mut unknown = Vec::new();
     let mut file = shape(slim, path, &mut unknown)?;
-    let known = Known { index: file.known.index, lines: long.endpoints.map_or_else(Vec::new, Lines::told) };
+    let known =
+        Known { index: file.known.index, lines: long.endpoints.map_or_else(Pieces::default, Lines::told) };
     let settings = Settings::new(std::mem::take(&mut file.settings), long.settings);
     if strict {
         unknown.extend(settings.unknown().into_iter().map(|key| format!("settings.{key}")));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,7 +4,7 @@
 use super::list::{Answer, Unread};
 use super::stream::Stream;
 use super::upstream::driven;
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::Request;
@@ -350,7 +350,7 @@
         let answer = sender.send_request(request).await.map_err(boxed)?;
         let status = answer.status().as_u16();
         let body = Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(WatchError::Http)?;
-        Ok((status, body.to_bytes()))
+        Ok((status, body.aggregate()))
     };
     let (status, body) = driven(conn, answer).await.unwrap_or(Err(WatchError::Ended))?;
     if status != 200 {
@@ -359,10 +359,10 @@
     read(body).await
 }
 
-async fn read(body: Bytes) -> Result<Answer, WatchError> {
-    let answer = match body.len() {
-        ..READ_ASIDE => Answer::read(&body),
-        _ => tokio::task::spawn_blocking(move || Answer::read(&body)).await.map_err(boxed)?,
+async fn read(body: impl Buf + Send + 'static) -> Result<Answer, WatchError> {
+    let answer = match body.remaining() {
+        ..READ_ASIDE => Answer::read(body),
+        _ => tokio::task::spawn_blocking(move || Answer::read(body)).await.map_err(boxed)?,
     };
     answer.map_err(WatchError::Unread)
 }
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -1,6 +1,6 @@
 //! The backends as the list, operators and earlier processes name them.
 
-use super::super::list::{Endpoint, Line, List};
+use super::super::list::{Endpoint, Line, List, Pieces};
 use super::super::snapshot::Saved;
 use super::known::{Known, Why};
 use super::state::State;
@@ -103,7 +103,7 @@
     }
 
     /// The same with the lines read before.
-    pub fn take(self: &Rc<Self>, update: ListUpdate, lines: &[Line]) {
+    pub fn take(self: &Rc<Self>, update: ListUpdate, lines: &Pieces) {
         let backends = {
             let mut s = self.state.borrow_mut();
             let s = &mut *s;
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -1,14 +1,18 @@
 //! The backend list in its JSON form.
 
+use bytes::Buf;
 use compact_str::CompactString;
 use serde::de::{SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use shaletide::settings::Row;
 use shaletide::{Backend, BackendState, CellId, Time};
+use std::io;
 use std::net::SocketAddr;
 use tracing::warn;
 
+const READ_AT_ONCE: usize = 8 * 1024;
+
 /// A list, or the changes to one. Entries are read one by one, so that a bad one spoils no other.
 #[derive(Clone, Debug, Default, Deserialize, serde::Serialize)]
 pub struct List {
@@ -64,10 +68,39 @@
     Unclear(CompactString),
 }
 
+/// Lines in pieces that the allocator takes from the system, and gives back, each by itself. Afterwards it keeps whatever
+/// is smaller than the largest of them: a whole list as one table would let it keep all texts of a configuration.
+#[derive(Default)]
+pub struct Pieces(Vec<Vec<Line>>);
+
+impl Pieces {
+    /// Lines in a piece: half a MiB, less than a piece of the settings' text.
+    const MOST: usize = (1 << 19) / size_of::<Line>();
+
+    fn push(&mut self, line: Line) {
+        match self.0.last_mut() {
+            Some(piece) if piece.len() < Pieces::MOST => piece.push(line),
+            Some(_) => {
+                self.0.push(Vec::with_capacity(Pieces::MOST));
+                self.push(line);
+            }
+            None => self.0.push(vec![line]),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.iter().map(Vec::len).sum()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Line> {
+        self.0.iter().flatten()
+    }
+}
+
 /// The lines that say at least which backend they are of.
 #[derive(Default)]
 pub struct Lines {
-    lines: Vec<Line>,
+    lines: Pieces,
     /// How many do not make sense, and the first of those.
     unclear: usize,
     sample: Option<String>,
@@ -82,13 +115,13 @@
                 self.unclear += 1;
                 self.sample.get_or_insert_with(|| format!("{e}: {value:.200}"));
                 let name = value.get("name").and_then(Value::as_str);
-                self.lines.extend(name.map(|name| Line::Unclear(name.into())));
+                name.into_iter().for_each(|name| self.lines.push(Line::Unclear(name.into())));
             }
         }
     }
 
     /// Of those that do not make sense one is logged, with their number: a list may be long.
-    pub fn told(self) -> Vec<Line> {
+    pub fn told(self) -> Pieces {
         if let Some(sample) = self.sample {
             warn!("{} discovery entries not understood, the first: {sample:.400}", self.unclear);
         }
@@ -119,7 +152,7 @@
 
 impl List {
     /// Its lines, as far as they make sense.
-    pub fn lines(&self) -> Vec<Line> {
+    pub fn lines(&self) -> Pieces {
         let mut lines = Lines::default();
         self.endpoints.iter().for_each(|value| lines.read(value));
         lines.told()
@@ -130,7 +163,7 @@
 pub struct Answer {
     pub index: u64,
     pub snapshot: bool,
-    pub lines: Vec<Line>,
+    pub lines: Pieces,
 }
 
 #[derive(Deserialize)]
@@ -149,8 +182,10 @@
 }
 
 impl Answer {
-    pub fn read(body: &[u8]) -> Result<Answer, Unread> {
-        let Body { index, snapshot, endpoints } = serde_json::from_slice(body).map_err(Unread::Json)?;
+    /// From the pieces that it came in, which are never put together: it may be long.
+    pub fn read(body: impl Buf) -> Result<Answer, Unread> {
+        let body = io::BufReader::with_capacity(READ_AT_ONCE, body.reader());
+        let Body { index, snapshot, endpoints } = serde_json::from_reader(body).map_err(Unread::Json)?;
         let sense = endpoints.lines.iter().any(|line| matches!(line, Line::Entry(_)));
         if snapshot && endpoints.unclear > 0 && !sense {
             return Err(Unread::Garbled);
