--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,14 +3,16 @@
 
 mod change;
 mod key;
+mod lists;
 mod names;
 mod numbered;
 mod read;
 mod sift;
 
 pub use change::Amendment;
+pub use lists::{Lists, Reading};
 pub use names::{Names, Row};
-pub use read::{Lists, Reading, Settings};
+pub use read::Settings;
 pub use sift::{sift, Sink};
 
 use crate::interface::*;
--- a/src/settings/change.rs
+++ b/src/settings/change.rs
@@ -1,8 +1,9 @@
 //! Settings that take the place of others: read as a whole, or entry by entry.
 
 use super::key::{Key, Notes};
+use super::lists::{Customer, Route};
 use super::names::Names;
-use super::read::{customer, route, Customer, Read, Route, Settings};
+use super::read::{customer, route, Read, Settings};
 use super::{Change, InForce, Network};
 use crate::interface::*;
 use compact_str::CompactString;
