--- a/src/main.rs
+++ b/src/main.rs
@@ -143,6 +143,7 @@
     }
     let shared = Rc::new(Cell::new(node.shared));
     let keeper = node.snapshot.map(|kept| Keeper::new(kept, host.clone(), owner.clone(), node.settings));
+    let keeper = keeper.transpose()?;
     let mut cold = true;
     if let Some(keeper) = keeper.clone() {
         cold = !keeper.recall();
@@ -252,6 +253,9 @@
     server.run(listener, stop, succeeded).await;
     keeper.iter().for_each(|k| k.write());
     peers.iter().for_each(|p| p.leave());
+    if let Some(keeper) = &keeper {
+        keeper.settled().await;
+    }
     info!("stopped");
     Ok(())
 }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,5 +1,6 @@
 //! The operators' door: one call to a connection, on an address of its own. What this process knows is answered in the
-//! same turn of the loop; calls on windows, duties and the configuration go to those who keep them, and come back later.
+//! same turn of the loop, a ban once it is on disk; calls on windows, duties and the configuration go to those who keep
+//! them, and come back later.
 
 use super::figures::Figures;
 use super::host::Host;
@@ -140,7 +141,13 @@
         }
         match duties {
             Some(duties) => ask(&**duties, request).await,
-            None => self.call(&request).map(|text| (StatusCode::OK, text.into_owned())),
+            None => {
+                let text = self.call(&request)?;
+                if request.uri().path().starts_with("/maintenance/") {
+                    self.0.maintenance.settled().await; // the yes is to outlive a crash
+                }
+                Ok((StatusCode::OK, text.into_owned()))
+            }
         }
     }
 
--- a/src/net/keeper.rs
+++ b/src/net/keeper.rs
@@ -2,6 +2,7 @@
 
 use super::config::Snapshots;
 use super::host::Host;
+use super::snapshot::writer::Writer;
 use super::snapshot::{self, Header, Owner, Refused, Snapshot, Stands};
 use shaletide::Micros;
 use std::cell::{Cell, RefCell};
@@ -9,20 +10,26 @@
 use std::time::Duration;
 use tracing::{info, warn};
 
+/// The end of the program, and a call at the door that has to outlive it, wait so long for the disk.
+const DISK: Duration = Duration::from_secs(1);
+
 pub struct Keeper {
     kept: Snapshots,
     host: Rc<Host>,
     /// Whose the file is, and what it holds for; a reload changes both.
     owner: RefCell<Owner>,
     stands: Cell<Stands>,
-    /// The last write failed and was told of.
-    failed: Cell<bool>,
+    writer: Writer,
 }
 
 impl Keeper {
-    pub fn new(kept: Snapshots, host: Rc<Host>, owner: Owner, settings: [u8; 32]) -> Rc<Keeper> {
+    pub fn new(
+        kept: Snapshots, host: Rc<Host>, owner: Owner, settings: [u8; 32],
+    ) -> Result<Rc<Keeper>, String> {
         let stands = Cell::new(Stands::own(&owner, settings));
-        Rc::new(Keeper { kept, host, owner: RefCell::new(owner), stands, failed: Cell::new(false) })
+        let writer = Writer::start(kept.dir.clone(), owner.clone());
+        let writer = writer.map_err(|e| format!("no thread to write snapshots on: {e}"))?;
+        Ok(Rc::new(Keeper { kept, host, owner: RefCell::new(owner), stands, writer }))
     }
 
     /// Takes the snapshot in the folder if it holds; one line says what was taken or why not. Whether it did.
@@ -49,29 +56,24 @@
         false
     }
 
-    /// Writes one now. The first failure in a row is logged; the next write tries again.
+    /// Has one of this moment written.
     pub fn write(&self) {
         let whole = Snapshot { header: Header::now(self.stands.get()), saved: self.host.recollect() };
-        let (dir, owner) = (&self.kept.dir, self.owner.borrow());
-        let written = snapshot::encode(&whole)
-            .map_err(|e| e.to_string())
-            .and_then(|bytes| snapshot::write(dir, &owner, &bytes).map_err(|e| e.to_string()));
-        let failed = self.failed.replace(written.is_err());
-        if let Err(e) = written.as_ref().map_err(|e| e.as_str()) {
-            if !failed {
-                warn!(event = "snapshot_not_written", dir = %dir.display(), "snapshot not written: {e}");
-            }
+        self.writer.give(self.owner.borrow().clone(), whole);
+    }
+
+    /// Until what was to be written is on disk or could not be, for a second at most.
+    pub async fn settled(&self) {
+        if tokio::time::timeout(DISK, self.writer.settled()).await.is_err() {
+            let dir = self.kept.dir.display();
+            warn!(event = "snapshot_late", %dir, "the snapshot is not on disk after {DISK:?}");
         }
     }
 
-    /// A reload changed whose the file is or what it holds for. The old one is not left behind: should discovery move
-    /// back, it would tell nothing of the bans that began and ended since.
+    /// A reload changed whose the file is or what it holds for.
     pub fn stand(&self, owner: Owner, settings: [u8; 32]) {
         self.stands.set(Stands::own(&owner, settings));
-        let old = self.owner.replace(owner);
-        if old != *self.owner.borrow() {
-            let _ = std::fs::remove_file(snapshot::path(&self.kept.dir, &old)); // unremoved, it grows too old
-        }
+        *self.owner.borrow_mut() = owner;
         self.write();
     }
 
--- a/src/net/maintenance.rs
+++ b/src/net/maintenance.rs
@@ -68,6 +68,13 @@
         self.keeper.iter().for_each(|k| k.write());
     }
 
+    /// Until a crash takes away nothing of what was done, or the disk has had its time.
+    pub async fn settled(&self) {
+        if let Some(keeper) = &self.keeper {
+            keeper.settled().await;
+        }
+    }
+
     /// Nothing more to that backend; false where none of that name is known.
     pub fn enter(&self, name: &str) -> bool {
         if !self.host.withdraw(name, Why::Hand) {
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -4,6 +4,8 @@
 //! endian), the body's length in bytes (u32) and its CRC-32 (u32). The body holds a [`Header`] and what was
 //! [`Saved`]. A file is replaced whole: written beside, synced, renamed over, and the folder synced.
 
+pub mod writer;
+
 use serde::{Deserialize, Serialize};
 use shaletide::{BackendMemory, KindMemory, Micros, Sampled};
 use std::fmt;
