Let the patience with a call to discovery stand once

Need: 1.8 s stood in src/ask.rs, whose gaps are reckoned from it, and again in src/net/discovery.rs, which waits so long.

Change: CALL_PATIENCE in src/ask.rs is what both use. No decision changes: the golden streams are the same, and the program's own tests and tests/discovery.rs pass.

--- a/src/ask.rs
+++ b/src/ask.rs
@@ -8,7 +8,7 @@
 const TURN: f64 = 0.05;
 /// ... but one proxy no less than this, s, as a call costs a small fleet's discovery next to nothing, ...
 const LEAST: f64 = 1.0;
-/// ... and no more than this, s: one more call, heard to the end of its patience of 1.8 s, then still tells within 6 s of
+/// ... and no more than this, s: one more call, heard to the end of its patience, then still tells within 6 s of
 /// the moment that discovery can be reached what it had by then, with 0.3 s to spare (docs/design.md).
 const MOST: f64 = 3.9;
 /// The least part of a gap that is drawn while it grows, which soon spreads evenly proxies that failed together, ...
@@ -16,8 +16,8 @@
 /// ... and once it grows no more, which keeps them so.
 const GROWN: f64 = 0.75;
 
-/// The patience with a call that may hang without a word, ...
-const HANGS: f64 = 1.8;
+/// The patience with a call that waits for no news and may hang without a word, ...
+pub const CALL_PATIENCE: Micros = Micros(1_800_000);
 /// ... and with one that surely stands in a line, s: discovery ends by itself what has waited for 3 s there.
 const LINE: f64 = 3.2;
 
@@ -34,7 +34,7 @@
     let half = within.secs() / 2.0;
     let gap = longest(proxies).min(half);
     let behind = if half < LINE { gap } else { (FIRST + gap) / 2.0 };
-    Micros::from_secs((MOST - behind).clamp(HANGS, LINE))
+    Micros::from_secs((MOST - behind).clamp(CALL_PATIENCE.secs(), LINE))
 }
 
 /// A proxy's calls. A gap runs from the beginning of one to the next and not from a failure on: so a call that hangs
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod settings;
 mod state;
 
-pub use ask::in_line;
+pub use ask::{in_line, CALL_PATIENCE};
 pub use interface::*;
 pub use rules::{halb_shares, Balancer};
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,7 +10,7 @@
 use hyper::Request;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use shaletide::{in_line, Discovery, ListUpdate};
+use shaletide::{in_line, Discovery, ListUpdate, CALL_PATIENCE};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -32,7 +32,7 @@
 /// What an answer may take beyond its wait before discovery counts as silent.
 const PROMPT: Duration = Duration::from_secs(1);
 /// ... and one that waits for no news: it may stand in a line, where each call given up and made again makes it longer.
-const IN_LINE: Duration = Duration::from_millis(1800);
+const IN_LINE: Duration = Duration::from_micros(CALL_PATIENCE.0);
 /// Where lists are pushed a connection to the agent comes up at once or not at all: what it has counts from the moment
 /// it is back, when a call that began before would still wait to be repeated.
 const DIAL: Duration = Duration::from_millis(250);
