Let new processes meet their old ones by signal in the test of a restart

Need: `beside_old_processes_that_still_listen_all_are_ready` failed now and then at a load of 25 to 49. It hoped on time twice: an old process listens for half a second after SIGTERM, and twenty `kill`s and twenty starts had to fall into that; and the open requests had 3 s, in which all new processes had to be ready.

Change: the old ones stand still (SIGSTOP), told to end, until each of the twenty new ones has said that it found the address in use; then they go on. The requests have 30 s. Where one new process had to meet its old one, now all twenty have to, each with one line. The lines of processes that do not listen yet stand in the rig for that. Nothing of the program changes.

--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -15,6 +15,9 @@
 /// Nine in ten have so long; here each has.
 const READY: Duration = Duration::from_secs(10);
 
+/// What a process says that finds its address in use.
+const MET: &str = "another process's, trying on";
+
 /// One of the fleet: what is told to it at each start.
 #[derive(Clone)]
 struct Seat {
@@ -166,16 +169,30 @@
     let backend = BackendServer::start(move |_| Reply::Gate(wait.clone()));
     let silent = DiscoveryServer::start();
     let mut seats = seats(silent.address, &backend);
-    seats.iter_mut().for_each(|seat| seat.known = vec![entry("b0", backend.address, "SERVING")]);
+    // The requests stay open for as long as the new processes may take to be ready, however slow the machine is.
+    let long = SETTINGS.replace("\"deadline_us\":3000000", "\"deadline_us\":30000000");
+    seats.iter_mut().for_each(|seat| {
+        (seat.known, seat.settings) = (vec![entry("b0", backend.address, "SERVING")], long.clone());
+    });
+    let listen: Vec<String> = seats.iter().map(|seat| format!("{} is", seat.listen)).collect();
     let (mut old, _) = started(&seats);
     let mut open: Vec<Client> = old.iter().map(Proxy::client).collect();
-    open.iter_mut().for_each(|client| client.send(&pay(3.0)));
+    open.iter_mut().for_each(|client| client.send(&pay(30.0)));
     open.iter().for_each(|_| drop(backend.request()));
+    // Held, each listens until its new process has met it, whatever the machine does.
+    old.iter().for_each(Proxy::hold);
     old.iter().for_each(Proxy::terminate);
-    let (new, took) = started(&seats);
+    let starting = std::thread::spawn(move || started(&seats));
+    let own = |line: &&str| line.contains(MET) && listen.iter().any(|at| line.contains(at.as_str()));
+    let end = Instant::now() + PATIENCE;
+    while STARTING.lock().unwrap().lines().filter(own).count() < FLEET {
+        assert!(Instant::now() < end, "not every new process met its old one");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    old.iter().for_each(Proxy::go_on);
+    let (new, took) = starting.join().unwrap();
     told("told to end, discovery silent", took);
-    let waited = new.iter().filter(|p| p.said.contains("another process's, trying on")).count();
-    assert!(waited > 0, "none of the old ones listened any more");
+    assert!(new.iter().all(|p| p.said.matches(MET).count() == 1), "it says so once");
     gate.open();
     for (client, old) in open.iter_mut().zip(&mut old) {
         assert_eq!(client.answer().expect("the answer that was owed").body, b"gated");
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -286,6 +286,9 @@
 
 static NUMBER: AtomicU64 = AtomicU64::new(0);
 
+/// What all programs logged until they listened, also those that do not yet.
+pub static STARTING: Mutex<String> = Mutex::new(String::new());
+
 /// The program, with a configuration of its own.
 pub struct Proxy {
     pub child: Child,
@@ -371,6 +374,7 @@
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened: {said}");
             said += &line;
+            *STARTING.lock().unwrap() += &line;
             if let Some(at) = line.split("control on ").nth(1) {
                 control = Some(at.trim().parse().unwrap());
             }
