Tell in a failed fleet test when its request came to a backend and was answered

Change: backends write down when they have answered. Where clients failed, the check prints for each of the first five when its request came where and was answered, and what its proxy said of backends meanwhile. Nothing is checked less than before.

--- a/tests/rig/fleet.rs
+++ b/tests/rig/fleet.rs
@@ -301,6 +301,8 @@
     pub address: SocketAddr,
     /// Correlation id and time.
     pub seen: Arc<Mutex<Vec<(String, u64)>>>,
+    /// The same of each answer, once it was written.
+    answered: Arc<Mutex<Vec<(String, u64)>>>,
     dead: Arc<AtomicBool>,
 }
 
@@ -308,32 +310,37 @@
     pub fn start(name: &str) -> Recorder {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let (seen, dead): (Arc<Mutex<Vec<_>>>, Arc<AtomicBool>) = Default::default();
-        let (record, gone, own) = (seen.clone(), dead.clone(), name.to_string());
+        let (seen, answered, dead): (Arc<Mutex<Vec<_>>>, Arc<Mutex<Vec<_>>>, Arc<AtomicBool>) =
+            Default::default();
+        let (record, wrote, gone, own) = (seen.clone(), answered.clone(), dead.clone(), name.to_string());
         std::thread::spawn(move || {
             for mut tcp in listener.incoming().flatten() {
                 if gone.load(Ordering::SeqCst) {
                     return;
                 }
-                let (record, gone, own) = (record.clone(), gone.clone(), own.clone());
+                let (record, wrote, gone, own) = (record.clone(), wrote.clone(), gone.clone(), own.clone());
                 std::thread::spawn(move || {
                     let mut reader = BufReader::new(tcp.try_clone().unwrap());
                     while let Some(message) = Message::read(&mut reader) {
                         let id = message.header("x-correlation-id").unwrap_or_default().to_string();
                         let body = format!("{own} {id}");
-                        record.lock().unwrap().push((id, mono_us()));
+                        record.lock().unwrap().push((id.clone(), mono_us()));
                         let last = gone.load(Ordering::SeqCst);
                         let close = if last { "Connection: close\r\n" } else { "" };
                         let length = body.len();
                         let head = format!("HTTP/1.1 200 OK\r\n{close}Content-Length: {length}\r\n\r\n");
-                        if tcp.write_all((head + &body).as_bytes()).is_err() || last {
+                        if tcp.write_all((head + &body).as_bytes()).is_err() {
+                            return;
+                        }
+                        wrote.lock().unwrap().push((id, mono_us()));
+                        if last {
                             return;
                         }
                     }
                 });
             }
         });
-        Recorder { name: name.into(), address, seen, dead }
+        Recorder { name: name.into(), address, seen, answered, dead }
     }
 
     /// A whole kind of them, `b0` and on, and the list's entries.
@@ -454,11 +461,35 @@
     pub to: u64,
 }
 
+/// What is known of a request: when it came to which backend and was answered there, and what its proxy said of backends.
+fn story(asked: &Asked, fleet: &Fleet, backends: &[Recorder]) -> String {
+    let mut told = vec![format!("{asked:?}")];
+    for backend in backends {
+        let of = |times: &Mutex<Vec<(String, u64)>>| {
+            let times = times.lock().unwrap();
+            times.iter().filter(|(id, _)| *id == asked.id).map(|(_, at)| *at).collect::<Vec<_>>()
+        };
+        let (came, answered) = (of(&backend.seen), of(&backend.answered));
+        if !came.is_empty() {
+            told.push(format!("came to {} at {came:?}, answered at {answered:?}", backend.name));
+        }
+    }
+    let lives = fleet.lives().into_iter().filter(|life| life.proxy == asked.proxy);
+    let words = ["ejected", "is back", "window_out", "window_back", "stopping", "report"];
+    for life in lives {
+        let said = |line: &&str| words.iter().any(|word| line.contains(word));
+        told.extend(life.log.lines().filter(said).map(|line| format!("its proxy: {line}")));
+    }
+    told.push(format!("now {}, {:?}", mono_us(), SystemTime::now()));
+    told.join("\n  ")
+}
+
 /// What must hold whatever went on: every client was answered by a backend for its own request, nothing that may run
 /// once ran twice, nothing begun in a shut span reached that backend, one holder at a time. Says how many were sent.
 pub fn check(name: &str, fleet: &Fleet, backends: &[Recorder], asked: &[Asked], shut: &[Shut]) {
     let failed: Vec<_> = asked.iter().filter(|a| a.status != 200 || !a.own).collect();
-    assert!(failed.is_empty(), "{} clients failed: {:?}", failed.len(), &failed[..failed.len().min(5)]);
+    let told: Vec<String> = failed.iter().take(5).map(|a| story(a, fleet, backends)).collect();
+    assert!(failed.is_empty(), "{} clients failed: {}", failed.len(), told.join("\n"));
     let by_id: HashMap<&str, &Asked> = asked.iter().map(|a| (a.id.as_str(), a)).collect();
     let mut runs: HashMap<String, u32> = HashMap::new();
     let mut late = Vec::new();
