Show the duties the listed backends only while they are needed

Now the workers ask: nothing while no window keeps anything out, a showing a second while one does, anew each time for the holder or a proxy that is cut off while a window is under way or due within 5 s, and at a start. Decisions wait for what was shown since they were to be taken. Members, version and open requests on what is out are shown as before; the table that follows from one showing is kept until the next; the fleet's capacity is counted only when a window is due.

The new tests fail where older rows decide, where due means now instead of soon, where a window under way needs nothing, and where what is out asks for nothing.

--- a/benches/duties.rs
+++ b/benches/duties.rs
@@ -1,6 +1,6 @@
 //! What duties and the calendar cost and how quick they are, with real processes on loopback: a dead holder's successor,
-//! the way from a decision to the last proxy's stop, datagrams, and clients' times beside a busy calendar. Run by
-//! `cargo bench --bench duties [deaths|stop|cost|times|soak]`; never by the tests.
+//! the way from a decision to the last proxy's stop, datagrams, processor time beside many backends, and clients' times beside a
+//! busy calendar. Run by `cargo bench --bench duties [deaths|stop|cost|backends|times|soak]`; never by the tests.
 
 #[path = "../tests/rig/mod.rs"]
 mod rig;
@@ -117,6 +117,48 @@
     println!("| {size} | 40 windows in 14 s | {} |", sent(&on, span));
 }
 
+/// Seconds of processor time that all threads of a proxy have had.
+fn used(proxy: &rig::Proxy) -> f64 {
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", proxy.child.id())).into_iter().flatten().flatten();
+    let of = |task: std::fs::DirEntry| {
+        let text = std::fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+        text.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(0.0)
+    };
+    tasks.map(of).sum::<f64>() / 1e9
+}
+
+/// Processor time, in % of a core, of the holder and of the mean other proxy of four without requests, before so many
+/// listed backends: quiet, with a window on one of them, and with one on a kind that has one.
+fn backends(count: usize) {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    let entry = |n: usize| rig::entry(&format!("b{n}"), address, "SERVING");
+    let mut known: Vec<String> = (0..count).map(entry).collect();
+    known[1] = known[1].replace("big", "odd");
+    let fleet = joined(Shape { known, floor: 0.0, ..shape(4, 1500) }).0;
+    let (holder, _) = fleet.holder(&[]);
+    let share = |what: &str| {
+        std::thread::sleep(Duration::from_secs(3));
+        let sum = || fleet.proxies.iter().map(used).collect::<Vec<f64>>();
+        let (begun, before) = (Instant::now(), sum());
+        std::thread::sleep(Duration::from_secs(15));
+        let (after, span) = (sum(), begun.elapsed().as_secs_f64());
+        let of = |n: usize| (after[n] - before[n]) / span * 100.0;
+        let others: f64 = (0..4).filter(|n| *n != holder).map(of).sum();
+        println!("| {count} | {what} | {:.2} | {:.2} |", of(holder), others / 3.0);
+    };
+    share("quiet");
+    fleet.put(1, "w0", &["b0"], 2.0, 40.0, 1);
+    fleet.stepped("w0", "open");
+    share("a window on one");
+    fleet.stepped("w0", "done");
+    let at = |secs| jiff::Timestamp::now() + jiff::SignedDuration::from_secs(secs);
+    let (begin, end) = (at(2), at(42));
+    let body = format!(r#"{{"kind":"odd","begin":"{begin}","end":"{end}","lead_s":1,"by":"ops"}}"#);
+    fleet.call(1, "PUT /windows/w1", &body);
+    fleet.stepped("w1", "open");
+    share("a window on a kind");
+}
+
 /// Clients' times at two fleets side by side: one without duties, one whose calendar holds 250 windows that begin in
 /// 125 s, with the whole list asked of every door five times a second.
 fn times() {
@@ -236,6 +278,11 @@
         let runs = [1, 2, 3, 4].map(|seed| std::thread::spawn(move || soak(seed)));
         runs.into_iter().for_each(|run| run.join().expect("a whole run"));
     }
+    if want("backends") {
+        println!("| backends | state | holder | another (% of a core) |");
+        println!("| --- | --- | --- | --- |");
+        [8, 25_000].into_iter().for_each(backends);
+    }
     if want("times") {
         println!("| calendar | requests | failed | median | p99 | p99.9 (ms) |");
         println!("| --- | --- | --- | --- | --- | --- |");
--- a/src/fleet/calendar/alone.rs
+++ b/src/fleet/calendar/alone.rs
@@ -81,6 +81,9 @@
                 due.push((span.begin, planned.begin, entry));
             }
         }
+        if due.is_empty() {
+            return; // to count the whole fleet is not free
+        }
         due.sort_by_key(|(begin, _, entry)| (*begin, entry.id.as_str()));
         let held = self.entries.values().filter(|e| self.keeps_out(e, now));
         let held = held.flat_map(|e| e.spec.value.targets.names(fleet)).collect();
--- a/src/fleet/calendar/mod.rs
+++ b/src/fleet/calendar/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod calls;
 mod entry;
+mod need;
 mod phases;
 mod replicate;
 mod spec;
--- a/src/fleet/calendar/phases.rs
+++ b/src/fleet/calendar/phases.rs
@@ -12,7 +12,7 @@
 /// on counts requests that nothing new joins.
 pub const TOLD: Micros = Micros(2_000_000);
 /// A new holder signs what drains within this: more than clocks of two proxies differ.
-const SOON: Micros = Micros(5_000_000);
+pub(super) const SOON: Micros = Micros(5_000_000);
 /// How often the figures are told again of a window that waits.
 const RETELL: Micros = Micros(5_000_000);
 
@@ -93,6 +93,9 @@
                 due.push((span.begin, planned.begin, entry));
             }
         }
+        if due.is_empty() {
+            return; // to count the whole fleet is not free
+        }
         due.sort_by_key(|(begin, _, entry)| (*begin, entry.id.as_str()));
         let held = self.entries.values().filter(|e| holds(e, now, self.rules.ramp));
         let held = held.flat_map(|e| e.spec.value.targets.names(fleet)).collect();
--- a/src/net/duties/clock.rs
+++ b/src/net/duties/clock.rs
@@ -5,8 +5,8 @@
 use super::message::{self, Duties, Duty, Said};
 use super::tables::Tables;
 use super::wire::digests;
-use super::{mono, wall, Seen};
-use shaletide::fleet::calendar::{Entry, Transition};
+use super::{mono, wall, Need, Seen};
+use shaletide::fleet::calendar::{Entry, Reports, Transition};
 use shaletide::fleet::config::Edit;
 use shaletide::fleet::lease::Token;
 use shaletide::{Micros, Time};
@@ -45,6 +45,8 @@
 pub struct Clock {
     tables: Arc<Tables>,
     seen: watch::Receiver<Option<Arc<Seen>>>,
+    /// What the request loop is to show.
+    need: watch::Sender<Need>,
     own: SocketAddr,
     /// The fleet is this proxy: there is nobody to learn from.
     alone: bool,
@@ -62,12 +64,26 @@
 
 impl Clock {
     pub fn new(
-        tables: Arc<Tables>, seen: watch::Receiver<Option<Arc<Seen>>>, own: SocketAddr, alone: bool,
+        tables: Arc<Tables>, seen: watch::Receiver<Option<Arc<Seen>>>, need: watch::Sender<Need>,
+        own: SocketAddr, alone: bool,
     ) -> Clock {
         let now = mono();
         let (digest_at, beat_at, report_at) = (now, now, now);
         let (turn, reported, held) = (tables.incarnation as usize, BTreeMap::new(), Vec::new());
-        Clock { tables, seen, own, alone, started: now, turn, digest_at, beat_at, report_at, reported, held }
+        Clock {
+            tables,
+            seen,
+            need,
+            own,
+            alone,
+            started: now,
+            turn,
+            digest_at,
+            beat_at,
+            report_at,
+            reported,
+            held,
+        }
     }
 
     /// Works until the request loop is gone.
@@ -95,13 +111,14 @@
     /// All that is due now; gives the time of the next lease timer.
     fn pass(&mut self) -> Time {
         if let Some(seen) = self.seen.borrow_and_update().clone() {
-            self.tables.roster.lock().seen = Some(seen);
+            self.tables.roster.lock().see(seen);
         }
         self.catch_up();
         let mut mail = Mail::new();
         let next = self.tables.leases.lock().tick(&mut mail);
         self.tables.send(mail);
         let config = self.tables.config_tick();
+        self.need();
         let calendar = self.step().map(|token| (Duty::Calendar, token));
         let ordering = self.tables.config.lock().leases.holds().map(|token| (Duty::Config, token));
         self.beat(calendar.into_iter().chain(ordering).collect());
@@ -127,20 +144,45 @@
         }
     }
 
+    /// Asks the request loop to show the listed backends, where they are looked at: most proxies of a quiet fleet never do.
+    fn need(&self) {
+        let (holds, heard) = {
+            let leases = self.tables.leases.lock();
+            (leases.holds().is_some(), leases.heard())
+        };
+        let windows = self.tables.calendar.lock();
+        let calendar = &windows.calendar;
+        let decides = (holds || heard > calendar.rules.max_age) && calendar.needs_fleet(wall());
+        let need = match windows.covered.is_some() || decides {
+            true => Need::Decides,
+            false if windows.out.is_empty() && !calendar.any_out() => Need::Nothing,
+            false => Need::KeepsOut,
+        };
+        let mut roster = self.tables.roster.lock();
+        match need {
+            Need::Decides => drop(roster.decides.get_or_insert(mono())),
+            _ => roster.decides = None,
+        }
+        self.need.send_if_modified(|before| std::mem::replace(before, need) != need);
+    }
+
     /// The holder's steps. The clock is read for the lease after all locks are there, right before the step.
     fn step(&self) -> Option<Token> {
         let (token, at, steps, changed) = {
             let leases = self.tables.leases.lock();
             leases.holds()?;
             let mut windows = self.tables.calendar.lock();
-            let roster = self.tables.roster.lock();
-            let (fleet, reports) = (roster.fleet(&windows.out), roster.reports(self.own, &windows.out));
-            if roster.seen.is_none() {
-                return leases.holds();
+            let mut roster = self.tables.roster.lock();
+            let (now, mut fleet, mut reports) = (wall(), Arc::default(), Reports::new());
+            if windows.calendar.needs_fleet(now) {
+                let Some(shown) = roster.fleet(&windows.out, true) else {
+                    return leases.holds(); // a step waits for what is seen now
+                };
+                (fleet, reports) = (shown, roster.reports(self.own, &windows.out));
             }
             let at = mono();
             let token = leases.holds()?;
-            let steps = windows.calendar.step(wall(), token, &fleet, &reports);
+            let steps = windows.calendar.step(now, token, &fleet, &reports);
             (token, at, steps, windows.calendar.changed())
         };
         steps.iter().for_each(|step| tell(step, at));
@@ -199,8 +241,8 @@
             return self.reported.clear();
         };
         let now = mono();
-        let rows = seen.rows.iter().filter(|row| out.contains(&row.name) && seen.applied.contains(&row.name));
-        let open: BTreeMap<String, u32> = rows.map(|row| (row.name.clone(), row.open)).collect();
+        let open = seen.open.iter().filter(|(name, _)| out.contains(*name));
+        let open: BTreeMap<String, u32> = open.map(|(name, open)| (name.clone(), *open)).collect();
         let news = open.iter().any(|(name, open)| *open == 0 && self.reported.get(name) != Some(&0));
         if open.is_empty() || now < self.report_at && !news {
             return;
@@ -227,3 +269,6 @@
 pub fn entries(entries: Vec<Entry>) -> Vec<Vec<Vec<u8>>> {
     message::parts(entries.iter().map(Entry::encode).collect(), |bytes| bytes.len() + 2)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/duties/clock/tests.rs
@@ -0,0 +1,156 @@
+//! When the listed backends are asked of the request loop, and what waits for them.
+
+use super::super::tables::{Roster, Tables};
+use super::super::{Effect, Rows};
+use super::*;
+use crate::net::host::RosterRow;
+use shaletide::fleet::calendar::{Mark, Spec, Stamp, Step, Wall};
+use shaletide::fleet::lease::Ballot;
+
+const S: u64 = 1_000_000;
+
+/// A proxy that takes part, its clock, what the request loop is asked to show, and what it is asked to do.
+struct One {
+    clock: Clock,
+    need: watch::Receiver<Need>,
+    told: tokio::sync::mpsc::Receiver<Effect>,
+}
+
+impl One {
+    fn new() -> One {
+        let (tables, told) = Tables::example();
+        tables.calendar.lock().covered = None;
+        *tables.roster.lock() = Roster::default();
+        let (ask, need) = watch::channel(Need::Nothing);
+        let own = SocketAddr::from(([127, 0, 0, 1], 9));
+        let clock = Clock::new(Arc::new(tables), watch::channel(None).1, ask, own, false);
+        One { clock, need, told }
+    }
+
+    fn tables(&self) -> &Tables {
+        &self.clock.tables
+    }
+
+    /// Whatever is asked for is shown, as it is at that time.
+    fn show(&self, at: Time) {
+        let row = |name: &str| RosterRow {
+            name: name.into(),
+            zone: "z".into(),
+            kind: "k".into(),
+            cell: 0,
+            listed: true,
+            serving: true,
+            ready: 1.0,
+            by_hand: false,
+            open: 0,
+        };
+        let rows = Rows { at, rows: vec![row("a"), row("b")] };
+        let rows = Some(Arc::new(rows)).filter(|_| *self.need.borrow() != Need::Nothing);
+        let seen = Seen { rows, open: BTreeMap::new(), members: Vec::new(), config: 0 };
+        self.tables().roster.lock().see(Arc::new(seen));
+    }
+
+    /// A window that takes one or all, and begins in so many seconds.
+    fn put(&self, id: &str, targets: &str, begin: u64) {
+        let at = |secs| Wall(wall().0 + secs * S);
+        let body = format!(
+            r#"{{{targets},"begin":"{}","end":"{}","lead_s":1,"by":"x"}}"#,
+            at(begin),
+            at(begin + 60)
+        );
+        let spec = Spec::from_json(body.as_bytes()).unwrap();
+        let put = self.tables().calendar.lock().calendar.put(id, spec, Stamp { at: wall(), by: 1 }, wall());
+        put.unwrap();
+    }
+
+    /// A holder's word came just now; with `step` one on the window as well.
+    fn hear(&self, step: Option<Step>) {
+        let token = Ballot { number: 5, by: 10 };
+        let mut mail = Mail::new();
+        let from = SocketAddr::from(([127, 0, 0, 1], 10));
+        self.tables().leases.lock().effect(from, token, true, &mut mail).unwrap();
+        let Some(step) = step else { return };
+        let mut windows = self.tables().calendar.lock();
+        let mut entry = windows.calendar.get("w").unwrap().clone();
+        let occurrence = match entry.spec.value.when {
+            shaletide::fleet::calendar::When::Once(span) => span.begin,
+            _ => unreachable!("it comes once"),
+        };
+        entry.mark = Some(Mark { occurrence, token, step, at: wall(), why: String::new() });
+        windows.calendar.merge(&entry, wall()).unwrap();
+    }
+
+    fn needs(&self) -> Need {
+        self.clock.need();
+        *self.need.borrow()
+    }
+
+    /// What the request loop is asked to take out, and to take back.
+    fn moved(&mut self) -> Vec<(char, String)> {
+        self.tables().derive();
+        let of = |effect| match effect {
+            Effect::Out(name) => ('-', name),
+            Effect::Back(name) => ('+', name),
+            _ => unreachable!("nothing else is asked here"),
+        };
+        std::iter::from_fn(|| self.told.try_recv().ok()).map(of).collect()
+    }
+}
+
+fn moves(way: char, names: &[&str]) -> Vec<(char, String)> {
+    names.iter().map(|name| (way, name.to_string())).collect()
+}
+
+/// A proxy that hears its holder never asks for the backends while nothing is out, whatever is due; one that is cut off does from
+/// shortly before a window.
+#[test]
+fn only_who_needs_the_backends_asks_for_them() {
+    let mut one = One::new();
+    assert!(one.needs() == Need::Nothing, "cut off, without windows");
+    one.put("v", r#""ids":["b"]"#, 3600);
+    assert!(one.needs() == Need::Nothing, "cut off, with a window in an hour");
+    one.put("w", r#""ids":["a"]"#, 3);
+    assert!(one.needs() == Need::Decides, "cut off, with one that is due");
+    one.hear(None);
+    assert!(one.needs() == Need::Nothing, "the holder decides");
+    one.hear(Some(Step::Draining));
+    assert!(one.needs() == Need::KeepsOut);
+    one.show(mono());
+    assert_eq!(one.moved(), moves('-', &["a"]));
+    one.hear(Some(Step::Done));
+    assert!(one.needs() == Need::KeepsOut, "it is not back yet");
+    one.show(mono());
+    assert_eq!(one.moved(), moves('+', &["a"]));
+    assert!(one.needs() == Need::Nothing);
+}
+
+/// Who is cut off decides by what was shown since, and not by what it had been shown before.
+#[test]
+fn what_was_shown_before_decides_nothing() {
+    let mut one = One::new();
+    one.put("w", r#""ids":["a"]"#, 1);
+    let before = mono();
+    assert!(one.needs() == Need::Decides);
+    assert_eq!(one.moved(), [], "without any");
+    one.show(Time(before.0 - 1));
+    assert_eq!(one.moved(), [], "by what was shown before");
+    one.show(mono());
+    assert!(one.needs() == Need::Decides);
+    assert_eq!(one.moved(), moves('-', &["a"]));
+}
+
+/// A window that names its backends goes out before any backend is shown; a zone's as soon as they are.
+#[test]
+fn the_holders_word_waits_for_no_more_than_it_names() {
+    let mut one = One::new();
+    one.put("w", r#""ids":["a"]"#, 3);
+    one.hear(Some(Step::Draining));
+    assert_eq!(one.moved(), moves('-', &["a"]));
+    let mut one = One::new();
+    one.put("w", r#""zone":"z""#, 3);
+    one.hear(Some(Step::Draining));
+    assert_eq!(one.moved(), []);
+    assert!(one.needs() == Need::KeepsOut);
+    one.show(mono());
+    assert_eq!(one.moved(), moves('-', &["a", "b"]));
+}
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -34,7 +34,7 @@
 use shaletide::fleet::relay::Relay;
 use shaletide::{Micros, Time};
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io;
 use std::net::SocketAddr;
@@ -54,6 +54,8 @@
 const EFFECTS: usize = 1024;
 /// How often the request loop shows what it sees.
 const SHOW: Duration = Duration::from_millis(250);
+/// How old the backends may be that it shows where nothing is decided on them.
+const KEPT: Micros = Micros(1_000_000);
 
 /// What the workers ask of the request loop.
 pub enum Effect {
@@ -67,13 +69,30 @@
     Ready,
 }
 
+/// What the workers need to know of the listed backends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Need {
+    Nothing,
+    /// Something is out: they are shown now and then.
+    KeepsOut,
+    /// They are decided on, or this proxy starts: they are shown each time.
+    Decides,
+}
+
+/// The backends as the request loop sees them.
+pub struct Rows {
+    pub at: Time,
+    pub rows: Vec<RosterRow>,
+}
+
 /// What the request loop sees.
 pub struct Seen {
-    pub rows: Vec<RosterRow>,
+    /// While they are needed.
+    pub rows: Option<Arc<Rows>>,
+    /// Its open requests at what is out for windows and listed.
+    pub open: BTreeMap<String, u32>,
     /// Live members but this proxy.
     pub members: Vec<SocketAddr>,
-    /// What is out for windows.
-    pub applied: BTreeSet<String>,
     /// The configuration's version in force.
     pub config: u64,
 }
@@ -118,7 +137,7 @@
             ),
             config: Ranked::new(1, Configuring::new(leases, rules.voters.clone(), own, incarnation)),
             calendar: Ranked::new(2, windows),
-            roster: Ranked::new(3, Roster::default()),
+            roster: Ranked::new(3, Roster::starting()),
             outbox: Ranked::new(4, Outbox::new(effects)),
             relay: Ranked::new(5, Relay::new(own, incarnation, peers.max_age())),
             post: peers.post(),
@@ -127,7 +146,8 @@
         let (pass, came) = sync_channel(MESSAGES);
         let (commands, calls) = sync_channel(CALLS);
         let (show, seen) = watch::channel(None);
-        let clock = Clock::new(tables.clone(), seen, own, peers.alone());
+        let (ask, need) = watch::channel(Need::Decides);
+        let clock = Clock::new(tables.clone(), seen, ask, own, peers.alone());
         let wake = commands.clone();
         let thread = |name: &str| std::thread::Builder::new().name(format!("duties-{name}"));
         thread("wire").spawn(move || wire::run(&tables, &came, &wake))?;
@@ -138,7 +158,7 @@
         let applied = Rc::new(Applied { out: RefCell::default(), overlay: overlay.clone() });
         let (tell, ready) = watch::channel(false);
         tokio::task::spawn_local(apply(host.clone(), told, applied.clone(), tell));
-        tokio::task::spawn_local(shows(host, peers.clone(), applied, show));
+        tokio::task::spawn_local(shows(host, peers.clone(), applied, show, need, commands.clone()));
         Ok(Rc::new(Duties { commands, ready, overlay }))
     }
 
@@ -205,14 +225,34 @@
     }
 }
 
-/// Shows the workers what the request loop sees.
+/// Shows the workers what the request loop sees: at once where they need more than before.
 async fn shows(
     host: Rc<Host>, peers: Rc<Peers>, applied: Rc<Applied>, show: watch::Sender<Option<Arc<Seen>>>,
+    mut need: watch::Receiver<Need>, wake: SyncSender<Command>,
 ) {
+    let (mut rows, mut before) = (None, Need::Nothing);
     loop {
-        let (out, config) = (applied.out.borrow().clone(), applied.overlay.version());
-        let seen = Seen { rows: host.roster(), members: peers.members(), applied: out, config };
+        let (asked, at) = (*need.borrow_and_update(), mono());
+        rows = match asked {
+            Need::Nothing => None,
+            Need::KeepsOut => rows.filter(|rows: &Arc<Rows>| at - rows.at < KEPT),
+            Need::Decides => None,
+        };
+        if rows.is_none() && asked != Need::Nothing {
+            rows = Some(Arc::new(Rows { at, rows: host.roster() }));
+        }
+        let (open, config) = (host.open_at(&applied.out.borrow()), applied.overlay.version());
+        let seen = Seen { rows: rows.clone(), open, members: peers.members(), config };
         show.send_replace(Some(Arc::new(seen)));
-        tokio::time::sleep(SHOW).await;
+        if asked != before {
+            before = asked;
+            let _ = wake.try_send(Command::Wake); // full: it is awake anyway
+        }
+        tokio::select! {
+            () = tokio::time::sleep(SHOW) => {}
+            changed = need.changed() => if changed.is_err() {
+                return;
+            }
+        }
     }
 }
--- a/src/net/duties/tables.rs
+++ b/src/net/duties/tables.rs
@@ -4,7 +4,7 @@
 use super::leases::{Leases, Mail};
 use super::message::{self, Duties, Refused, Said};
 use super::ranked::Ranked;
-use super::{mono, wall, Effect, Seen};
+use super::{mono, wall, Effect, Rows, Seen};
 use crate::net::host::RosterRow;
 use crate::net::peers::post::Post;
 use crate::net::peers::wire::Body;
@@ -49,6 +49,10 @@
 pub struct Roster {
     /// As the request loop last told; `None` until it did.
     pub seen: Option<Arc<Seen>>,
+    /// Since when the backends are decided on: what was shown before does not count.
+    pub decides: Option<Time>,
+    /// The listed backends as they follow from what was shown and what is out.
+    fleet: Option<(Arc<Rows>, BTreeSet<String>, Arc<Fleet>)>,
     /// Open requests on backends out for windows, by the member that reported them.
     pub reports: BTreeMap<SocketAddr, BTreeMap<String, (u32, Time)>>,
 }
@@ -103,12 +107,36 @@
 }
 
 impl Roster {
+    /// At the start whatever is shown is new enough.
+    pub fn starting() -> Roster {
+        Roster { decides: Some(Time(0)), ..Roster::default() }
+    }
+
     pub fn members(&self) -> Vec<SocketAddr> {
         self.seen.as_ref().map(|s| s.members.clone()).unwrap_or_default()
     }
 
-    /// The listed backends. What one that is out for a window could take is not known: as much as any other.
-    pub fn fleet(&self, out: &BTreeSet<String>) -> Fleet {
+    /// Takes what the request loop shows.
+    pub fn see(&mut self, seen: Arc<Seen>) {
+        if seen.rows.is_none() {
+            self.fleet = None;
+        }
+        self.seen = Some(seen);
+    }
+
+    /// The listed backends, where they are shown; `decide`: as shown since they are decided on. What one that is out for
+    /// a window could take is not known: as much as any other.
+    pub fn fleet(&mut self, out: &BTreeSet<String>, decide: bool) -> Option<Arc<Fleet>> {
+        let shown = self.seen.as_ref()?.rows.as_ref()?;
+        if decide && self.decides.is_none_or(|since| shown.at < since) {
+            return None;
+        }
+        let same = |(rows, without, _): &&(Arc<Rows>, BTreeSet<String>, _)| {
+            Arc::ptr_eq(rows, shown) && without == out
+        };
+        if let Some((.., fleet)) = self.fleet.as_ref().filter(same) {
+            return Some(fleet.clone());
+        }
         let backend = |row: &RosterRow| Backend {
             zone: row.zone.clone(),
             kind: row.kind.clone(),
@@ -118,8 +146,10 @@
             out_by_hand: row.by_hand,
             capacity: 1.0,
         };
-        let rows = self.seen.iter().flat_map(|s| &s.rows).filter(|row| row.listed);
-        rows.map(|row| (row.name.clone(), backend(row))).collect()
+        let rows = shown.rows.iter().filter(|row| row.listed);
+        let fleet: Arc<Fleet> = Arc::new(rows.map(|row| (row.name.clone(), backend(row))).collect());
+        self.fleet = Some((shown.clone(), out.clone(), fleet.clone()));
+        Some(fleet)
     }
 
     /// Open requests on the backends that are out, as all live members and this proxy say. Of whom did not say, one
@@ -190,15 +220,18 @@
     pub fn derive(&self) {
         let heard = self.leases.lock().heard();
         let mut windows = self.calendar.lock();
-        let windows = &mut *windows;
-        let fleet = {
-            let roster = self.roster.lock();
-            if roster.seen.is_none() {
-                return; // which backends a zone has is not known yet
-            }
-            roster.fleet(&windows.out)
+        let (windows, now) = (&mut *windows, wall());
+        let decides = heard > windows.calendar.rules.max_age && windows.calendar.needs_fleet(now);
+        if !decides && windows.out.is_empty() && !windows.calendar.any_out() {
+            return;
+        }
+        let fleet = match self.roster.lock().fleet(&windows.out, decides) {
+            Some(fleet) => fleet,
+            // Which backends a zone has is not known yet. Windows that name theirs need not wait for that.
+            None if decides || windows.covered.is_some() => return,
+            None => Arc::default(),
         };
-        let out = windows.calendar.out(wall(), heard, &fleet);
+        let out = windows.calendar.out(now, heard, &fleet);
         let outbox = self.outbox.lock();
         for name in &out {
             if !windows.out.contains(name) && outbox.effects.try_send(Effect::Out(name.clone())).is_ok() {
@@ -244,15 +277,16 @@
         let windows = Windows { calendar, out: BTreeSet::new(), covered: Some(Vec::new()) };
         let mut config = Configuring::new(rules, voters.clone(), own, 7);
         config.replica.take_part();
-        let (rows, members, applied) = (Vec::new(), voters[1..].to_vec(), BTreeSet::new());
-        let seen = Some(Arc::new(Seen { rows, members, applied, config: 0 }));
+        let rows = Some(Arc::new(Rows { at: mono(), rows: Vec::new() }));
+        let (open, members) = (BTreeMap::new(), voters[1..].to_vec());
+        let seen = Some(Arc::new(Seen { rows, open, members, config: 0 }));
         let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
         let (effects, told) = mpsc::channel(64);
         let tables = Tables {
             leases: Ranked::new(0, Leases::new(Duty::Calendar, rules, voters.clone(), own, 7)),
             config: Ranked::new(1, config),
             calendar: Ranked::new(2, windows),
-            roster: Ranked::new(3, Roster { seen, ..Roster::default() }),
+            roster: Ranked::new(3, Roster { seen, ..Roster::starting() }),
             outbox: Ranked::new(4, Outbox::new(effects)),
             relay: Ranked::new(5, Relay::new(own, 7, max_age)),
             post: Arc::new(Post::new(socket, [0; 8], own)),
--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -273,6 +273,22 @@
         s.backends.iter().filter_map(row).collect()
     }
 
+    /// Attempts of this proxy that are out at those of these that a list held.
+    pub fn open_at(&self, names: &BTreeSet<String>) -> BTreeMap<String, u32> {
+        if names.is_empty() {
+            return BTreeMap::new();
+        }
+        let s = self.state.borrow();
+        let mut open: BTreeMap<BackendId, u32> = BTreeMap::new();
+        s.attempts.values().for_each(|flight| *open.entry(flight.backend).or_default() += 1);
+        let at = |name: &String| {
+            let id = s.numbers.get(name)?;
+            s.backends.get(id)?.entry.as_ref()?;
+            Some((name.clone(), open.get(id).copied().unwrap_or(0)))
+        };
+        names.iter().filter_map(at).collect()
+    }
+
     /// Until discovery has answered for the first time.
     pub async fn listed(&self) {
         let _ = self.listed.subscribe().wait_for(|heard| *heard).await;
--- a/tests/calendar.rs
+++ b/tests/calendar.rs
@@ -684,3 +684,63 @@
         prop_assert!(back.values().all(|n| *n <= times(Step::Draining)));
     }
 }
+
+proptest! {
+    /// While it says that it needs no fleet, a calendar steps the same with one and without, and keeps the same out, heard or
+    /// cut off; and so it does from then on.
+    #[test]
+    fn without_need_the_fleet_makes_no_difference(
+        windows in prop::collection::vec((0u64..200, 1u64..100, 0u32..30, 0usize..4, any::<bool>()), 1..5),
+        times in prop::collection::vec((0u64..400, any::<bool>()), 1..20),
+    ) {
+        let fleet = fleet();
+        let mut held = calendar(0.4);
+        for (n, (begin, lasts, lead, what, cancelled)) in windows.into_iter().enumerate() {
+            let targets = [ids(&[n, n + 3]), Targets::Zone("a".into()), Targets::Kind("m1".into()), Targets::Cell(1)];
+            let id = format!("w{n}");
+            let put = held.put(&id, once(targets[what].clone(), begin + 1, begin + 1 + lasts.max(1) + u64::from(lead), lead, 5), stamp(0), at(0));
+            prop_assert!(put.is_ok(), "{put:?}");
+            if cancelled {
+                prop_assert!(held.cancel(&id, stamp(1), at(0)).is_ok());
+            }
+        }
+        let mut times = times;
+        times.sort_unstable();
+        let heard = [Micros(0), Micros(u64::MAX)];
+        for (secs, cut) in times {
+            let now = at(secs);
+            if !held.needs_fleet(now) {
+                let mut blind = held.clone();
+                let mut seeing = held.clone();
+                let none = Fleet::new();
+                for heard in heard {
+                    prop_assert_eq!(blind.out(now, heard, &none), seeing.out(now, heard, &fleet));
+                }
+                prop_assert_eq!(blind.step(now, token(9), &none, &Reports::new()), seeing.step(now, token(9), &fleet, &idle()));
+                prop_assert_eq!(blind.changed(), seeing.changed());
+            }
+            if cut {
+                held.out(now, heard[1], &fleet);
+            } else {
+                held.step(now, token(8), &fleet, &idle());
+            }
+        }
+    }
+}
+
+/// A quiet calendar needs no fleet: from 5 s before a window drains until it is over, and no longer.
+#[test]
+fn the_fleet_is_needed_around_windows_only() {
+    let mut calendar = calendar(0.4);
+    assert!(!calendar.needs_fleet(at(0)) && !calendar.any_out());
+    calendar.put("w", once(ids(&[1]), 100, 130, 10, 0), stamp(0), at(0)).unwrap();
+    let mut needed = Vec::new();
+    for secs in 0..200 {
+        calendar.step(at(secs), token(8), &fleet(), &idle());
+        if calendar.needs_fleet(at(secs)) {
+            needed.push(secs);
+        }
+    }
+    let whole: Vec<u64> = (85..130 + RAMP).collect();
+    assert_eq!(needed, whole);
+}
