--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -31,6 +31,7 @@
 mod phases;
 mod plan;
 mod protocol;
+mod quiet;
 mod real;
 mod relay;
 #[path = "../../tests/rig/mod.rs"]
--- a/benches/scale/real.rs
+++ b/benches/scale/real.rs
@@ -2,12 +2,15 @@
 
 use super::generated::{self, Size};
 use super::plan::Plan;
+use super::quiet::Quiet;
 use super::relay::{Relay, Shared};
-use super::rig::{entry, folder, holdings, BackendServer, Client, Message, Proxy, Refusing, SETTINGS};
+use super::rig::{
+    entry, folder, holdings, BackendServer, Client, DiscoveryServer, Message, Proxy, Refusing, SETTINGS,
+};
 use super::{rig, worker};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub const CLUSTER: &str = "scale";
@@ -31,7 +34,7 @@
     plan: Plan,
     seeds: String,
     voters: String,
-    known: Vec<String>,
+    known: Arc<Vec<String>>,
     settings: String,
     pub full: bool,
     /// Behind them.
@@ -60,14 +63,14 @@
         let live: Vec<BackendServer> = (0..count).map(|_| BackendServer::start(|_| rig::ok("x"))).collect();
         let total = if full { FULL.backends } else { backends as usize };
         let at = dead.iter().map(Refusing::address).chain(live.iter().map(|b| b.address).cycle());
-        let known =
+        let known: Vec<String> =
             at.take(total).enumerate().map(|(n, at)| entry(&format!("b{n}"), at, "SERVING")).collect();
         let settings = if full { generated::settings(FULL, 1.0) } else { SETTINGS.into() };
-        let (seeds, voters) = (listed(seeds), listed(voters));
+        let (seeds, voters, known) = (listed(seeds), listed(voters), Arc::new(known));
         Recipe { plan, seeds, voters, known, settings, full, _backends: (live, dead) }
     }
 
-    fn start(&self, position: u32, number: u32) -> Proxy {
+    fn start(&self, position: u32, number: u32) -> (Proxy, Quiet) {
         let group = format!(r#""position":{position},"group_size":{},"#, self.plan.size);
         let settings = self.settings.replacen(r#""position":0,"group_size":1,"#, &group, 1);
         let own = self.plan.address(number);
@@ -82,7 +85,9 @@
         );
         let tmp = ("TMPDIR", folder().to_str().expect("a name").to_string());
         let seed = self.plan.seed + u64::from(position) + 1;
-        noted(Proxy::seeded(seed, &self.known, &settings, &more, &[tmp]))
+        let mut proxy = noted(Proxy::seeded(seed, &self.known, &settings, &more, &[tmp]));
+        let server = std::mem::replace(&mut proxy.discovery, DiscoveryServer::start());
+        (proxy, Quiet::start(server, self.known.clone()))
     }
 
     /// The n-th request of a client.
@@ -118,6 +123,7 @@
     /// Clients ask it now.
     pub asked: bool,
     pub proxy: Proxy,
+    discovery: Quiet,
     relay: Relay,
     /// When its process was killed, if it is not restarted yet, and what earlier ones logged.
     killed: Option<u64>,
@@ -133,9 +139,9 @@
 impl RealProxy {
     pub fn start(recipe: &Recipe, position: u32, number: u32, votes: bool, shared: Shared) -> RealProxy {
         let relay = Relay::start(recipe.plan, number, shared).expect("an address of the plan");
-        let proxy = recipe.start(position, number);
+        let (proxy, discovery) = recipe.start(position, number);
         let (asked, killed, past) = Default::default();
-        let real = RealProxy { position, number, votes, asked, proxy, relay, killed, past };
+        let real = RealProxy { position, number, votes, asked, proxy, discovery, relay, killed, past };
         real.place();
         real
     }
@@ -157,7 +163,7 @@
     pub fn restart(&mut self, recipe: &Recipe) {
         forget(&self.proxy);
         self.past.push(self.life());
-        self.proxy = recipe.start(self.position, self.number);
+        (self.proxy, self.discovery) = recipe.start(self.position, self.number);
         self.killed = None;
         self.place();
     }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -37,6 +37,8 @@
 #[allow(dead_code)]
 #[path = "../benches/scale/protocol.rs"]
 mod protocol;
+#[path = "../benches/scale/quiet.rs"]
+mod quiet;
 #[allow(dead_code)]
 #[path = "../benches/scale/real.rs"]
 mod real;
