Begin with the copy of the configuration that an earlier process kept

At its start a proxy takes its own file of its own fleet, at most an hour old, checked by magic, format, checksum, name, bounds and root, else says by cause why not; then it asks for what followed. It is a copy as any other, so none goes back. A voter with it votes no sooner: the file may be older than its last promise.

--- a/src/fleet/config/replica.rs
+++ b/src/fleet/config/replica.rs
@@ -140,6 +140,16 @@
         }
     }
 
+    /// Begins with the copy that an earlier process of this proxy kept, unless it has one by now: no copy goes back. What this proxy
+    /// promised as a voter it has forgotten all the same, as the copy may be older than that.
+    pub fn restore(&mut self, table: Table) {
+        if self.table.version() < table.version() {
+            let entries = table.range(0, u64::MAX).map(|(_, entry)| entry.clone()).collect();
+            self.table = table;
+            self.new_in_force(self.table.version(), entries);
+        }
+    }
+
     /// The copy in force.
     pub fn table(&self) -> &Table {
         &self.table
--- a/src/fleet/config/table.rs
+++ b/src/fleet/config/table.rs
@@ -1,7 +1,9 @@
 //! A proxy's copy: the entries, the tree of hashes over them, and the last changes.
 
 use super::tree::{Node, Tree, CHILDREN};
-use super::{first, Change, Edit, Key, Refused, MOST_BYTES, MOST_ENTRIES, MOST_LOG, MOST_LOG_BYTES};
+use super::{
+    first, Change, Edit, Key, Refused, MOST_BYTES, MOST_ENTRIES, MOST_LOG, MOST_LOG_BYTES, MOST_NUMBER,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -56,6 +58,30 @@
 }
 
 impl Table {
+    /// The copy that an earlier process kept: these entries at that version and with that root, without a log.
+    ///
+    /// # Errors
+    /// They are no such table.
+    pub fn restore(digest: Digest, entries: Vec<Entry>) -> Result<Table, Refused> {
+        if digest.version >= MOST_NUMBER {
+            return Err(Refused::Number(digest.version));
+        }
+        let mut table = Table { version: digest.version, ..Table::default() };
+        for entry in entries {
+            entry.edit.check().map_err(Refused::Entry)?;
+            let position = entry.edit.key.position();
+            if entry.number == 0 || entry.number > digest.version || table.entries.contains_key(&position) {
+                return Err(Refused::Number(entry.number));
+            }
+            table.room(std::slice::from_ref(&entry.edit))?;
+            table.put(position, Some(entry));
+        }
+        match table.digest() == digest {
+            true => Ok(table),
+            false => Err(Refused::Unasked),
+        }
+    }
+
     /// Version and root.
     pub fn digest(&self) -> Digest {
         Digest { version: self.version, root: self.tree.root() }
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,7 @@
 use net::config::{self, Node, Source};
 use net::control::{DutiesDoor, Keepers};
 use net::discovery::Pace;
-use net::duties::Duties;
+use net::duties::{copy::Kept, Duties};
 use net::figures::Figures;
 use net::handover::{self, Presence};
 use net::host::Host;
@@ -142,6 +142,8 @@
         host.beside(2); // before what was learned is taken: some of it the other process still uses
     }
     let shared = Rc::new(Cell::new(node.shared));
+    let copies = node.snapshot.as_ref().zip(node.peers.as_ref());
+    let copies = copies.map(|(kept, peers)| Kept { dir: kept.dir.clone(), cluster: peers.cluster.clone() });
     let keeper = node.snapshot.map(|kept| Keeper::new(kept, host.clone(), owner.clone(), node.settings));
     let mut cold = true;
     if let Some(keeper) = keeper.clone() {
@@ -179,7 +181,7 @@
     let overlay = Rc::new(Overlay::new(in_force.clone(), node.version));
     let duties = match peers.as_ref().zip(node.duties.as_ref()) {
         Some((peers, rules)) => {
-            let duties = Duties::start(host.clone(), peers, rules, config.ramp, overlay.clone());
+            let duties = Duties::start(host.clone(), peers, rules, config.ramp, overlay.clone(), copies);
             Some(duties.map_err(|e| format!("duties: {e}"))?)
         }
         None => None,
--- a/src/net/duties/config.rs
+++ b/src/net/duties/config.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use shaletide::fleet::config::{
     Edit, Entry, Event, Key, Kind, Message, Refused, Rejected, Replica, Rules, Submission, Surroundings,
-    Value,
+    Table, Value,
 };
 use shaletide::fleet::lease::{self, Token};
 use shaletide::{Micros, Time};
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Begins with the copy of an earlier process.
+    pub fn restore(&self, table: Table) {
+        self.configure(|config, _, _, _| config.replica.restore(table));
+    }
+
     /// Lets time pass for the configuration; when its lease is to be looked at next.
     pub fn config_tick(&self) -> Option<Time> {
         let (mut mail, mut beat) = (Mail::new(), None);
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -1,14 +1,15 @@
 //! Duties that one proxy of the fleet holds at a time, and the maintenance windows that the holder of the calendar's duty
 //! keeps: the socket side of [`shaletide::fleet`].
 //!
-//! Two threads work beside the request loop: `wire` takes the other proxies' messages, `clock` lets time pass. They
-//! share five tables. **Lock order**, checked at every lock ([`ranked`]): `leases` before `config` before `calendar` before
+//! Two threads work beside the request loop: `wire` takes the other proxies' messages, `clock` lets time pass; a third,
+//! `copy`, writes a snapshot of the configuration where one is kept. They share five tables. **Lock order**, checked at every lock ([`ranked`]): `leases` before `config` before `calendar` before
 //! `roster` before `outbox`; whoever holds one takes only later ones. The request loop takes none of them. It gets effects from
 //! a bounded channel, and shows what it sees through a watch in which the newest wins; operators' calls go to the clock over a
 //! bounded queue and are answered by a oneshot.
 
 mod clock;
 mod config;
+pub mod copy;
 pub mod door;
 mod leases;
 mod message;
@@ -24,6 +25,7 @@
 use bytes::Bytes;
 use clock::{Clock, Command};
 use config::Configuring;
+use copy::Kept;
 use hyper::{Method, StatusCode};
 use leases::Leases;
 use message::Duty;
@@ -98,9 +100,11 @@
 }
 
 impl Duties {
-    /// Starts the workers. `ramp`: how long a backend that is back is in slow start.
+    /// Starts the workers. `ramp`: how long a backend that is back is in slow start; `kept`: where this proxy's copy of the
+    /// configuration is kept, if it is.
     pub fn start(
         host: Rc<Host>, peers: &Rc<Peers>, rules: &Voting, ramp: Micros, overlay: Rc<Overlay>,
+        kept: Option<Kept>,
     ) -> io::Result<Rc<Duties>> {
         let own = peers.own();
         let leases = rules.leases().map_err(|e| io::Error::other(e.to_string()))?;
@@ -127,14 +131,20 @@
             post: peers.post(),
             incarnation,
         });
+        if let Some(table) = kept.as_ref().and_then(|kept| kept.recall(own)) {
+            tables.restore(table);
+        }
         let (pass, came) = sync_channel(MESSAGES);
         let (commands, calls) = sync_channel(CALLS);
         let (show, seen) = watch::channel(None);
         let clock = Clock::new(tables.clone(), seen, own, peers.alone());
-        let wake = commands.clone();
+        let (wake, copied) = (commands.clone(), tables.clone());
         let thread = |name: &str| std::thread::Builder::new().name(format!("duties-{name}"));
         thread("wire").spawn(move || wire::run(&tables, &came, &wake))?;
         thread("clock").spawn(move || clock.run(&calls))?;
+        if let Some(kept) = kept {
+            thread("copy").spawn(move || kept.keep(&copied, own))?;
+        }
         peers.pass_duties(pass);
         info!(event = "duties_start", own = %own, voters = rules.voters.len(), lease_ms = rules.lease_ms,
             "takes part in the fleet's duties");
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -294,12 +294,17 @@
 
 /// Replaces the owner's file in `dir` whole: a crash at any point leaves the old file or the new one.
 pub fn write(dir: &Path, owner: &Owner, bytes: &[u8]) -> io::Result<()> {
+    replace(dir, &name(owner), bytes)
+}
+
+/// Replaces a file of that name whole.
+pub fn replace(dir: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
     fs::create_dir_all(dir)?;
-    let temporary = dir.join(format!("{}.{}.part", name(owner), std::process::id()));
+    let temporary = dir.join(format!("{name}.{}.part", std::process::id()));
     let mut file = File::create(&temporary)?;
     file.write_all(bytes)?;
     file.sync_all()?;
-    fs::rename(&temporary, path(dir, owner))?;
+    fs::rename(&temporary, dir.join(name))?;
     // The rename is durable only once the folder is.
     File::open(dir)?.sync_all()
 }
--- a/tests/fleet_files.rs
+++ b/tests/fleet_files.rs
@@ -166,6 +166,64 @@
     consistent(&fleet);
 }
 
+/// A proxy that starts again begins with its own copy, also where nobody answers it, and gets what is different from then on; a
+/// voter with one votes no sooner than without. A file that is cut short or spoiled is refused by cause, and all is asked for.
+#[test]
+fn a_proxy_that_starts_again_begins_with_its_own_copy() {
+    let backend = BackendServer::start(|_| ok("x"));
+    let dir = folder();
+    let mut fleet = fleet_with(24, &backend, vec![("NODE_SNAPSHOT", dir.to_str().unwrap().into())]);
+    fleet.until(&ALL, 4);
+    let files = || -> Vec<std::path::PathBuf> {
+        let all = std::fs::read_dir(&dir).into_iter().flatten().flatten().map(|e| e.path());
+        all.filter(|path| path.extension().is_some_and(|e| e == "table")).collect()
+    };
+    for n in ALL {
+        put_surely(&fleet, n, &format!("t{n}"), 5);
+    }
+    let kept = put_list(&fleet, 1, true);
+    fleet.wait("all copies to be written with that", |_| {
+        let name = br#""name":"list""#;
+        let has = |bytes: Vec<u8>| bytes.windows(name.len()).any(|window| window == name);
+        let whole = files().into_iter().filter(|f| std::fs::read(f).is_ok_and(has));
+        (whole.count() == ALL.len()).then_some(())
+    });
+    let lines = |fleet: &Fleet, n: usize, event: &str| {
+        let text = fleet.proxies[n].said.clone();
+        text.lines().filter(|line| line.contains(event)).map(String::from).collect::<Vec<_>>()
+    };
+    // A voter and another, both alone at their start, with the others gone on meanwhile.
+    fleet.kill(&[0, 4]);
+    equal(&fleet, &[1, 2, 3], put_surely(&fleet, 1, "later", 5));
+    fleet.faults.split(&[&[0], &[4], &[1, 2, 3]]);
+    for n in [0, 4] {
+        fleet.restart(n);
+        let line = lines(&fleet, n, "config_snapshot_taken").pop().expect("its own copy");
+        assert!(line.contains(&format!("version={kept} entries=6")), "{line}");
+        assert!(lists(&fleet, n));
+        let status = status(&fleet, n);
+        assert_eq!((&status["version"], &status["in_force"]), (&json!(kept), &json!(kept)));
+    }
+    assert_eq!(status(&fleet, 0)["votes"], false);
+    fleet.faults.heal();
+    fleet.wait("the voter", |f| (status(f, 0)["votes"] == true).then_some(()));
+    let now = equal(&fleet, &ALL, kept + 1);
+    for (cut, cause) in [(true, "checksum"), (false, "magic")] {
+        let texts: Vec<_> = files().into_iter().map(|f| (std::fs::read(&f).unwrap(), f)).collect();
+        fleet.kill(&[4]);
+        // Which of them is its own does not matter: the others run.
+        for (bytes, file) in &texts {
+            let bytes = if cut { bytes[..bytes.len() - 1].to_vec() } else { [b"X", &bytes[1..]].concat() };
+            std::fs::write(file, bytes).unwrap();
+        }
+        fleet.restart(4);
+        let line = lines(&fleet, 4, "config_snapshot_refused").pop().expect("refused");
+        assert!(line.contains(&format!(r#"cause="{cause}""#)), "{line}");
+        equal(&fleet, &ALL, now);
+    }
+    consistent(&fleet);
+}
+
 /// A change that is taken back leaves what the file says, in force in one step with the rest of its change, at each proxy by its
 /// own file; where nothing was changed the door says so.
 #[test]
--- a/tests/rig/changes.rs
+++ b/tests/rig/changes.rs
@@ -87,12 +87,18 @@
 
 /// Five proxies, three of them voters.
 pub fn fleet(seed: u64, backend: &BackendServer) -> Fleet {
+    fleet_with(seed, backend, Vec::new())
+}
+
+/// The same with these variables.
+pub fn fleet_with(seed: u64, backend: &BackendServer, variables: Vec<(&'static str, String)>) -> Fleet {
     let known = vec![entry("b0", backend.address, "SERVING")];
     let lease_ms = 800;
     Fleet::of(Shape {
         size: 5,
         seed,
         known,
+        variables,
         voters: 3,
         lease_ms,
         floor: 0.5,
