Let the storms drop what files contain and start from kept copies

Change: the drops name one of the last versions. The chain is recorded change by change as the proxies come to it, and has to be the same at all, from the first number to the last: no log need be whole any more.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -6,7 +6,7 @@
 use rand_pcg::Pcg32;
 use shaletide::fleet::config::{
     Acceptor, Change, Digest, Edit, Entry, Event, Key, Kind, Memory, Message, Node, Paxos, Replica, Rules,
-    Submission, Surroundings, Value,
+    Submission, Surroundings, Table, Value,
 };
 use shaletide::fleet::lease::{self, Ballot, Token};
 use shaletide::{Micros, Time};
@@ -64,8 +64,11 @@
     random: Pcg32,
     token: u64,
     holder: Option<usize>,
-    /// The root of each version that any proxy ever had.
+    /// The root of each version that any proxy ever had, and the change that followed each.
     roots: BTreeMap<u64, u64>,
+    links: BTreeMap<u64, Change>,
+    /// Copies that proxies kept at some time.
+    kept: Vec<Table>,
     acknowledged: BTreeMap<u64, u64>,
     refused: u64,
     submitted: u64,
@@ -86,6 +89,8 @@
             token: WALL,
             holder: None,
             roots: BTreeMap::new(),
+            links: BTreeMap::new(),
+            kept: Vec::new(),
             acknowledged: BTreeMap::new(),
             refused: 0,
             submitted: 0,
@@ -130,6 +135,10 @@
             self.post(n, to, message);
         }
         let proxy = &mut self.proxies[n];
+        for change in proxy.replica.table().since(proxy.version).into_iter().flatten() {
+            let link = self.links.entry(change.after).or_insert(change.clone());
+            assert_eq!(link, change, "two changes follow version {}", change.after);
+        }
         let mut versions = Vec::new();
         for event in proxy.replica.events() {
             match event {
@@ -216,10 +225,9 @@
         id
     }
 
-    /// The whole chain, from a proxy whose log goes back to its beginning.
+    /// The whole chain, as the proxies came to its changes.
     fn chain(&self) -> Vec<Change> {
-        let whole = self.proxies.iter().find_map(|p| Some(p.replica.table().since(0)?.cloned().collect()));
-        whole.expect("some log is whole")
+        self.links.values().cloned().collect()
     }
 
     fn versions(&self) -> BTreeSet<u64> {
@@ -265,13 +273,23 @@
                         forgot.push((n, now));
                     }
                     fleet.proxies[n] = fleet.fresh(n);
+                    let begins = fleet.chance(0.5);
+                    if let Some(table) = fleet.kept.get(n).filter(|_| begins).cloned() {
+                        let entries = table.range(0, u64::MAX).map(|(_, entry)| entry.clone()).collect();
+                        let table = Table::restore(table.digest(), entries).expect("as it was kept");
+                        fleet.act(n, |r, _, _, _| r.restore(table));
+                    }
                 }
             }
+            5 => {
+                fleet.kept = fleet.proxies.iter().map(|p| p.replica.table().clone()).collect();
+            }
             _ => {
                 let n = fleet.draw(size);
                 if fleet.chance(0.1) {
                     // Files are rolled out that contain a part of the changes, now and then one that nobody made.
-                    let upto = fleet.proxies[n].version / (1 + fleet.draw(3)) as u64 + fleet.draw(2) as u64;
+                    let upto = (fleet.proxies[n].version + fleet.draw(2) as u64)
+                        .saturating_sub(fleet.draw(9) as u64);
                     fleet.submit(n, vec![Edit::contains(upto)]);
                     continue;
                 }
@@ -293,6 +311,8 @@
     assert!(fleet.acknowledged.contains_key(&last), "changes can be made again: {:?}", fleet.versions());
     assert_eq!(fleet.versions().len(), 1, "all are equal");
     let chain = fleet.chain();
+    let ends = (chain[0].after, chain[chain.len() - 1].number);
+    assert_eq!((ends.0, Some(&ends.1)), (0, fleet.versions().first()), "all of it");
     for pair in chain.windows(2) {
         assert_eq!(pair[1].after, pair[0].number, "one chain");
     }
