--- a/src/net/host/backends.rs
+++ b/src/net/host/backends.rs
@@ -6,7 +6,7 @@
 use super::state::State;
 use super::Host;
 use shaletide::*;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::{debug, info};
@@ -284,7 +284,7 @@
         let mut open: BTreeMap<BackendId, u32> = BTreeMap::new();
         s.attempts.values().for_each(|flight| *open.entry(flight.backend).or_default() += 1);
         let at = |name: &String| {
-            let id = s.numbers.get(name)?;
+            let id = s.numbers.get(name.as_str())?;
             s.backends.get(id)?.entry.as_ref()?;
             Some((name.clone(), open.get(id).copied().unwrap_or(0)))
         };
--- a/src/net/host/backends/tests.rs
+++ b/src/net/host/backends/tests.rs
@@ -2,7 +2,6 @@
 
 use super::super::super::upstream::{Content, Served};
 use super::*;
-use std::collections::BTreeSet;
 
 fn host() -> Rc<Host> {
     let host = Host::example();
