--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -377,6 +377,20 @@
     }
 }
 
+/// A name that stands twice is told so whether its route breaks a bound or not, read beside the tables in force or over them.
+#[test]
+fn a_name_that_stands_twice_is_told_also_of_unsound_routes() {
+    let route = |gain: f64| json!({"name":"a","aim_us":1,"deadline_us":9,"effect":"free","gain":gain,"late_worth":0.0});
+    let mut file = bare();
+    file["profiles"] = json!([route(1.0)]);
+    let tables = InForce::first(&read(&file)).unwrap();
+    for gain in [0.0, 1.0, 2.0] {
+        file["profiles"] = json!([route(gain), route(gain)]);
+        let told = change(&tables, &file).unwrap_err();
+        assert!(told.contains("the name stands twice"), "{told}");
+    }
+}
+
 /// Each error under its key, all of them at once, and nothing is kept of the good ones beside them.
 #[test]
 fn amendments_are_taken_whole_or_told_by_key() {
