Show no backends for windows that name theirs

While a window was open on one backend an ordinary proxy still had all 25,000 shown and made into a table each second, some 2.3% of a core. What a window names is out without that; the backends are shown for a zone, a kind or a cell, and where one is to come back, to know whether it is listed.

--- a/src/net/duties/clock.rs
+++ b/src/net/duties/clock.rs
@@ -10,7 +10,7 @@
 use shaletide::fleet::config::Edit;
 use shaletide::fleet::lease::Token;
 use shaletide::{Micros, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
@@ -153,9 +153,11 @@
         let windows = self.tables.calendar.lock();
         let calendar = &windows.calendar;
         let decides = (holds || heard > calendar.rules.max_age) && calendar.needs_fleet(wall());
+        // What windows name is out without more; whether one that is to come back is listed has to be seen.
+        let known = |named: &BTreeSet<&str>| windows.out.iter().all(|name| named.contains(name.as_str()));
         let need = match windows.covered.is_some() || decides {
             true => Need::Decides,
-            false if windows.out.is_empty() && !calendar.any_out() => Need::Nothing,
+            false if calendar.named_out().as_ref().is_some_and(known) => Need::Nothing,
             false => Need::KeepsOut,
         };
         let mut roster = self.tables.roster.lock();
