Bound what membership tells by a rate, end lists whole and partings quietly

Needed at 1,800 proxies: 14.5 KB a second with 3 of 9 backends dead, 15.8 KB and 76,386 false downs after a region healed, 68 rejoined with a tenth of the datagrams lost, lists of members that never end whole.

A token bucket bounds passengers, gossip and lists; bare probes go at once. Of verdicts on one backend the newest three are passed on. Lists are compared by sums over parts instead of drawn at random. Whoever was taken for down comes back without telling that its former self is down, and the smaller side of a parting forgets whom it took for down. foca is not given a suspicion's timer once that was refuted.

--- a/src/fleet/membership/member.rs
+++ b/src/fleet/membership/member.rs
@@ -22,39 +22,28 @@
 }
 
 /// A proxy as the others know it. One that starts again under its address has a later start.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(super) struct Member {
     pub addr: SocketAddr,
     pub start_us: u64,
-    /// This proxy's own, by which it is renewed; it is not told.
-    #[serde(skip)]
-    clock: Option<Clock>,
 }
 
 impl Member {
     pub fn new(addr: SocketAddr, start_us: u64) -> Member {
-        Member { addr, start_us, clock: None }
+        Member { addr, start_us }
     }
 
-    /// This proxy itself, started now.
-    pub fn own(addr: SocketAddr, clock: Clock) -> Member {
-        Member { addr, start_us: clock.wall_us(), clock: Some(clock) }
+    /// The same proxy under a later start.
+    pub fn renewed(&self, wall_us: u64) -> Member {
+        Member { start_us: wall_us.max(self.start_us + 1), ..self.clone() }
     }
 }
 
-impl PartialEq for Member {
-    fn eq(&self, other: &Member) -> bool {
-        (self.addr, self.start_us) == (other.addr, other.start_us)
-    }
-}
-
-impl Eq for Member {}
-
 impl Identity for Member {
     type Addr = SocketAddr;
+    /// foca is not to renew it: it would first tell all that the one before is down. See `parted`.
     fn renew(&self) -> Option<Member> {
-        let now_us = self.clock.as_ref()?.wall_us();
-        Some(Member { start_us: now_us.max(self.start_us + 1), ..self.clone() })
+        None
     }
     fn addr(&self) -> SocketAddr {
         self.addr
--- a/src/fleet/membership/mod.rs
+++ b/src/fleet/membership/mod.rs
@@ -6,21 +6,25 @@
 //! ([`wire::Seal`]), sends them, calls [`Membership::pass`] when something is [due](Membership::due), and takes the news.
 
 mod facts;
+mod lists;
 mod member;
+mod parted;
+mod ration;
 mod snapshots;
 pub mod wire;
 
 use crate::interface::{BackendId, Heard, Micros, OriginId, Time, Verdict};
 use facts::{Board, Fact, Facts};
-use foca::{AccumulatingRuntime, Foca, OwnedNotification, PeriodicParams, Timer};
+use foca::{Foca, Message, OwnedNotification, PeriodicParams, State, Timer};
 use member::{Clock, Member};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
+use ration::{Outbox, Rationed};
 use snapshots::Asking;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::num::{NonZeroU32, NonZeroUsize};
+use std::num::{NonZeroU32, NonZeroU8, NonZeroUsize};
 use std::rc::Rc;
 use std::time::Duration;
 use wire::{Body, Cluster, Envelope, Gate, Refused};
@@ -28,16 +32,15 @@
 /// How often facts that wait are passed on, and to how many.
 const GOSSIP: Duration = Duration::from_millis(100);
 const GOSSIP_TO: usize = 3;
+/// How often each is passed on while more waits than fits into a datagram.
+const FEWER: NonZeroU8 = NonZeroU8::new(4).expect("not nought");
 /// How often members that are down are tried again, so that a healed partition grows together.
 const REJOIN: Duration = Duration::from_secs(2);
 /// How often the seeds are told of a proxy that knows no live member.
 const KNOCK: Micros = Micros(1_000_000);
-/// News of a member come in after so long another one is asked for its list; each list without news a tenth longer than
-/// the one before, until nothing is asked any more. A list holds some 60 members, drawn at random: of three hundred the last
-/// one is missing after these 32 lists in 1 of 3,000 proxies.
-const LEARN: Micros = Micros(100_000);
-const LONGER: f64 = 1.1;
-const LEARNT: Micros = Micros(2_000_000);
+/// What waits for gossip is reckoned at so many bytes: news of a member, and a verdict.
+const NEWS: usize = 20;
+const FACT: usize = 32;
 /// A complaint of each cause is told so often at most.
 const COMPLAIN: Micros = Micros(1_000_000);
 
@@ -143,7 +146,7 @@
     AnnounceFailed(SocketAddr, foca::Error),
 }
 
-type Swim = Foca<Member, foca::PostcardCodec, StdRng, Facts>;
+type Swim = Foca<Member, Rationed, StdRng, Facts>;
 /// Outputs in their order.
 type Out = Vec<Output>;
 
@@ -154,7 +157,8 @@
     clock: Clock,
     board: Rc<RefCell<Board>>,
     swim: Swim,
-    outbox: AccumulatingRuntime<Member>,
+    ration: ration::Shared,
+    outbox: Outbox,
     /// foca's, by when they fall due; the number keeps those of one moment apart.
     timers: BTreeMap<(Time, u64), Timer<Member>>,
     timer: u64,
@@ -165,8 +169,14 @@
     /// The live members with the text of their addresses, while no change came since.
     live: Option<Vec<(SocketAddr, String)>>,
     asking: Option<Asking>,
-    /// When the next member is asked for its list, and the pause before that; `None` while the members are all known.
-    learn: Option<(Time, Micros)>,
+    /// When the next member is told the sums over those known here, and the pause after that.
+    compare_at: Time,
+    pause: Micros,
+    /// It left: the others are right to take it for down.
+    left: bool,
+    seed: u64,
+    /// Until when those are [behind](Membership::behind).
+    old: (Time, HashSet<Member>),
     knock_at: Time,
     ask_at: Time,
 }
@@ -178,17 +188,16 @@
         let clock = Clock::default();
         clock.set(now.wall_us);
         let board = Rc::new(RefCell::new(Board::default()));
-        let facts = Facts { board: board.clone(), own, bound: rules.max_age, clock: clock.clone() };
-        let member = Member::own(own, clock.clone());
-        let random = StdRng::seed_from_u64(seed ^ member.start_us);
-        let codec = foca::PostcardCodec;
-        let swim = Foca::with_custom_broadcast(member, swim_rules(rules.fleet), random, codec, facts);
+        let member = Member::new(own, now.wall_us);
+        let ration = ration::shared(now.time);
+        let swim = new_swim(&rules, member, seed, &ration, &board, &clock);
         Membership {
             own,
             clock,
             board,
             swim,
-            outbox: AccumulatingRuntime::new(),
+            outbox: Outbox::new(ration.clone()),
+            ration,
             timers: BTreeMap::new(),
             timer: 0,
             gate: Gate::new(rules.cluster, rules.max_age),
@@ -197,7 +206,11 @@
             origins: HashMap::new(),
             live: None,
             asking: cold.then(|| Asking::new(now.wall_us)),
-            learn: None,
+            compare_at: now.time + lists::SELDOM,
+            pause: lists::SELDOM,
+            left: false,
+            seed,
+            old: (now.time, HashSet::new()),
             knock_at: now.time,
             ask_at: now.time,
             rules,
@@ -207,13 +220,13 @@
     /// When [`Membership::pass`] is to be called.
     pub fn due(&self) -> Time {
         let timer = self.timers.first_key_value().map(|t| t.0 .0);
-        let learn = self.learn.map(|l| l.0);
-        timer.into_iter().chain(learn).fold(self.knock_at.min(self.ask_at), Time::min)
+        let own = [self.knock_at, self.ask_at, self.compare_at];
+        timer.into_iter().chain(own).fold(self.knock_at, Time::min)
     }
 
     /// A datagram as it came: taken as a whole, or refused by cause and counted.
     pub fn datagram(&mut self, bytes: &[u8], now: Now, out: &mut Out) {
-        self.clock.set(now.wall_us);
+        self.begin(now);
         self.counts.received += 1;
         let taken = wire::decode(bytes).and_then(|e| self.gate.admit(&e, now.wall_us).map(|()| e));
         if let Err(e) = taken.and_then(|envelope| self.body(envelope, now, out)) {
@@ -224,7 +237,12 @@
     fn body(&mut self, envelope: Envelope, now: Now, out: &mut Out) -> Result<(), Refused> {
         match envelope.body {
             Body::Swim(bytes) => {
-                self.swim.handle_data(&bytes, &mut self.outbox).map_err(Refused::Swim)?;
+                self.swim_data(&bytes, now, out)?;
+                self.carry_out(now, out);
+            }
+            Body::Compare(sums) => self.compared(envelope.from, &sums, now, out)?,
+            Body::Members(bytes) => {
+                self.given(envelope.from, &bytes, now)?;
                 self.carry_out(now, out);
             }
             Body::Ask { nonce } => {
@@ -240,6 +258,25 @@
         Ok(())
     }
 
+    /// A message of foca's.
+    fn swim_data(&mut self, bytes: &[u8], now: Now, out: &mut Out) -> Result<(), Refused> {
+        let (header, rest) =
+            postcard::take_from_bytes::<foca::Header<Member>>(bytes).map_err(Refused::Garbled)?;
+        self.end_parted(&header.src, now, out);
+        let header_only = &bytes[..bytes.len() - rest.len()];
+        let bytes = if self.behind(&header.src, now) { header_only } else { bytes };
+        if matches!(header.message, Message::Feed) {
+            return self.feed(&header, bytes, now);
+        }
+        self.swim.handle_data(bytes, &mut self.outbox).map_err(Refused::Swim)
+    }
+
+    /// A turn begins.
+    fn begin(&mut self, now: Now) {
+        self.clock.set(now.wall_us);
+        self.ration.borrow_mut().bucket.refill(now.time);
+    }
+
     /// Counts a datagram as refused; told once a second for each cause.
     pub fn refuse(&mut self, why: Refused, now: Now, out: &mut Out) {
         let cause = why.cause();
@@ -253,13 +290,16 @@
 
     /// Does all that is due.
     pub fn pass(&mut self, now: Now, out: &mut Out) {
-        self.clock.set(now.wall_us);
+        self.begin(now);
         while let Some(first) = self.timers.first_entry().filter(|t| t.key().0 <= now.time) {
-            if let Err(e) = self.swim.handle_timer(first.remove(), &mut self.outbox) {
+            let timer = first.remove();
+            if let Err(e) = self.timer(timer, now) {
                 out.push(Output::News(News::TimerFailed(e)));
             }
         }
-        self.learn(now, out);
+        if self.compare_at <= now.time {
+            self.compare(now, out);
+        }
         if self.knock_at <= now.time {
             self.knock_at = self.knock_at + KNOCK;
             self.knock(out);
@@ -271,9 +311,57 @@
         }
     }
 
+    /// One of foca's timers, which it is not given where nothing is to come of it.
+    fn timer(&mut self, timer: Timer<Member>, now: Now) -> Result<(), foca::Error> {
+        match &timer {
+            // foca tells whoever it is about that it is down, also where that was refuted meanwhile.
+            Timer::ChangeSuspectToDown { member_id, incarnation, .. } => {
+                let still = |m: &foca::Member<Member>| {
+                    m.id() == member_id && m.incarnation() == *incarnation && m.state() == State::Suspect
+                };
+                if !self.swim.iter_membership_state().any(still) {
+                    return Ok(());
+                }
+            }
+            Timer::PeriodicGossip(_) if !self.gossip()? => {
+                self.schedule(now.time + Micros(GOSSIP.as_micros() as u64), timer);
+                return Ok(());
+            }
+            _ => {}
+        }
+        self.swim.handle_timer(timer, &mut self.outbox)
+    }
+
+    /// Makes ready for gossip by what may be sent: verdicts go alone, ahead of the news of members, where both do not
+    /// fit into a datagram. Whether anything may go.
+    fn gossip(&mut self) -> Result<bool, foca::Error> {
+        let (news, facts) = (self.swim.updates_backlog() * NEWS, self.swim.custom_broadcast_backlog() * FACT);
+        let many = news + facts > wire::MOST_BODY;
+        let targets = |bytes, kept| self.ration.borrow().bucket.targets(bytes, kept, GOSSIP_TO);
+        if facts > 0 && many {
+            let to = targets(facts, 0);
+            if to > 0 {
+                self.swim.set_config(swim_rules(self.rules.fleet, to, many))?;
+                self.swim.broadcast(&mut self.outbox)?;
+            }
+        }
+        // Lists tell many members with less than gossip does: there are to be tokens for two.
+        let targets = |bytes, kept| self.ration.borrow().bucket.targets(bytes, kept, GOSSIP_TO);
+        let kept = if many { 2 * wire::MOST } else { 0 };
+        let to = targets(news + facts, kept);
+        self.ration.borrow_mut().kept = kept;
+        self.swim.set_config(swim_rules(self.rules.fleet, to, many))?;
+        Ok(to > 0)
+    }
+
+    fn schedule(&mut self, at: Time, timer: Timer<Member>) {
+        self.timer += 1;
+        self.timers.insert((at, self.timer), timer);
+    }
+
     /// What this proxy found by itself goes out, and back to the module, as others' turns follow its own verdict.
     pub fn tell(&mut self, backend: String, verdict: Verdict, now: Now, out: &mut Out) {
-        self.clock.set(now.wall_us);
+        self.begin(now);
         let fact = Fact { origin: self.own, born_us: now.wall_us, backend, verdict };
         match fact.encode().map(|bytes| self.swim.add_broadcast(&bytes)) {
             Some(Ok(true)) => self.counts.told += 1,
@@ -285,21 +373,21 @@
 
     /// Sends, schedules and tells what foca asked for, and passes on the facts that came with it.
     fn carry_out(&mut self, now: Now, out: &mut Out) {
-        while let Some((to, bytes)) = self.outbox.to_send() {
+        if std::mem::take(&mut self.outbox.defunct) && !self.left {
+            self.rejoin(now, out);
+        }
+        while let Some((to, bytes)) = self.outbox.asked.to_send() {
             out.push(Output::Send(to.addr, Body::Swim(bytes.to_vec())));
         }
-        while let Some((after, timer)) = self.outbox.to_schedule() {
-            self.timer += 1;
-            let at = now.time + Micros(after.as_micros() as u64);
-            self.timers.insert((at, self.timer), timer);
+        while let Some((after, timer)) = self.outbox.asked.to_schedule() {
+            self.schedule(now.time + Micros(after.as_micros() as u64), timer);
         }
-        while let Some(news) = self.outbox.to_notify() {
+        while let Some(news) = self.outbox.asked.to_notify() {
             let members = self.swim.num_members();
             let told = match news {
                 OwnedNotification::MemberUp(m) => {
                     self.live = None;
-                    let at = now.time + LEARN;
-                    self.learn = Some((self.learn.map_or(at, |l| l.0.min(at)), LEARN));
+                    self.compare_after_news(now);
                     News::Up { peer: m.addr, members }
                 }
                 OwnedNotification::MemberDown(m) => {
@@ -307,7 +395,10 @@
                     News::Down { peer: m.addr, members }
                 }
                 OwnedNotification::Rename(_, m) => News::Replaced { peer: m.addr },
-                OwnedNotification::Rejoin(_) => News::Rejoined { members },
+                OwnedNotification::Active => {
+                    self.compare_soon(now);
+                    continue;
+                }
                 _ => continue,
             };
             out.push(Output::News(told));
@@ -371,28 +462,10 @@
         }
     }
 
-    /// Asks a member drawn at random for its list, where that is due. Who knows as many as the fleet has asks nothing,
-    /// and neither does who heard nothing new for some asks.
-    fn learn(&mut self, now: Now, out: &mut Out) {
-        let Some((_, pause)) = self.learn.filter(|l| l.0 <= now.time) else { return };
-        let known = self.swim.num_members();
-        let pause = pause.times(LONGER);
-        if known == 0 || known + 1 == self.rules.fleet as usize || pause > LEARNT {
-            self.learn = None;
-            return;
-        }
-        self.learn = Some((now.time + pause, pause));
-        let drawn = (self.timer ^ now.wall_us) as usize % known;
-        let Some(to) = self.swim.iter_members().nth(drawn).map(|m| m.id().clone()) else { return };
-        let addr = to.addr;
-        if let Err(e) = self.swim.announce(to, &mut self.outbox) {
-            out.push(Output::News(News::AnnounceFailed(addr, e)));
-        }
-    }
-
     /// Tells the others that this proxy goes, so that none has to find out.
     pub fn leave(&mut self, now: Now, out: &mut Out) {
-        self.clock.set(now.wall_us);
+        self.begin(now);
+        self.left = true;
         let _ = self.swim.leave_cluster(&mut self.outbox); // unheard, they find out
         self.carry_out(now, out);
     }
@@ -420,14 +493,30 @@
     }
 }
 
-/// foca's LAN settings for a fleet of so many, with quicker gossip towards members that are down.
-fn swim_rules(fleet: u32) -> foca::Config {
+fn new_swim(
+    rules: &Rules, member: Member, seed: u64, ration: &ration::Shared, board: &Rc<RefCell<Board>>,
+    clock: &Clock,
+) -> Swim {
+    let (own, bound) = (member.addr, rules.max_age);
+    let facts = Facts { board: board.clone(), own, bound, clock: clock.clone() };
+    let random = StdRng::seed_from_u64(seed ^ member.start_us);
+    let settings = swim_rules(rules.fleet, GOSSIP_TO, false);
+    Foca::with_custom_broadcast(member, settings, random, Rationed(ration.clone()), facts)
+}
+
+/// foca's LAN settings for a fleet of so many, with quicker gossip, to so many members, and towards members that are down.
+/// Lists are [compared](Membership::compare) instead of drawn; so while there is `many` news each is passed on less often.
+fn swim_rules(fleet: u32, gossip_to: usize, many: bool) -> foca::Config {
     let some = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
+    let lan = foca::Config::new_lan(NonZeroU32::new(fleet).unwrap_or(NonZeroU32::MIN));
+    let max_transmissions = if many { lan.max_transmissions.min(FEWER) } else { lan.max_transmissions };
     foca::Config {
         max_packet_size: some(wire::MOST_BODY),
-        periodic_gossip: Some(PeriodicParams { frequency: GOSSIP, num_members: some(GOSSIP_TO) }),
+        max_transmissions,
+        periodic_gossip: Some(PeriodicParams { frequency: GOSSIP, num_members: some(gossip_to) }),
+        periodic_announce: None,
         periodic_announce_to_down_members: Some(PeriodicParams { frequency: REJOIN, num_members: some(1) }),
-        ..foca::Config::new_lan(NonZeroU32::new(fleet).unwrap_or(NonZeroU32::MIN))
+        ..lan
     }
 }
 
--- a/src/fleet/membership/tests.rs
+++ b/src/fleet/membership/tests.rs
@@ -41,6 +41,8 @@
     let body = prop_oneof![
         bytes().prop_map(Body::Swim),
         bytes().prop_map(Body::Duty),
+        bytes().prop_map(Body::Compare),
+        bytes().prop_map(Body::Members),
         any::<u64>().prop_map(|nonce| Body::Ask { nonce }),
         (any::<u64>(), any::<u16>(), any::<u16>(), bytes())
             .prop_map(|(nonce, index, of, bytes)| Body::Part { nonce, index, of, bytes }),
--- a/src/fleet/membership/wire.rs
+++ b/src/fleet/membership/wire.rs
@@ -10,7 +10,7 @@
 
 const MAGIC: [u8; 4] = *b"SHTP";
 /// Raised whenever the envelope's or a body's shape changes.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 const PREFIX: usize = 9;
 /// Bytes of a datagram at most: below every usual path's limit, so that none is cut up on its way.
 pub const MOST: usize = 1400;
@@ -67,6 +67,10 @@
     },
     /// On duties and windows, of a codec of its own.
     Duty(Vec<u8>),
+    /// The sums over the members that the sender knows, part by part, each a u32 in little endian.
+    Compare(Vec<u8>),
+    /// Members of the parts in which the one that compared differs, each as foca's in postcard.
+    Members(Vec<u8>),
 }
 
 /// Why a datagram is not used.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,9 +1,11 @@
 //! Membership on clocks that the test drives by hand, with every datagram the same time on its way.
 
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
 use shaletide::fleet::membership::wire::{self, Seal};
 use shaletide::fleet::membership::{Membership, News, Now, Output, Rules};
 use shaletide::{Micros, Time, Verdict};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 const SECOND: u64 = 1_000_000;
@@ -29,16 +31,23 @@
     ones: BTreeMap<usize, One>,
     way: BTreeMap<(u64, u64), (usize, Vec<u8>)>,
     sent: u64,
-    /// Nothing passes between this one and the others.
-    cut: Option<usize>,
+    /// Bytes sent by each.
+    bytes: BTreeMap<usize, u64>,
+    /// Nothing passes between these and the others.
+    cut: BTreeSet<usize>,
+    /// Of so many datagrams one is lost, by a seeded draw.
+    lose_one_in: Option<u32>,
+    random: Pcg32,
     /// This one's wall clock is ahead by so much.
     ahead: Option<(usize, u64)>,
 }
 
 impl Fleet {
     fn new(size: usize) -> Fleet {
-        let (ones, way) = Default::default();
-        let mut fleet = Fleet { now: 0, size, ones, way, sent: 0, cut: None, ahead: None };
+        let (ones, way, bytes, cut) = Default::default();
+        let random = Pcg32::seed_from_u64(5);
+        let mut fleet =
+            Fleet { now: 0, size, ones, way, sent: 0, bytes, cut, lose_one_in: None, random, ahead: None };
         (0..size).for_each(|n| fleet.start(n));
         fleet
     }
@@ -66,11 +75,13 @@
                 Output::News(news) => one.news.push(news),
                 Output::Send(to, body) => {
                     let to = usize::from(to.port()) - 1000;
-                    if self.cut.is_some_and(|cut| (cut == n) != (cut == to)) {
-                        continue;
-                    }
                     self.sent += 1;
                     let bytes = one.seal.seal(body, now.wall_us).expect("a body that fits");
+                    *self.bytes.entry(n).or_default() += bytes.len() as u64;
+                    let lost = self.lose_one_in.is_some_and(|of| self.random.next_u32().is_multiple_of(of));
+                    if lost || self.cut.contains(&n) != self.cut.contains(&to) {
+                        continue;
+                    }
                     self.way.insert((self.now + WAY, self.sent), (to, bytes));
                 }
             }
@@ -113,10 +124,10 @@
     let mut fleet = Fleet::new(5);
     fleet.play(5 * SECOND);
     assert!(fleet.whole());
-    fleet.cut = Some(4);
+    fleet.cut = BTreeSet::from([4]);
     fleet.play(30 * SECOND);
     assert_eq!(fleet.ones[&0].membership.known(), 3, "it was not missed");
-    fleet.cut = None;
+    fleet.cut.clear();
     fleet.play(10 * SECOND);
     assert!(fleet.whole());
     assert!(fleet.said(4, |news| matches!(news, News::Rejoined { .. })) > 0);
@@ -207,3 +218,101 @@
         assert_eq!(heard.collect::<Vec<_>>(), [("b7", verdict, turn as u32, 10)], "proxy {n}");
     }
 }
+
+/// Whatever there is to tell, a proxy sends no more than its rate and what it saved up, beside bare probes and answers:
+/// 3.5 KB a second, 5 KB saved up, and for the probes five datagrams of 100 bytes a second.
+#[test]
+fn what_a_proxy_tells_stays_within_its_rate() {
+    let mut fleet = Fleet::new(60);
+    fleet.play(20 * SECOND);
+    assert!(fleet.whole());
+    let begin = fleet.bytes.clone();
+    let verdict = Verdict::Out { term: Micros(SECOND), strikes: 1 };
+    for second in 1..=8 {
+        for n in 0..60 {
+            for b in 0..10 {
+                let backend = format!("backend-{n}-{second}-{b}");
+                fleet.turn(n, |m, now, out| m.tell(backend, verdict, now, out));
+            }
+        }
+        fleet.play(SECOND);
+        let most = (0..60).map(|n| fleet.bytes[&n] - begin[&n]).max().expect("sixty");
+        assert!(most <= 5_000 + second * 4_000, "{most} bytes in {second} s");
+    }
+    assert!((0..60).all(|n| fleet.said(n, |news| matches!(news, News::Down { .. })) == 0));
+}
+
+/// A word of a backend reaches all others soon while far more news of others waits than may be sent.
+#[test]
+fn of_hundreds_of_verdicts_on_one_backend_all_hear_some_at_once() {
+    let mut fleet = Fleet::new(100);
+    fleet.play(30 * SECOND);
+    assert!(fleet.whole());
+    let (begin, verdict) = (fleet.bytes.clone(), Verdict::Out { term: Micros(SECOND), strikes: 1 });
+    for n in 0..100 {
+        fleet.turn(n, |m, now, out| m.tell("dead".into(), verdict, now, out));
+        fleet.play(5_000);
+    }
+    fleet.play(SECOND);
+    for n in 0..100 {
+        let others = fleet.said(n, |news| matches!(news, News::Heard(_, heard) if heard.origin.is_some()));
+        assert!(others >= 2, "proxy {n} heard {others}");
+    }
+    fleet.play(SECOND);
+    let sum: u64 = (0..100).map(|n| fleet.bytes[&n] - begin[&n]).sum();
+    assert!(sum / 100 <= 6_000, "{} bytes each, as if all were passed on", sum / 100);
+}
+
+/// Hundreds that start at once all know all in the end, by lists that are compared until they are equal; and then
+/// comparing costs next to nothing.
+#[test]
+fn lists_of_members_end_whole() {
+    let mut fleet = Fleet::new(200);
+    fleet.play(40 * SECOND);
+    let lacking = fleet.ones.values().filter(|one| one.membership.known() != 199).count();
+    assert_eq!(lacking, 0, "proxies that lack another");
+    fleet.play(20 * SECOND); // what is still passed on runs out
+    let before: u64 = fleet.bytes.values().sum();
+    fleet.play(10 * SECOND);
+    let each = (fleet.bytes.values().sum::<u64>() - before) / 200 / 10;
+    assert!(each <= 200, "{each} bytes a second while nothing happens");
+}
+
+/// A region that was cut off and found again comes back under later starts, and those that it comes back to stay who
+/// they are; in neither is anybody taken for dead by those that heard it all the while.
+#[test]
+fn a_healed_region_needs_nobody_else_to_be_taken_for_dead() {
+    const REGION: usize = 42;
+    let mut fleet = Fleet::new(50);
+    fleet.play(15 * SECOND);
+    assert!(fleet.whole());
+    fleet.cut = (REGION..50).collect();
+    fleet.play(60 * SECOND);
+    assert!((0..REGION).all(|n| fleet.ones[&n].membership.known() == REGION - 1), "it was not missed");
+    fleet.cut.clear();
+    fleet.ones.values_mut().for_each(|one| one.news.clear());
+    fleet.play(20 * SECOND);
+    assert!(fleet.whole());
+    let rejoined = |n: &usize| fleet.said(*n, |news| matches!(news, News::Rejoined { .. })) > 0;
+    assert_eq!((0..50).filter(rejoined).collect::<Vec<_>>(), (REGION..50).collect::<Vec<_>>());
+    let inside = |n: usize| n >= REGION;
+    for n in 0..50 {
+        for news in &fleet.ones[&n].news {
+            let News::Down { peer, .. } = news else { continue };
+            let other = usize::from(peer.port()) - 1000;
+            assert_ne!(inside(n), inside(other), "{n} took {other} for dead");
+        }
+    }
+}
+
+/// With a tenth of the datagrams lost many are suspected; who said that it lives is told by nobody that it is down.
+#[test]
+fn nobody_rejoins_for_a_suspicion_that_was_refuted() {
+    let mut fleet = Fleet::new(60);
+    fleet.play(10 * SECOND);
+    fleet.lose_one_in = Some(10);
+    fleet.play(120 * SECOND);
+    let rejoined =
+        (0..60).map(|n| fleet.said(n, |news| matches!(news, News::Rejoined { .. }))).sum::<usize>();
+    assert_eq!(rejoined, 0);
+}
