Let a request withheld from a backend that left cost no extra attempt

Change: a try after one that was not sent because its backend had left costs none. Refused connections cost as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -519,9 +519,11 @@
         if !begun || matches!(end.outcome, Outcome::Error | Outcome::Reset) {
             self.learn(now, backend, class, sent, &end);
         }
+        let gone = self.backends.get(backend).is_none_or(|p| !self.backends.offered(p));
         let Some(r) = self.requests.get_mut(&id) else { return };
         if let Some(s) = r.sent.get_mut(end.attempt.0 as usize) {
             (s.out, s.never_ran) = (false, end.outcome.never_ran());
+            s.withheld = gone && end.outcome == Outcome::NeverSent;
         }
         if end.outcome == Outcome::Ok && !begun {
             let c = &self.cfg.classes[class];
@@ -1092,13 +1094,14 @@
             }
             let Some(mut r) = self.requests.remove(&id) else { continue };
             let (again, work) = (!r.sent.is_empty(), self.work(r.class));
+            let extra = r.sent.last().is_some_and(|s| !s.withheld);
             let refused = !again && (self.crowded(r.value) || self.hopeless(now, &r));
-            let sendable = self.may_send(now, &r) && (!again || self.extra >= 1.0) && !refused;
+            let sendable = self.may_send(now, &r) && (!extra || self.extra >= 1.0) && !refused;
             let backend = if sendable { self.draw(now, &r) } else { None };
             if let Some(p) = backend.and_then(|b| self.backends.get_mut(b)) {
-                self.extra -= f64::from(again);
+                self.extra -= f64::from(extra);
                 let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
-                r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false, begun: false });
+                r.sent.push(Sent::new(p.entry.clone(), now));
                 p.out += 1;
                 p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
                 p.spent.push((now, work));
--- a/src/state.rs
+++ b/src/state.rs
@@ -302,10 +302,19 @@
     pub out: bool,
     /// Its outcome proves that it did not run.
     pub never_ran: bool,
+    /// It was not sent as its backend had left meanwhile: the next try takes its place, and costs no extra attempt.
+    pub withheld: bool,
     /// Its answer has begun to stream: its backend has done the work.
     pub begun: bool,
 }
 
+impl Sent {
+    /// One that goes out now.
+    pub fn new(to: Backend, at: Time) -> Sent {
+        Sent { to, at, out: true, never_ran: false, withheld: false, begun: false }
+    }
+}
+
 /// A request that is owed an answer.
 pub(crate) struct Request {
     pub class: usize,
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -7,7 +7,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::mpsc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 type Reply = mpsc::Sender<(u16, String)>;
 
@@ -51,6 +51,44 @@
     }
 }
 
+/// Waits until somebody tries to connect there, by the machine's table of connections.
+fn dialled(to: SocketAddr) {
+    let (begun, port) = (Instant::now(), format!(":{:04X}", to.port()));
+    let tried = |line: &str| {
+        let mut columns = line.split_whitespace().skip(2);
+        columns.next().is_some_and(|remote| remote.ends_with(&port)) && columns.next() == Some("02")
+    };
+    while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(tried) {
+        assert!(begun.elapsed() < PATIENCE, "nobody connects to {to}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// The same, with another backend to go to: the request that was not sent for its backend's drain is served there, though the process
+/// has just begun and has no attempt to spare.
+#[test]
+fn a_request_whose_backend_drains_before_its_first_byte_is_served_by_another() {
+    let patient = SETTINGS.replace("\"dial_timeout_us\":300000", "\"dial_timeout_us\":9000000");
+    let patient = patient.replace("\"deadline_us\":3000000", "\"deadline_us\":9000000");
+    let (late, other) = (Late::start(), Scripted::start());
+    let (proxy, watch) = watching(late.address(), &patient);
+    let mut client = proxy.client();
+    client.send(&pay(9.0));
+    dialled(late.address());
+    let moved = [entry("b0", late.address(), "DRAINING"), entry("b1", other.address, "SERVING")];
+    watch.send((200, list(6, false, &moved))).unwrap();
+    let (call, _watch) = proxy.discovery.call();
+    assert!(call.contains("after=6&"), "{call}");
+    let late = late.open();
+    let unused = late.accept();
+    let mut wire = other.accept();
+    wire.request();
+    wire.answer("own");
+    assert_eq!(client.answer().expect("an answer").body, b"own");
+    drop(proxy); // an unused connection may be kept till then
+    assert_eq!(unused.rest(), b"", "nothing went out on it");
+}
+
 /// An answer that comes after its backend began to drain, was shut and opened again, or moved: the client has it, and
 /// the connection serves nothing that is sent to another address or while it is shut.
 #[test]
