--- a/tests/rig/fleet.rs
+++ b/tests/rig/fleet.rs
@@ -6,6 +6,7 @@
 use super::*;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Condvar, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -42,6 +43,32 @@
     }
 }
 
+/// So many fleets of one test program run at a time: nine of five processes each, with their backends and relays as threads
+/// of that program, stall each other on eight cores, and a backend of the test's own that stands still for seconds is no
+/// fault of the proxy's.
+const AT_A_TIME: usize = 4;
+
+static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+/// A fleet's turn to run.
+struct Turn;
+
+impl Turn {
+    fn wait() -> Turn {
+        let running = RUNNING.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let full = |running: &mut usize| *running >= AT_A_TIME;
+        *RUNNING.1.wait_while(running, full).unwrap_or_else(PoisonError::into_inner) += 1;
+        Turn
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *RUNNING.0.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        RUNNING.1.notify_one();
+    }
+}
+
 pub struct Fleet {
     pub faults: Faults,
     pub proxies: Vec<Proxy>,
@@ -50,6 +77,8 @@
     /// Killed ones that have another in their place.
     past: Vec<(usize, Proxy, u64)>,
     shape: Shape,
+    /// Given back last, once all processes are gone.
+    _turn: Turn,
 }
 
 /// What all its proxies are started with.
@@ -105,9 +134,10 @@
     }
 
     pub fn of(shape: Shape) -> Fleet {
+        let turn = Turn::wait();
         let faults = Faults::new(shape.size, shape.seed);
         let proxies = (0..shape.size).map(|n| shape.start(&faults, n)).collect();
-        Fleet { faults, proxies, killed: HashMap::new(), past: Vec::new(), shape }
+        Fleet { faults, proxies, killed: HashMap::new(), past: Vec::new(), shape, _turn: turn }
     }
 
     /// Waits until each of these sees so many others; how long that took.
