Look a queued submission up again before it is proposed

What callers saw: a change of the fleet's configuration was acknowledged with the version of another change, one too high. A next change made from that version could go over one in between without a conflict.

Cause: the leader looked a submission up when it arrived. One that an earlier leader had proposed was not applied yet, so it was queued; the new leader then finished the earlier proposal, committed the submission that stood first in its queue, and took the queued one for a change without effect, at the version of the other.

--- a/src/fleet/config/replica/submissions.rs
+++ b/src/fleet/config/replica/submissions.rs
@@ -95,17 +95,33 @@
             else {
                 return;
             };
-            let id = submission.id;
-            match validate(&self.table, &submission) {
-                Ok(Validated::Change) => {
-                    self.queue.open(submitter, id);
-                    self.propose(now, context, submission, out);
-                }
-                Ok(Validated::NoChange) => {
-                    self.send_outcome(submitter, id, Ok(self.table.version()), out);
-                }
-                Err(error) => self.send_outcome(submitter, id, Err(error), out),
+            self.propose_or_answer(now, context, submitter, submission, out);
+        }
+    }
+
+    /// Proposes a submission, or answers one that makes no new change.
+    fn propose_or_answer(
+        &mut self,
+        now: Time,
+        context: &Context,
+        submitter: SocketAddr,
+        submission: Submission,
+        out: &mut Outbox,
+    ) {
+        let id = submission.id;
+        // It may have been committed since it was queued: an earlier leader had proposed it.
+        if let Some(version) = self.table.version_of(id) {
+            return self.send_outcome(submitter, id, Ok(version), out);
+        }
+        match validate(&self.table, &submission) {
+            Ok(Validated::Change) => {
+                self.queue.open(submitter, id);
+                self.propose(now, context, submission, out);
             }
+            Ok(Validated::NoChange) => {
+                self.send_outcome(submitter, id, Ok(self.table.version()), out);
+            }
+            Err(error) => self.send_outcome(submitter, id, Err(error), out),
         }
     }
 
