Keep the ids of applied changes, so that a repeated submission is made once

What callers saw, where the answer to a change was lost and the leader had started from a stored copy or had fetched its table: the change was made a second time over a later, acknowledged one (a lost update, where that had been compacted into the files), or a change in force was reported as a conflict (409), or with another change's version. The 409 also without a restart, after more than 64 other changes.

Cause: a leader knew a submission only by the last 64 changes of its log, which is empty after a fetch by ranges and after a start from a copy; what was not found counted as new.

Change: AppliedChanges keeps the ids of the last 4,096 applied changes and the version from which on they are complete. A submission that is not among them is new if its base is since then, or if no repeat can arrive any more (15 s: 10 s of sending, 5 s on the way). Else the leader does not answer and the caller is told that the outcome is not known (503). Datagrams and stored copies are unchanged. Table::version_of goes, its one caller uses this.

Why it works: a change's version is above the base of its submission, so it is among the ids kept since that base; before that, time rules repeats out.

--- a/src/fleet/config/limits.rs
+++ b/src/fleet/config/limits.rs
@@ -20,6 +20,8 @@
 pub const MAX_LOG_CHANGES: usize = 4096;
 /// The most bytes of the changes in the log.
 pub const MAX_LOG_BYTES: usize = 1 << 20;
+/// The most applied changes whose ids a replica keeps.
+pub const MAX_APPLIED_IDS: usize = 4096;
 /// Versions are below this. They are milliseconds since 1970 or little more: this is far in the future, and far from the
 /// end of the integer's range.
 pub const VERSION_LIMIT: u64 = 1 << 53;
--- a/src/fleet/config/mod.rs
+++ b/src/fleet/config/mod.rs
@@ -23,6 +23,7 @@
 //! | --- | --- |
 //! | `replica` | one proxy's part: drives all below |
 //! | `gossip`, `catch_up`, `catch_up_source`, `submit` | one mechanism each: spreading, catching up, serving, queueing |
+//! | `applied_changes` | which submissions became changes lately |
 //! | `acceptor`, `proposer` | the two roles of Paxos |
 //! | `overrides` | the table's entries over the platform's file |
 //! | `staged_table`, `table`, `early_changes` | the state, its fetched successor, and what came too early |
@@ -31,6 +32,7 @@
 //! | `entry`, `merkle`, `limits` | plain data and bounds |
 
 mod acceptor;
+mod applied_changes;
 mod batch;
 mod catch_up;
 mod catch_up_source;
@@ -52,10 +54,13 @@
 mod table;
 
 pub use acceptor::{Acceptor, RecoveryReply};
+pub use applied_changes::{AppliedChanges, Origin};
 pub use change::{check_edits, Change};
 pub use entry::{Edit, Entry, InvalidEntry, Key, Kind, Value};
 pub use error::{MessageError, TableError};
-pub use limits::{MAX_EDITS_PER_CHANGE, MAX_NAME_BYTES, MAX_VALUE_BYTES, VERSION_LIMIT};
+pub use limits::{
+    MAX_APPLIED_IDS, MAX_EDITS_PER_CHANGE, MAX_NAME_BYTES, MAX_VALUE_BYTES, VERSION_LIMIT,
+};
 pub use merkle::{Digest, Node, PositionRange, CHILDREN};
 pub use message::{AcceptedChange, AcceptorState, Message, Outbox, Outgoing, Paxos};
 pub use overrides::{FileAhead, FileError, Overrides};
--- a/src/fleet/config/replica.rs
+++ b/src/fleet/config/replica.rs
@@ -10,6 +10,7 @@
 mod submissions;
 
 use super::acceptor::Acceptor;
+use super::applied_changes::AppliedChanges;
 use super::catch_up::{CatchUp, NodeHashes, RangeEntries};
 use super::catch_up_source::CatchUpSource;
 use super::early_changes::EarlyChanges;
@@ -81,6 +82,7 @@
 pub struct Replica {
     rules: Rules,
     table: Table,
+    applied: AppliedChanges,
     /// The role of a voter, where this proxy is one.
     acceptor: Option<Acceptor>,
     /// The role of the leader, while this proxy is it.
@@ -111,6 +113,7 @@
         Replica {
             rules,
             table: Table::default(),
+            applied: AppliedChanges::new(now),
             acceptor,
             proposer: None,
             last_token: Token::default(),
@@ -137,6 +140,7 @@
                 .map(|(_, entry)| entry.clone())
                 .collect();
             self.table = table;
+            self.applied.lose_ids_up_to(self.table.version());
             self.table_changed(self.table.version(), entries);
         }
     }
@@ -201,6 +205,7 @@
 
     /// Lets time pass. Call it every tenth of a second or more often, and when this proxy gains or loses the lease.
     pub fn tick(&mut self, now: Time, context: &Context, out: &mut Outbox) {
+        self.applied.set_time(now);
         self.recover_voter(now, context, out);
         self.lead(now, context, out);
         self.resend_submissions(now, context, out);
@@ -222,6 +227,7 @@
         out: &mut Outbox,
     ) -> Result<(), MessageError> {
         message.check()?;
+        self.applied.set_time(now);
         match message {
             Message::Paxos(message) => self.on_paxos(now, context, from, message, out)?,
             Message::Submit(submission) => {
--- a/src/fleet/config/replica/spreading.rs
+++ b/src/fleet/config/replica/spreading.rs
@@ -60,6 +60,7 @@
     fn apply(&mut self, change: &Change) -> Result<Applied, TableError> {
         let applied = self.table.apply(change)?;
         if applied == Applied::New {
+            self.applied.record(change.id, change.version);
             self.table_changed(change.version, change.entries());
             self.on_outcome(change.id, Ok(change.version)); // the leader's own message may be lost
         }
@@ -83,6 +84,7 @@
     /// A fetched table was installed.
     pub(super) fn on_installed(&mut self, installed: Installed, out: &mut Outbox) {
         let version = installed.version;
+        self.applied.lose_ids_up_to(version);
         self.table_changed(version, installed.entries);
         self.apply_early_changes();
         out.push(Outgoing {
--- a/src/fleet/config/replica/submissions.rs
+++ b/src/fleet/config/replica/submissions.rs
@@ -1,6 +1,7 @@
 //! Takes operators' changes from the proxy that received them to the leader, and their outcomes back.
 
 use super::{Event, Replica};
+use crate::fleet::config::applied_changes::Origin;
 use crate::fleet::config::change::check_edits;
 use crate::fleet::config::message::{Message, Outbox, Outgoing};
 use crate::fleet::config::peers::Context;
@@ -72,8 +73,12 @@
             return;
         };
         let id = submission.id;
-        if let Some(version) = self.table.version_of(id) {
-            return self.send_outcome(submitter, id, Ok(version), out);
+        match self.applied.origin(&submission, self.table.version()) {
+            Origin::New => {}
+            Origin::Applied(version) => {
+                return self.send_outcome(submitter, id, Ok(version), out);
+            }
+            Origin::Unknown => return, // the submitter sends it again
         }
         let is_proposed = proposer.proposed().is_some_and(|change| change.id == id);
         if is_proposed || self.queue.contains(id) {
@@ -110,8 +115,12 @@
     ) {
         let id = submission.id;
         // It may have been committed since it was queued: an earlier leader had proposed it.
-        if let Some(version) = self.table.version_of(id) {
-            return self.send_outcome(submitter, id, Ok(version), out);
+        match self.applied.origin(&submission, self.table.version()) {
+            Origin::New => {}
+            Origin::Applied(version) => {
+                return self.send_outcome(submitter, id, Ok(version), out);
+            }
+            Origin::Unknown => return,
         }
         match validate(&self.table, &submission) {
             Ok(Validated::Change) => {
--- a/src/fleet/config/submit.rs
+++ b/src/fleet/config/submit.rs
@@ -12,7 +12,7 @@
 /// How often a submission is sent to the leader until its outcome is known.
 const RESEND_INTERVAL: Micros = Micros(250_000);
 /// For how long it is sent.
-const SUBMIT_TIMEOUT: Micros = Micros(10_000_000);
+pub(super) const SUBMIT_TIMEOUT: Micros = Micros(10_000_000);
 
 /// A submission that waits for its outcome.
 #[derive(Clone, Debug)]
--- a/src/fleet/config/table.rs
+++ b/src/fleet/config/table.rs
@@ -3,9 +3,7 @@
 use super::change::Change;
 use super::entry::{Edit, Entry, Key, Value};
 use super::error::TableError;
-use super::limits::{
-    MAX_ENTRIES, MAX_LOG_BYTES, MAX_LOG_CHANGES, MAX_QUEUED, MAX_TABLE_BYTES, VERSION_LIMIT,
-};
+use super::limits::{MAX_ENTRIES, MAX_LOG_BYTES, MAX_LOG_CHANGES, MAX_TABLE_BYTES, VERSION_LIMIT};
 use super::merkle::{Digest, MerkleTree, Node, PositionRange};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -120,16 +118,6 @@
         Some(self.log.range(start..))
     }
 
-    /// The version of the change with this id, if it is among the last ones.
-    pub fn version_of(&self, id: u64) -> Option<u64> {
-        self.log
-            .iter()
-            .rev()
-            .take(MAX_QUEUED)
-            .find(|change| change.id == id)
-            .map(|change| change.version)
-    }
-
     /// Checks that these entries can be set without exceeding the bounds.
     ///
     /// # Errors
