Give a duplicate of an answered submission the same answer

What callers saw: told that all was so already (200) or that too many changes wait (503), and the change came into force later all the same.

Cause: the leader checked each arrival of a submission anew; a late duplicate was made where the table allowed it by then.

The two new tests fail without the lookup.

Change: AnsweredSubmissions keeps a leader's answers without a change: the last 1,024, for the 15 s in which a duplicate may arrive.

--- a/src/fleet/config/applied_changes.rs
+++ b/src/fleet/config/applied_changes.rs
@@ -9,7 +9,7 @@
 /// How long a datagram may be on its way.
 const MAX_DATAGRAM_DELAY: Micros = Micros(5_000_000);
 /// How long after a change was applied its submission may still arrive again.
-const REPEAT_WINDOW: Micros = Micros(SUBMIT_TIMEOUT.0 + MAX_DATAGRAM_DELAY.0);
+pub(super) const REPEAT_WINDOW: Micros = Micros(SUBMIT_TIMEOUT.0 + MAX_DATAGRAM_DELAY.0);
 
 /// What is known of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/fleet/config/limits.rs
+++ b/src/fleet/config/limits.rs
@@ -20,6 +20,8 @@
 pub const MAX_LOG_CHANGES: usize = 4096;
 /// The most bytes of the changes in the log.
 pub const MAX_LOG_BYTES: usize = 1 << 20;
+/// The most answers of a leader, to submissions that it made no change from, that it keeps.
+pub const MAX_ANSWERED: usize = 1024;
 /// The most applied changes whose ids a replica keeps.
 pub const MAX_APPLIED_IDS: usize = 4096;
 /// Versions are below this. They are milliseconds since 1970 or little more: this is far in the future, and far from the
--- a/src/fleet/config/mod.rs
+++ b/src/fleet/config/mod.rs
@@ -23,7 +23,7 @@
 //! | --- | --- |
 //! | `replica` | one proxy's part: drives all below |
 //! | `gossip`, `catch_up`, `catch_up_source`, `submit` | one mechanism each: spreading, catching up, serving, queueing |
-//! | `applied_changes` | which submissions became changes lately |
+//! | `applied_changes`, `answered_submissions` | which submissions became changes lately, and what the others were told |
 //! | `acceptor`, `proposer` | the two roles of Paxos |
 //! | `overrides` | the table's entries over the platform's file |
 //! | `staged_table`, `table`, `early_changes` | the state, its fetched successor, and what came too early |
@@ -32,6 +32,7 @@
 //! | `entry`, `merkle`, `limits` | plain data and bounds |
 
 mod acceptor;
+mod answered_submissions;
 mod applied_changes;
 mod batch;
 mod catch_up;
--- a/src/fleet/config/replica.rs
+++ b/src/fleet/config/replica.rs
@@ -10,6 +10,7 @@
 mod submissions;
 
 use super::acceptor::Acceptor;
+use super::answered_submissions::AnsweredSubmissions;
 use super::applied_changes::AppliedChanges;
 use super::catch_up::{CatchUp, NodeHashes, RangeEntries};
 use super::catch_up_source::CatchUpSource;
@@ -90,6 +91,7 @@
     /// The last token that it proposed under, which is never used again.
     last_token: Token,
     queue: SubmissionQueue,
+    answered: AnsweredSubmissions,
     pending: PendingSubmissions,
     early_changes: EarlyChanges,
     catch_up: CatchUp,
@@ -118,6 +120,7 @@
             proposer: None,
             last_token: Token::default(),
             queue: SubmissionQueue::default(),
+            answered: AnsweredSubmissions::default(),
             pending: PendingSubmissions::default(),
             early_changes: EarlyChanges::default(),
             catch_up: CatchUp::default(),
--- a/src/fleet/config/replica/submissions.rs
+++ b/src/fleet/config/replica/submissions.rs
@@ -73,6 +73,9 @@
             return;
         };
         let id = submission.id;
+        if let Some(outcome) = self.answered.outcome(id).cloned() {
+            return self.send_outcome(submitter, id, outcome, out);
+        }
         match self.applied.origin(&submission, self.table.version()) {
             Origin::New => {}
             Origin::Applied(version) => {
@@ -86,7 +89,7 @@
         }
         match self.queue.push(submitter, submission) {
             Ok(()) => self.propose_next(now, context, out),
-            Err(error) => self.send_outcome(submitter, id, Err(error), out),
+            Err(error) => self.answer(now, submitter, id, Err(error), out),
         }
     }
 
@@ -128,12 +131,25 @@
                 self.propose(now, context, submission, out);
             }
             Ok(Validated::NoChange) => {
-                self.send_outcome(submitter, id, Ok(self.table.version()), out);
+                self.answer(now, submitter, id, Ok(self.table.version()), out);
             }
-            Err(error) => self.send_outcome(submitter, id, Err(error), out),
+            Err(error) => self.answer(now, submitter, id, Err(error), out),
         }
     }
 
+    /// Answers a submission that no change is made from, for good.
+    fn answer(
+        &mut self,
+        now: Time,
+        submitter: SocketAddr,
+        id: u64,
+        outcome: Result<u64, SubmitError>,
+        out: &mut Outbox,
+    ) {
+        self.answered.record(now, id, outcome.clone());
+        self.send_outcome(submitter, id, outcome, out);
+    }
+
     fn propose(&mut self, now: Time, context: &Context, submission: Submission, out: &mut Outbox) {
         let proposal = Proposal {
             id: submission.id,
--- a/tests/config_repeats.rs
+++ b/tests/config_repeats.rs
@@ -188,6 +188,17 @@
         Some(entry.edit.value.clone())
     }
 
+    /// A datagram of [`OTHER`] with a submission arrives at the leader, also one that arrived before.
+    fn receive_again(&mut self, id: u64, base: u64, edits: Vec<Edit>) {
+        let message = Message::Submit(Submission { id, base, edits });
+        self.wire.push_back(InFlight {
+            from: OTHER,
+            to: LEADER,
+            message,
+        });
+        self.deliver();
+    }
+
     /// These proxies start from the copies that they stored, as all do in a rollout.
     fn restart(&mut self, proxies: &[usize]) {
         for &n in proxies {
@@ -370,6 +381,38 @@
     assert_eq!(origin(&applied, 1, 0), Origin::New, "no repeat any more");
 }
 
+/// A change was made after its operator was told that all was so already: a duplicate of the submission arrived after the
+/// entry had been compacted into the files.
+#[test]
+fn a_duplicate_of_an_answered_submission_makes_no_change() {
+    let mut fleet = Fleet::new();
+    let removed = vec![edit("t-1", Value::Removed)];
+    let version = fleet.change(removed.clone());
+    let id = fleet.submit(OTHER, version, removed.clone());
+    fleet.deliver();
+    assert_eq!(fleet.outcomes[&id], Ok(version));
+    fleet.change(vec![Edit::compact_up_to(version)]);
+    fleet.receive_again(id, version, removed);
+    assert!(fleet.chain.values().all(|change| change.id != id));
+}
+
+/// A change was made after its operator was told that too many wait: a duplicate arrived when there was room again.
+#[test]
+fn a_duplicate_of_a_rejected_submission_makes_no_change() {
+    let mut fleet = Fleet::new();
+    let base = fleet.version();
+    fleet.elect(); // replies to what the leader proposes under the old token do not count
+    let edits = |n: u64| vec![set(&format!("t-{n}"), "new")];
+    let last = 166; // one is proposed and 64 wait
+    for id in 101..=last {
+        fleet.receive_again(id, base, edits(id));
+    }
+    fleet.run(2);
+    fleet.receive_again(last, base, edits(last));
+    fleet.run(2);
+    assert!(fleet.chain.values().all(|change| change.id != last));
+}
+
 /// An operator was told the version of another change: the leader finished the one that an earlier leader had proposed, while
 /// its submission waited here behind another one.
 #[test]
