Reject a change from before a compaction that may have dropped a later one

What callers saw: a change made from an old version was acknowledged (200) and went over a later, acknowledged change of the same entry, where the platform's files had been declared to contain that one in between: a lost update, without any fault of the network.

Cause: conflicts are found by an entry's version, and a compaction drops the entries with their versions. An absent entry counted as never changed.

The plain case, played alone, got Ok before; the new test expects Conflict and failed there.

Change: a change of an absent entry conflicts with a compaction after its base. Any change that a compaction dropped is older than the compaction, so none is missed; a call that would have been right gets a 409 as well.

--- a/src/fleet/config/submit.rs
+++ b/src/fleet/config/submit.rs
@@ -1,7 +1,7 @@
 //! Operators' changes on their way: the submissions of this proxy until their outcome is known, and the leader's queue.
 
 use super::change::check_edits;
-use super::entry::Edit;
+use super::entry::{Edit, Key};
 use super::limits::MAX_QUEUED;
 use super::submission::{Submission, SubmitError};
 use super::table::Table;
@@ -193,6 +193,19 @@
             key: edit.key.to_string(),
             version: entry.version,
         }),
+        Some(_) => Ok(Validated::Change),
+        None => check_compacted(table, edit, base),
+    }
+}
+
+/// Checks an edit of an entry that the table does not have: a compaction after the base may have dropped a later change of
+/// it.
+fn check_compacted(table: &Table, edit: &Edit, base: u64) -> Result<Validated, SubmitError> {
+    match table.get(Key::compaction().position()) {
+        Some(compaction) if compaction.version > base => Err(SubmitError::Conflict {
+            key: edit.key.to_string(),
+            version: compaction.version,
+        }),
         _ => Ok(Validated::Change),
     }
 }
--- a/tests/config_repeats.rs
+++ b/tests/config_repeats.rs
@@ -413,6 +413,24 @@
     assert!(fleet.chain.values().all(|change| change.id != last));
 }
 
+/// A lost update: a change that was made from an old version went over a later one that had been compacted into the files.
+#[test]
+fn a_change_from_before_a_compaction_conflicts_with_it() {
+    let mut fleet = Fleet::new();
+    let old = fleet.change(vec![set("t-1", "first")]);
+    let later = fleet.change(vec![set("t-1", "second")]);
+    fleet.change(vec![Edit::compact_up_to(later)]);
+    let compaction = fleet.version();
+    let id = fleet.submit(OTHER, old, vec![set("t-1", "from the first")]);
+    fleet.deliver();
+    let conflict = SubmitError::Conflict {
+        key: "tenants.t-1".into(),
+        version: compaction,
+    };
+    assert_eq!(fleet.outcomes[&id], Err(conflict));
+    fleet.change(vec![set("t-1", "from the compaction")]);
+}
+
 /// An operator was told the version of another change: the leader finished the one that an earlier leader had proposed, while
 /// its submission waited here behind another one.
 #[test]
