--- a/tests/config_repeats.rs
+++ b/tests/config_repeats.rs
@@ -440,8 +440,8 @@
         voters: (0..3).map(address).collect(),
         own: address(3),
     };
-    let token = |number| Ballot {
-        number,
+    let first_token = Ballot {
+        number: 1,
         incarnation: 1,
     };
     let now = Time(10_000_000);
@@ -450,7 +450,7 @@
         wall_ms: WALL_MS,
         members: &[],
         zone_members: &[],
-        lease: Some(token(2)),
+        lease: Some(second_token()),
         leader: Some(address(3)),
     };
     let submitter = address(4);
@@ -477,11 +477,11 @@
         edits: submission(7, "t-7").edits,
     };
     let promise = Paxos::Promise {
-        token: token(2),
+        token: second_token(),
         round: 1,
         version: 0,
         accepted: Some(AcceptedChange {
-            token: token(1),
+            token: first_token,
             change: proposed,
         }),
         version_floor: 0,
@@ -490,6 +490,18 @@
     for voter in [0, 1] {
         sent.extend(receive(address(voter), Message::Paxos(promise.clone())));
     }
+    assert_eq!(
+        outcomes_with_accepting_voters(sent, receive),
+        BTreeMap::from([(7, Ok(1)), (9, Ok(2))])
+    );
+}
+
+/// Lets two voters accept all that a leader of the second token proposes, and returns the outcomes that it sends.
+fn outcomes_with_accepting_voters(
+    mut sent: Outbox,
+    mut receive: impl FnMut(SocketAddr, Message) -> Outbox,
+) -> BTreeMap<u64, Result<u64, SubmitError>> {
+    let token = second_token();
     let mut outcomes = BTreeMap::new();
     while !sent.is_empty() {
         let mut rounds = BTreeSet::new();
@@ -504,10 +516,16 @@
             .into_iter()
             .flat_map(|round| [(round, 0), (round, 1)])
         {
-            let token = token(2);
             let accepted = Message::Paxos(Paxos::Accepted { token, round });
             sent.extend(receive(address(voter), accepted));
         }
     }
-    assert_eq!(outcomes, BTreeMap::from([(7, Ok(1)), (9, Ok(2))]));
+    outcomes
+}
+
+fn second_token() -> Token {
+    Ballot {
+        number: 2,
+        incarnation: 1,
+    }
 }
