Let soak clients leave while they wait, and hang more backends

Change: clients with little patience leave, and in every second seed most backends hang from the signal on.

--- a/tests/restart_soak.rs
+++ b/tests/restart_soak.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg32;
 use rig::*;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{BufReader, Write};
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -84,6 +84,9 @@
     Behaviour::ClosesIdle,
 ];
 
+/// The index of [`Behaviour::HangsFromSignal`].
+const HANGING: usize = 2;
+
 /// A request at a backend.
 struct Attempt {
     at: Instant,
@@ -215,6 +218,16 @@
         self.client.0.get_mut().write_all(part.as_bytes()).is_ok()
     }
 
+    /// Whether something came within that time, an end included.
+    fn begins_answer_within(&mut self, patience: Duration) -> bool {
+        let tcp = self.client.0.get_mut();
+        tcp.set_read_timeout(Some(patience)).unwrap();
+        let came = tcp.peek(&mut [0]);
+        tcp.set_read_timeout(Some(DEADLINE + LATE)).unwrap();
+        let waited = [ErrorKind::WouldBlock, ErrorKind::TimedOut];
+        !came.is_err_and(|error| waited.contains(&error.kind()))
+    }
+
     /// Sends a request, in one piece or two.
     fn send(&mut self, request: &str, draws: &mut Draws) -> bool {
         if !draws.chance(15) {
@@ -268,8 +281,15 @@
     count(&run.requests);
     let begun = Instant::now();
     let sent = connection.send(&request, draws);
-    if sent && draws.chance(8) {
-        std::thread::sleep(draws.millis(0, 100));
+    let leaves = match draws.below(100) {
+        0..=7 => {
+            std::thread::sleep(draws.millis(0, 100));
+            true
+        }
+        8..=39 => !connection.begins_answer_within(draws.millis(5, 400)),
+        _ => false,
+    };
+    if sent && leaves {
         let _ = connection.client.0.get_mut().shutdown(Shutdown::Both);
         run.left.lock().unwrap().insert(id, Instant::now());
         count(&run.abandoned);
@@ -473,6 +493,8 @@
     let known = (0..draws.between(4, 12)).map(|n| {
         let index = match n {
             0 | 1 => 0, // always quick
+            // So that many requests wait as clients leave.
+            _ if seed.is_multiple_of(2) && draws.chance(60) => HANGING,
             _ => draws.below(BEHAVIOURS.len() as u64) as usize,
         };
         let address = start_backend(run, BEHAVIOURS[index], seed * 1000 + n);
