Keep the shared limits at a reload during a hot restart

What callers saw: during a hot restart with a reload two processes could hold more connections than the proxy's descriptors for up to 20 ms; beyond that limit the platform may end the proxy.

Cause: the reload set the limits of a process that is alone; only the watch of the other process knew what that one holds.

The new test fails with the reload's former rule in place (tried), and passes.

Change: DescriptorLimits knows the number of descriptors and the other process's connections; the watch and the reload ask it for the limits.

--- a/src/net/config/reload.rs
+++ b/src/net/config/reload.rs
@@ -8,7 +8,7 @@
 use crate::net::cluster::coordination::mono;
 use crate::net::config::fleet_overrides::{self, AmendError, FleetOverrides, PendingEntries};
 use crate::net::config::{Node, NodeError, ReloadedConfig, Source};
-use crate::net::descriptor_limits::ConnectionLimits;
+use crate::net::descriptor_limits::DescriptorLimits;
 use crate::net::downstream::server::{RequestRules, Server};
 use crate::net::host::Host;
 use crate::net::state::snapshot::ProxyIdentity;
@@ -82,8 +82,8 @@
     pub keeper: Option<Rc<SnapshotKeeper>>,
     pub identity: ProxyIdentity,
     pub admin: AdminListener,
-    /// File descriptors that the process may hold.
-    pub descriptors: Rc<Cell<usize>>,
+    /// The descriptors that the process may hold.
+    pub descriptors: Rc<DescriptorLimits>,
     /// All keys of the file but those inside lists.
     pub keys: Arc<BTreeSet<String>>,
     pub listen: SocketAddr,
@@ -262,9 +262,7 @@
     }
 
     fn apply_descriptor_limit(&self, descriptors: usize) {
-        self.descriptors.set(descriptors);
-        let limits = ConnectionLimits::for_single_process(descriptors);
-        self.host.pool.limit(limits.upstreams);
-        self.server.limit(limits.clients);
+        self.descriptors.set_descriptors(descriptors);
+        self.descriptors.apply(&self.host, &self.server);
     }
 }
--- a/src/net/descriptor_limits.rs
+++ b/src/net/descriptor_limits.rs
@@ -1,7 +1,7 @@
 //! How many client and backend connections a process may hold within its limit of file descriptors.
 //!
-//! A single process takes its limits from [`ConnectionLimits::for_single_process`]. During a hot restart two processes
-//! are one proxy and share its descriptors; [`follow_other_process`] keeps their limits in step.
+//! [`DescriptorLimits`] says it at any moment. During a hot restart two processes are one proxy and share its descriptors;
+//! [`follow_other_process`] keeps their limits in step.
 
 use crate::net::downstream::server::Server;
 use crate::net::host::Host;
@@ -62,6 +62,53 @@
     }
 }
 
+/// The descriptors that the process may hold, and what another process of this proxy has of them.
+#[derive(Debug)]
+pub struct DescriptorLimits {
+    /// A reload can change the number.
+    descriptors: Cell<usize>,
+    /// The open connections of the other process, while there is one.
+    other: Cell<Option<ConnectionCounts>>,
+}
+
+impl DescriptorLimits {
+    /// For a process that knows of no other one.
+    pub fn new(descriptors: usize) -> DescriptorLimits {
+        DescriptorLimits {
+            descriptors: Cell::new(descriptors),
+            other: Cell::new(None),
+        }
+    }
+
+    /// Sets the number of descriptors; another process still has its share.
+    pub fn set_descriptors(&self, descriptors: usize) {
+        self.descriptors.set(descriptors);
+    }
+
+    /// Sets what another process has; returns whether it came or went.
+    pub fn set_other(&self, other: Option<ConnectionCounts>) -> bool {
+        self.other.replace(other).is_some() != other.is_some()
+    }
+
+    /// How many connections the process may hold now, with so many open to backends.
+    pub fn connections(&self, open_upstreams: usize) -> ConnectionLimits {
+        let descriptors = self.descriptors.get();
+        match self.other.get() {
+            Some(other) => {
+                ConnectionLimits::for_shared_capacity(descriptors, open_upstreams, other)
+            }
+            None => ConnectionLimits::for_single_process(descriptors),
+        }
+    }
+
+    /// Puts them in force.
+    pub fn apply(&self, host: &Host, server: &Server) {
+        let limits = self.connections(host.pool.open());
+        host.pool.limit(limits.upstreams);
+        server.limit(limits.clients);
+    }
+}
+
 /// Connections that fit into that many descriptors.
 fn connection_capacity(descriptors: usize) -> usize {
     descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(2)
@@ -74,9 +121,8 @@
     presence: Rc<Presence>,
     host: Rc<Host>,
     server: Rc<Server>,
-    descriptors: Rc<Cell<usize>>,
+    limits: Rc<DescriptorLimits>,
 ) {
-    let mut is_shared = false;
     loop {
         let others = presence.others();
         let own = ConnectionCounts {
@@ -84,19 +130,10 @@
             upstreams: host.pool.open(),
         };
         presence.write_counts(own);
-        let limits = if others.any() {
-            ConnectionLimits::for_shared_capacity(
-                descriptors.get(),
-                own.upstreams,
-                others.connections,
-            )
-        } else {
-            ConnectionLimits::for_single_process(descriptors.get())
-        };
-        host.pool.limit(limits.upstreams);
-        server.limit(limits.clients);
-        if is_shared != others.any() {
-            is_shared = others.any();
+        let is_shared = others.any();
+        let has_changed = limits.set_other(is_shared.then_some(others.connections));
+        limits.apply(&host, &server);
+        if has_changed {
             process_count_changed(&host, is_shared);
         }
         let interval = if is_shared {
--- a/src/net/descriptor_limits/tests.rs
+++ b/src/net/descriptor_limits/tests.rs
@@ -29,3 +29,26 @@
     let limits = ConnectionLimits::for_shared_capacity(DESCRIPTORS, 0, crowded);
     assert!(limits.clients > 0 && limits.upstreams > 0, "never shut out");
 }
+
+/// A reload during a hot restart took the limits of a single process: two processes could pass the proxy's limit.
+#[test]
+fn a_reload_beside_another_process_keeps_to_the_shared_limits() {
+    const DESCRIPTORS: usize = 256;
+    const OWN_UPSTREAMS: usize = 20;
+    let other = ConnectionCounts {
+        clients: 60,
+        upstreams: 30,
+    };
+    let limits = DescriptorLimits::new(DESCRIPTORS);
+    assert!(limits.set_other(Some(other)));
+    let shared = limits.connections(OWN_UPSTREAMS);
+    limits.set_descriptors(DESCRIPTORS);
+    assert_eq!(limits.connections(OWN_UPSTREAMS), shared);
+    let all = shared.clients + shared.upstreams + other.clients + other.upstreams;
+    assert!(all < DESCRIPTORS, "{all} connections");
+    assert!(limits.set_other(None));
+    assert_eq!(
+        limits.connections(OWN_UPSTREAMS),
+        ConnectionLimits::for_single_process(DESCRIPTORS)
+    );
+}
--- a/src/startup/proxy.rs
+++ b/src/startup/proxy.rs
@@ -12,7 +12,7 @@
 use crate::net::config::fleet_overrides::FleetOverrides;
 use crate::net::config::reload::ConfigReloader;
 use crate::net::config::Node;
-use crate::net::descriptor_limits::{follow_other_process, ConnectionLimits};
+use crate::net::descriptor_limits::{follow_other_process, ConnectionLimits, DescriptorLimits};
 use crate::net::discovery::{self, PollSchedule};
 use crate::net::downstream::server::{self, RequestRules, Server};
 use crate::net::host::Host;
@@ -42,8 +42,8 @@
 pub struct Proxy {
     host: Rc<Host>,
     pub server: Rc<Server>,
-    /// File descriptors that the process may hold; a reload can change the number.
-    descriptors: Rc<Cell<usize>>,
+    /// The descriptors that the process may hold.
+    descriptors: Rc<DescriptorLimits>,
     known_list: KnownListPosition,
     identity: ProxyIdentity,
     pub handover: Handover,
@@ -97,7 +97,7 @@
         Ok(Proxy {
             host,
             server,
-            descriptors: Rc::new(Cell::new(node.max_descriptors)),
+            descriptors: Rc::new(DescriptorLimits::new(node.max_descriptors)),
             known_list,
             identity,
             handover,
