Reject a log level that is none with one clear error

What operators saw: with a mistyped NODE_LOG the program logged at info without a word, so debug lines that they waited for never came.

Cause: a level that could not be read counted as not set.

Evidence: the new test got status 0 and no output before; now one line and status 2.

Change: src/log.rs starts the log, with a typed error.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 #[cfg(test)]
 #[path = "../tests/fixtures/mod.rs"]
 mod fixtures;
+mod log;
 mod net;
 mod startup;
 
@@ -15,10 +16,15 @@
 
 /// Exit status of `check` for a configuration with errors.
 const CONFIG_ERRORS_EXIT_CODE: u8 = 2;
+/// Exit status for a variable of the environment that makes no sense.
+const ENVIRONMENT_ERROR_EXIT_CODE: u8 = 2;
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    log_to_stderr(cli.log_format);
+    if let Err(error) = log::start(cli.log_format) {
+        eprintln!("meadowproxy: {error}");
+        return ExitCode::from(ENVIRONMENT_ERROR_EXIT_CODE);
+    }
     let command = cli
         .command
         .unwrap_or_else(|| Command::Run(Run::from_environment()));
@@ -47,21 +53,6 @@
     ExitCode::FAILURE
 }
 
-fn log_to_stderr(format: LogFormat) {
-    let level = std::env::var("NODE_LOG")
-        .ok()
-        .and_then(|level| level.parse().ok())
-        .unwrap_or(tracing::Level::INFO);
-    let log = tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .with_max_level(level);
-    match format {
-        LogFormat::Text => log.init(),
-        LogFormat::Json => log.json().flatten_event(true).init(),
-    }
-}
-
 /// Prints every error of a configuration.
 fn check(source: &Source) -> ExitCode {
     let errors = config::check(source);
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -399,3 +399,19 @@
         "{text}"
     );
 }
+
+/// A mistyped `NODE_LOG` was silently `info`.
+#[test]
+fn a_log_level_that_is_none_ends_the_start_with_one_clear_error() {
+    let Output { status, stderr, .. } = program(&["check", EXAMPLE])
+        .env("NODE_LOG", "debgu")
+        .output()
+        .unwrap();
+    assert_eq!(
+        (status.code(), String::from_utf8_lossy(&stderr).as_ref()),
+        (
+            Some(2),
+            "meadowproxy: NODE_LOG: expected error, warn, info, debug or trace, got debgu\n"
+        )
+    );
+}
