--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -14,19 +14,21 @@
 
 const PROXIES: u32 = 3;
 const BACKENDS: usize = 12;
-/// Backends that hang: two of twelve, within the 17% of the page.
+/// Backends that hang at a time: two of twelve, within the 17% of the page.
 const HANGING: usize = 2;
 /// The hang: inside the 8.8 to 26 s of the page.
-const HANG_BEGINS_S: f64 = 6.0;
+const HANGS_BEGIN_S: [f64; 2] = [6.0, 24.0];
 const HANG_LASTS_S: f64 = 12.0;
 /// When clients send their last request.
-const TRAFFIC_ENDS_S: f64 = 20.0;
+const TRAFFIC_ENDS_S: f64 = 38.0;
 /// The time of a `submit`, as the settings have it.
 const SUBMIT_TIME_S: f64 = 3.0;
 /// How long after its time a final answer still counts: half a second, and 50 ms for time limits on sockets.
 const GRACE_S: f64 = 0.55;
+/// A backend's pause between two reads of a long body.
+const READ_PAUSE: Duration = Duration::from_millis(2);
 /// Lengths of bodies in bytes, all within the 32 MB of the page.
-const LENGTHS: [usize; 6] = [200_000, 4_500_000, 5_000_000, 5_500_000, 6_000_000, 7_000_000];
+const LENGTHS: [usize; 6] = [5_000_000, 5_500_000, 6_000_000, 6_500_000, 7_000_000, 8_000_000];
 
 /// Whether the hanging backends stand still.
 #[derive(Clone, Default)]
@@ -50,7 +52,11 @@
     fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
         self.1.pass();
         let limit = buffer.len().min(65_536);
-        self.0.read(&mut buffer[..limit])
+        let read = self.0.read(&mut buffer[..limit])?;
+        if read > 16_384 {
+            std::thread::sleep(READ_PAUSE); // as fast as a network of some 260 Mbit/s
+        }
+        Ok(read)
     }
 }
 
@@ -111,12 +117,14 @@
     limit_time();
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".into()));
     let record = Record::create(&folder);
-    let (runs, hang, sound) = (Runs::default(), Hang::default(), Hang::default());
+    let runs = Runs::default();
+    let hangs: Vec<Hang> = HANGS_BEGIN_S.iter().map(|_| Hang::default()).collect();
+    let sound = Hang::default();
     let kinds = ["fast-8", "mid-7", "slow-8"];
     let zones = ["ikeja", "lekki", "apapa"];
     let mut entries = Vec::new();
     for n in 0..BACKENDS {
-        let backend = backend(&format!("s-{n}"), &record, &runs, if n < HANGING { &hang } else { &sound });
+        let backend = backend(&format!("s-{n}"), &record, &runs, hangs.get(n / HANGING).unwrap_or(&sound));
         entries.push(backend.entry(zones[n / 4], kinds[n % 3]));
     }
     let discovery = Discovery::start(&record, &entries);
@@ -150,14 +158,14 @@
     let mut threads = Vec::new();
     for (n, proxy) in proxies.iter().enumerate() {
         let to = proxy.address;
-        for client in 0..4 {
+        for client in 0..2 {
             // Lookups, as the usual traffic beside.
             let (record, stop) = (record.clone(), stop.clone());
             threads.push(std::thread::spawn(move || {
                 let mut connection = Client::new(to);
                 while !stop.load(Ordering::SeqCst) {
                     connection.request(&record, "GET", &format!("/lookup/{client}"), &new_id(), 0.75, "");
-                    std::thread::sleep(Duration::from_millis(40));
+                    std::thread::sleep(Duration::from_millis(60));
                 }
             }));
         }
@@ -170,23 +178,28 @@
                     if let Some(done) = submit(&record, to, LENGTHS[turn % LENGTHS.len()], &body) {
                         submits.lock().unwrap().push(done);
                     }
-                    std::thread::sleep(Duration::from_millis(150));
+                    std::thread::sleep(Duration::from_millis(100));
                 }
             }));
         }
     }
-    let mut hung = false;
+    let mut hung = [false; HANGS_BEGIN_S.len()];
     while elapsed() < TRAFFIC_ENDS_S {
-        let hangs = trouble() && (HANG_BEGINS_S..HANG_BEGINS_S + HANG_LASTS_S).contains(&elapsed());
-        if hangs != hung {
-            record.line(format!("backends s-0 and s-1: {}", if hangs { "hang" } else { "go on" }));
-            hang.set(hangs);
-            hung = hangs;
+        for (n, begins_s) in HANGS_BEGIN_S.into_iter().enumerate() {
+            let stands = trouble() && (begins_s..begins_s + HANG_LASTS_S).contains(&elapsed());
+            if stands != hung[n] {
+                let (first, last) = (n * HANGING, n * HANGING + HANGING - 1);
+                record.line(format!("backends s-{first} to s-{last}: {}", if stands { "hang" } else { "go on" }));
+                hangs[n].set(stands);
+                hung[n] = stands;
+            }
         }
         std::thread::sleep(Duration::from_millis(20));
     }
     stop.store(true, Ordering::SeqCst);
-    hang.set(false);
+    for hang in &hangs {
+        hang.set(false);
+    }
     for thread in threads {
         let _ = thread.join();
     }
