--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -28,7 +28,9 @@
 /// A backend's pause between two reads of a long body.
 const READ_PAUSE: Duration = Duration::from_millis(2);
 /// Lengths of bodies in bytes, all within the 32 MB of the page.
-const LENGTHS: [usize; 6] = [5_000_000, 5_500_000, 6_000_000, 6_500_000, 7_000_000, 8_000_000];
+const LENGTHS: [usize; 6] = [
+    5_000_000, 5_500_000, 6_000_000, 6_500_000, 7_000_000, 8_000_000,
+];
 
 /// Whether the hanging backends stand still.
 #[derive(Clone, Default)]
@@ -41,7 +43,11 @@
     }
     /// Returns once the backend does not hang.
     fn pass(&self) {
-        let _unused = self.0 .1.wait_while(self.0 .0.lock().unwrap(), |hangs| *hangs).unwrap();
+        let _unused = self
+            .0
+             .1
+            .wait_while(self.0 .0.lock().unwrap(), |hangs| *hangs)
+            .unwrap();
     }
 }
 
@@ -61,16 +67,27 @@
 }
 
 fn backend(name: &str, record: &Record, runs: &Runs, hang: &Hang) -> Backend {
-    let (label, record, runs, hang) = (name.to_string(), record.clone(), runs.clone(), hang.clone());
+    let (label, record, runs, hang) =
+        (name.to_string(), record.clone(), runs.clone(), hang.clone());
     Backend::start(name, move |connection| {
         let mut tcp = connection.tcp;
-        let mut reader = BufReader::with_capacity(65_536, HangingReader(tcp.try_clone().unwrap(), hang.clone()));
+        let mut reader = BufReader::with_capacity(
+            65_536,
+            HangingReader(tcp.try_clone().unwrap(), hang.clone()),
+        );
         while let Some(request) = Message::read(&mut reader) {
             note_run(&label, &record, &runs, &request);
-            std::thread::sleep(Duration::from_millis(if request.start.starts_with("GET") { 60 } else { 120 }));
+            std::thread::sleep(Duration::from_millis(if request.start.starts_with("GET") {
+                60
+            } else {
+                120
+            }));
             hang.pass();
             let id = request.header("x-correlation-id").unwrap_or("");
-            if tcp.write_all(response(200, "", &answer_for(id)).as_bytes()).is_err() {
+            if tcp
+                .write_all(response(200, "", &answer_for(id)).as_bytes())
+                .is_err()
+            {
                 return;
             }
         }
@@ -97,7 +114,9 @@
         "POST /submit/{id} HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: {id}\r\nX-Account: harbourline\r\nX-Time-Left: {SUBMIT_TIME_S:.3}\r\nContent-Length: {length}\r\n\r\n"
     );
     record.line(format!("client: sends {id} POST /submit, {length} bytes"));
-    let written = tcp.write_all(head.as_bytes()).and_then(|()| tcp.write_all(&body[..length]));
+    let written = tcp
+        .write_all(head.as_bytes())
+        .and_then(|()| tcp.write_all(&body[..length]));
     if let Err(error) = written {
         record.line(format!("client: {id} last byte not written: {error}"));
         return None;
@@ -109,8 +128,17 @@
     let answer = Message::read(&mut BufReader::new(tcp));
     let ended_after = at.elapsed().as_secs_f64();
     let end = answer.map_or(End::Closed, End::Answered);
-    record.line(format!("client: {id} ended {ended_after:.3} s after its last byte: status {}", end.status()));
-    Some(Submit { id, length, written_at, ended_after, end })
+    record.line(format!(
+        "client: {id} ended {ended_after:.3} s after its last byte: status {}",
+        end.status()
+    ));
+    Some(Submit {
+        id,
+        length,
+        written_at,
+        ended_after,
+        end,
+    })
 }
 
 fn main() {
@@ -124,7 +152,12 @@
     let zones = ["ikeja", "lekki", "apapa"];
     let mut entries = Vec::new();
     for n in 0..BACKENDS {
-        let backend = backend(&format!("s-{n}"), &record, &runs, hangs.get(n / HANGING).unwrap_or(&sound));
+        let backend = backend(
+            &format!("s-{n}"),
+            &record,
+            &runs,
+            hangs.get(n / HANGING).unwrap_or(&sound),
+        );
         entries.push(backend.entry(zones[n / 4], kinds[n % 3]));
     }
     let discovery = Discovery::start(&record, &entries);
@@ -164,13 +197,21 @@
             threads.push(std::thread::spawn(move || {
                 let mut connection = Client::new(to);
                 while !stop.load(Ordering::SeqCst) {
-                    connection.request(&record, "GET", &format!("/lookup/{client}"), &new_id(), 0.75, "");
+                    connection.request(
+                        &record,
+                        "GET",
+                        &format!("/lookup/{client}"),
+                        &new_id(),
+                        0.75,
+                        "",
+                    );
                     std::thread::sleep(Duration::from_millis(60));
                 }
             }));
         }
         for client in 0..10 {
-            let (record, stop, body, submits) = (record.clone(), stop.clone(), body.clone(), submits.clone());
+            let (record, stop, body, submits) =
+                (record.clone(), stop.clone(), body.clone(), submits.clone());
             threads.push(std::thread::spawn(move || {
                 let mut turn = n + client;
                 while !stop.load(Ordering::SeqCst) {
@@ -189,7 +230,10 @@
             let stands = trouble() && (begins_s..begins_s + HANG_LASTS_S).contains(&elapsed());
             if stands != hung[n] {
                 let (first, last) = (n * HANGING, n * HANGING + HANGING - 1);
-                record.line(format!("backends s-{first} to s-{last}: {}", if stands { "hang" } else { "go on" }));
+                record.line(format!(
+                    "backends s-{first} to s-{last}: {}",
+                    if stands { "hang" } else { "go on" }
+                ));
                 hangs[n].set(stands);
                 hung[n] = stands;
             }
@@ -203,11 +247,16 @@
     for thread in threads {
         let _ = thread.join();
     }
-    let alive = proxies.iter_mut().all(|proxy| matches!(proxy.child.try_wait(), Ok(None)));
+    let alive = proxies
+        .iter_mut()
+        .all(|proxy| matches!(proxy.child.try_wait(), Ok(None)));
     drop(proxies);
     let submits = submits.lock().unwrap();
     let served = submits.iter().filter(|s| s.end.status() == 200).count();
-    let lost: Vec<&Submit> = submits.iter().filter(|s| s.ended_after > SUBMIT_TIME_S + GRACE_S).collect();
+    let lost: Vec<&Submit> = submits
+        .iter()
+        .filter(|s| s.ended_after > SUBMIT_TIME_S + GRACE_S)
+        .collect();
     for s in &lost {
         record.say(format!(
             "lost: {} with {} bytes, last byte written at {:.3}, time {SUBMIT_TIME_S} s, ended after {:.3} s with status {}, runs {}",
@@ -215,7 +264,11 @@
         ));
     }
     let _ = std::fs::remove_dir_all(&temporary);
-    record.say(format!("{} submits written whole, {served} served, {} lost, proxies alive: {alive}", submits.len(), lost.len()));
+    record.say(format!(
+        "{} submits written whole, {served} served, {} lost, proxies alive: {alive}",
+        submits.len(),
+        lost.len()
+    ));
     if submits.len() < 50 || served < submits.len() / 2 {
         record.say("could not run: too few requests were served");
         std::process::exit(COULD_NOT_RUN);
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -64,9 +64,23 @@
                 let mut connection = Client::new(to);
                 while !stop.load(Ordering::SeqCst) {
                     if random() % 100 < 57 {
-                        connection.request(&record, "GET", &format!("/lookup/k{client}"), &new_id(), 0.75, "");
+                        connection.request(
+                            &record,
+                            "GET",
+                            &format!("/lookup/k{client}"),
+                            &new_id(),
+                            0.75,
+                            "",
+                        );
                     } else {
-                        connection.request(&record, "POST", &format!("/submit/k{client}"), &new_id(), 3.0, "declaration");
+                        connection.request(
+                            &record,
+                            "POST",
+                            &format!("/submit/k{client}"),
+                            &new_id(),
+                            3.0,
+                            "declaration",
+                        );
                     }
                     std::thread::sleep(Duration::from_millis(20 + random() % 30));
                 }
@@ -76,28 +90,53 @@
     sleep(4.0);
     // The machine of s-0 goes: its process has ended, and the list no longer has it. Every proxy has been told so.
     if trouble() {
-        discovery.publish(Entry { status: "DELETED", ..entries[0].clone() });
+        discovery.publish(Entry {
+            status: "DELETED",
+            ..entries[0].clone()
+        });
     }
     sleep(6.0);
     let called_at = record.now();
-    let answers: Vec<u16> =
-        proxies.iter().map(|p| p.call(&record, "PUT /maintenance/enter?who=s-0").map_or(0, |a| a.status())).collect();
+    let answers: Vec<u16> = proxies
+        .iter()
+        .map(|p| {
+            p.call(&record, "PUT /maintenance/enter?who=s-0")
+                .map_or(0, |a| a.status())
+        })
+        .collect();
     sleep(3.0);
     // It has started again.
-    discovery.publish(Entry { since_ms: unix_ms(), ..entries[0].clone() });
+    discovery.publish(Entry {
+        since_ms: unix_ms(),
+        ..entries[0].clone()
+    });
     sleep(12.0);
     stop.store(true, Ordering::SeqCst);
     for thread in threads {
         let _ = thread.join();
     }
-    let alive = proxies.iter_mut().all(|proxy| matches!(proxy.child.try_wait(), Ok(None)));
+    let alive = proxies
+        .iter_mut()
+        .all(|proxy| matches!(proxy.child.try_wait(), Ok(None)));
     drop(proxies);
     let _ = std::fs::remove_dir_all(&temporary);
-    let at_backend: Vec<Run> = runs.all().into_iter().filter(|run| run.backend == "s-0").collect();
+    let at_backend: Vec<Run> = runs
+        .all()
+        .into_iter()
+        .filter(|run| run.backend == "s-0")
+        .collect();
     let before = at_backend.iter().filter(|run| run.at < called_at).count();
-    let after: Vec<&Run> = at_backend.iter().filter(|run| run.at > called_at + BOUND_S).collect();
+    let after: Vec<&Run> = at_backend
+        .iter()
+        .filter(|run| run.at > called_at + BOUND_S)
+        .collect();
     for run in after.iter().take(10) {
-        record.say(format!("drain: {} {} ran at s-0 {:.3} s after the calls", run.id, run.path, run.at - called_at));
+        record.say(format!(
+            "drain: {} {} ran at s-0 {:.3} s after the calls",
+            run.id,
+            run.path,
+            run.at - called_at
+        ));
     }
     record.say(format!(
         "calls answered {answers:?}; runs at s-0: {before} before the calls, {} later than {BOUND_S} s after them; {} runs in all, proxies alive: {alive}",
--- a/review/common.rs
+++ b/review/common.rs
@@ -28,7 +28,9 @@
 /// Random bits from the standard library's hasher keys.
 pub fn random() -> u64 {
     use std::hash::{BuildHasher, Hasher};
-    std::collections::hash_map::RandomState::new().build_hasher().finish()
+    std::collections::hash_map::RandomState::new()
+        .build_hasher()
+        .finish()
 }
 
 /// An id in the form that clients use.
@@ -37,7 +39,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 /// The record of a run, with the seconds since its start on each line.
@@ -77,11 +82,18 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
     pub fn status(&self) -> u16 {
-        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.start
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
     pub fn path(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or("")
@@ -91,13 +103,22 @@
     }
     /// Reads a message that has a length, is chunked or has no body. `None` if the connection ends before it does.
     pub fn read(from: &mut impl BufRead) -> Option<Message> {
-        let mut message = Message { start: read_line(from)?, ..Message::default() };
+        let mut message = Message {
+            start: read_line(from)?,
+            ..Message::default()
+        };
         loop {
             let line = read_line(from)?;
-            let Some((name, value)) = line.split_once(':') else { break };
-            message.headers.push((name.trim().into(), value.trim().into()));
+            let Some((name, value)) = line.split_once(':') else {
+                break;
+            };
+            message
+                .headers
+                .push((name.trim().into(), value.trim().into()));
         }
-        let chunked = message.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
+        let chunked = message
+            .header("transfer-encoding")
+            .is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
         if chunked {
             loop {
                 let size = read_line(from)?;
@@ -111,7 +132,10 @@
                 }
             }
         }
-        let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let length = message
+            .header("content-length")
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0);
         message.body = vec![0; length];
         from.read_exact(&mut message.body).ok()?;
         Some(message)
@@ -125,15 +149,20 @@
 }
 
 pub fn response(status: u16, headers: &str, body: &str) -> String {
-    format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
 }
 
 /// An address with a port that is free now.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap_or_else(|e| {
-        eprintln!("no free port: {e}");
-        std::process::exit(COULD_NOT_RUN)
-    })
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .unwrap_or_else(|e| {
+            eprintln!("no free port: {e}");
+            std::process::exit(COULD_NOT_RUN)
+        })
 }
 
 /// A backend's entry in discovery's list.
@@ -170,7 +199,10 @@
 
 pub fn list_json(index: u64, snapshot: bool, entries: &[Entry]) -> String {
     let entries: Vec<String> = entries.iter().map(Entry::json).collect();
-    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(","))
+    format!(
+        r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#,
+        entries.join(",")
+    )
 }
 
 struct DiscoveryState {
@@ -191,10 +223,16 @@
     pub fn start(record: &Record, entries: &[Entry]) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let index = 41;
-        let entries = entries.iter().map(|e| (e.name.clone(), (e.clone(), index))).collect();
+        let entries = entries
+            .iter()
+            .map(|e| (e.name.clone(), (e.clone(), index)))
+            .collect();
         let discovery = Discovery {
             address: listener.local_addr().unwrap(),
-            state: Arc::new((Mutex::new(DiscoveryState { index, entries }), Condvar::new())),
+            state: Arc::new((
+                Mutex::new(DiscoveryState { index, entries }),
+                Condvar::new(),
+            )),
             record: record.clone(),
         };
         let accepting = discovery.clone();
@@ -212,7 +250,10 @@
         let mut state = self.state.0.lock().unwrap();
         state.index += 1;
         let index = state.index;
-        self.record.line(format!("discovery: version {index}: {} {}", entry.name, entry.status));
+        self.record.line(format!(
+            "discovery: version {index}: {} {}",
+            entry.name, entry.status
+        ));
         state.entries.insert(entry.name.clone(), (entry, index));
         self.state.1.notify_all();
     }
@@ -226,7 +267,9 @@
             let number = |key: &str| -> Option<u64> {
                 let query = path.split_once('?')?.1;
                 let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-                pairs.filter(|(k, _)| *k == key).find_map(|(_, v)| v.parse().ok())
+                pairs
+                    .filter(|(k, _)| *k == key)
+                    .find_map(|(_, v)| v.parse().ok())
             };
             let body = match number("after") {
                 None => self.full(),
@@ -235,7 +278,8 @@
             if tcp.write_all(response(200, "", &body).as_bytes()).is_err() {
                 return;
             }
-            self.record.line(format!("discovery: wrote to :{peer} for {path}: {body}"));
+            self.record
+                .line(format!("discovery: wrote to :{peer} for {path}: {body}"));
         }
     }
 
@@ -257,7 +301,11 @@
             return self.full();
         }
         let wait = Duration::from_millis(wait_ms);
-        let (state, _) = self.state.1.wait_timeout_while(state, wait, |s| s.index <= after).unwrap();
+        let (state, _) = self
+            .state
+            .1
+            .wait_timeout_while(state, wait, |s| s.index <= after)
+            .unwrap();
         let changed: Vec<Entry> = state
             .entries
             .values()
@@ -303,7 +351,6 @@
 pub struct Backend {
     pub name: String,
     pub address: SocketAddr,
-
 }
 
 impl Backend {
@@ -311,7 +358,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let serve = Arc::new(serve);
-        
+
         std::thread::spawn(move || {
             for tcp in listener.incoming().flatten() {
                 let serve = serve.clone();
@@ -322,7 +369,10 @@
                 });
             }
         });
-        Backend { name: name.into(), address }
+        Backend {
+            name: name.into(),
+            address,
+        }
     }
 
     /// A sound backend, which takes `work` for each request and answers with its id.
@@ -333,7 +383,11 @@
                 note_run(&name_of_runs, &record, &runs, &request);
                 std::thread::sleep(work);
                 let id = request.header("x-correlation-id").unwrap_or("");
-                if connection.tcp.write_all(response(200, "", &answer_for(id)).as_bytes()).is_err() {
+                if connection
+                    .tcp
+                    .write_all(response(200, "", &answer_for(id)).as_bytes())
+                    .is_err()
+                {
                     return;
                 }
             }
@@ -354,7 +408,12 @@
     let id = request.header("x-correlation-id").unwrap_or("").to_string();
     let path = request.path().to_string();
     record.line(format!("backend {backend}: runs {id} {}", request.start));
-    runs.add(Run { at: record.now(), backend: backend.into(), id, path });
+    runs.add(Run {
+        at: record.now(),
+        backend: backend.into(),
+        id,
+        path,
+    });
 }
 
 extern "C" {
@@ -399,18 +458,27 @@
 
 fn run_command() -> String {
     let deploy = std::fs::read_to_string(root().join("deploy/balancer.toml")).unwrap_or_default();
-    let line = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
-    line.and_then(|line| line.rsplit_once('"')).map(|(command, _)| command.to_string()).unwrap_or_else(|| {
-        eprintln!("no command run in deploy/balancer.toml");
-        std::process::exit(COULD_NOT_RUN)
-    })
+    let line = deploy
+        .lines()
+        .find_map(|line| line.strip_prefix("run = \""));
+    line.and_then(|line| line.rsplit_once('"'))
+        .map(|(command, _)| command.to_string())
+        .unwrap_or_else(|| {
+            eprintln!("no command run in deploy/balancer.toml");
+            std::process::exit(COULD_NOT_RUN)
+        })
 }
 
 impl Proxy {
     pub fn config_json(options: &ProxyOptions) -> String {
         format!(
             r#"{{"name":"{}","listen":"{}","discovery":"{}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},"settings":{}}}"#,
-            options.name, options.listen, options.discovery, random(), options.known, options.settings
+            options.name,
+            options.listen,
+            options.discovery,
+            random(),
+            options.known,
+            options.settings
         )
     }
 
@@ -448,8 +516,19 @@
             eprintln!("the proxy does not start: {e}");
             std::process::exit(COULD_NOT_RUN)
         });
-        record.line(format!("platform: proxy {} started, process {}, log {}", options.name, child.id(), log.display()));
-        Proxy { child, name: options.name.clone(), address: options.listen, control: options.control, config }
+        record.line(format!(
+            "platform: proxy {} started, process {}, log {}",
+            options.name,
+            child.id(),
+            log.display()
+        ));
+        Proxy {
+            child,
+            name: options.name.clone(),
+            address: options.listen,
+            control: options.control,
+            config,
+        }
     }
 
     /// Waits until the proxy answers `GET /-/ready` with 200. Returns false after 30 s or if the process ended.
@@ -459,7 +538,11 @@
             if matches!(self.child.try_wait(), Ok(Some(_)) | Err(_)) {
                 return false;
             }
-            let ready = exchange(self.address, "GET /-/ready HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n", Duration::from_secs(1));
+            let ready = exchange(
+                self.address,
+                "GET /-/ready HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n",
+                Duration::from_secs(1),
+            );
             if ready.is_some_and(|answer| answer.status() == 200) {
                 return true;
             }
@@ -470,14 +553,18 @@
 
     pub fn signal(&self, record: &Record, which: &str) {
         record.line(format!("platform: SIG{which} to proxy {}", self.name));
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{which} {}", self.child.id())]).status();
+        let _ = Command::new("/bin/sh")
+            .args(["-c", &format!("kill -{which} {}", self.child.id())])
+            .status();
     }
 
     /// An operators' call.
     pub fn call(&self, record: &Record, line: &str) -> Option<Message> {
         let request = format!("{line} HTTP/1.1\r\nHost: door\r\n\r\n");
         let answer = exchange(self.control.unwrap(), &request, Duration::from_secs(2));
-        let text = answer.as_ref().map_or("no answer".into(), |a| format!("{} {}", a.status(), a.text().trim()));
+        let text = answer.as_ref().map_or("no answer".into(), |a| {
+            format!("{} {}", a.status(), a.text().trim())
+        });
         record.line(format!("operator: {line} at {}: {text}", self.name));
         answer
     }
@@ -525,12 +612,27 @@
 
 impl Client {
     pub fn new(to: SocketAddr) -> Client {
-        Client { to, connection: None }
+        Client {
+            to,
+            connection: None,
+        }
     }
 
     /// Sends one request and waits for its end. `left` is the client's time.
-    pub fn request(&mut self, record: &Record, method: &str, path: &str, id: &str, left: f64, body: &str) -> End {
-        let length = if method == "POST" { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
+    pub fn request(
+        &mut self,
+        record: &Record,
+        method: &str,
+        path: &str,
+        id: &str,
+        left: f64,
+        body: &str,
+    ) -> End {
+        let length = if method == "POST" {
+            format!("Content-Length: {}\r\n", body.len())
+        } else {
+            String::new()
+        };
         let text = format!(
             "{method} {path} HTTP/1.1\r\nHost: service.internal\r\nX-Correlation-Id: {id}\r\nX-Account: harbourline\r\nX-Time-Left: {left:.3}\r\n{length}\r\n{body}"
         );
@@ -554,28 +656,42 @@
         }
         let end = match Message::read(reader) {
             Some(answer) => {
-                if answer.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+                if answer
+                    .header("connection")
+                    .is_some_and(|v| v.eq_ignore_ascii_case("close"))
+                {
                     self.connection = None;
                 }
                 End::Answered(answer)
             }
             None => {
                 self.connection = None;
-                if sent_at.elapsed() >= limit { End::Overdue } else { End::Closed }
+                if sent_at.elapsed() >= limit {
+                    End::Overdue
+                } else {
+                    End::Closed
+                }
             }
         };
         let text = match &end {
             End::Answered(answer) => format!("{} {}", answer.status(), answer.text().trim()),
             other => format!("{other:?}"),
         };
-        record.line(format!("client: {id} after {:.4} s: {text}", sent_at.elapsed().as_secs_f64()));
+        record.line(format!(
+            "client: {id} after {:.4} s: {text}",
+            sent_at.elapsed().as_secs_f64()
+        ));
         end
     }
 }
 
 /// A new private folder for the proxies of a run.
 pub fn temporary_folder() -> PathBuf {
-    let path = std::env::temp_dir().join(format!("review-{}-{:x}", std::process::id(), random() & 0xffff_ffff));
+    let path = std::env::temp_dir().join(format!(
+        "review-{}-{:x}",
+        std::process::id(),
+        random() & 0xffff_ffff
+    ));
     std::fs::create_dir_all(&path).unwrap();
     path
 }
