Exit with 2 after a panic or a proxy's end, and let case 3's backend crash

Cause: a panic ended a case with 101, a proxy that ended did not end the run as one that could not run, and the backend of case 3 left the list without a crash.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -142,7 +142,7 @@
 }
 
 fn main() {
-    limit_time();
+    guard();
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".into()));
     let record = Record::create(&folder);
     let runs = Runs::default();
@@ -269,8 +269,10 @@
         submits.len(),
         lost.len()
     ));
-    if submits.len() < 50 || served < submits.len() / 2 {
-        record.say("could not run: too few requests were served");
+    if !alive || submits.len() < 50 || served < submits.len() / 2 {
+        record.say(
+            "could not run: a proxy ended, too few requests were served, or nothing was disrupted",
+        );
         std::process::exit(COULD_NOT_RUN);
     }
     std::process::exit(if lost.is_empty() { HELD } else { BROKEN });
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,13 +1,15 @@
-//! An operator takes a backend out at every proxy while its machine restarts, so that it is not in the list just then.
+//! An operator takes a backend out at every proxy while it has crashed, so that it is not in the list just then.
 //! From one second after the calls, and the grace, nothing new may go to it.
 
 #[path = "../common.rs"]
 mod common;
 
 use common::*;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const PROXIES: u32 = 3;
@@ -16,20 +18,71 @@
 /// The page's second after a call, the grace of `rules.stop_sending_within_us`, and 50 ms for time limits on sockets.
 const BOUND_S: f64 = 1.0 + 0.5 + 0.05;
 
+/// A backend that can crash and start again at its address.
+#[derive(Clone, Default)]
+struct Crash {
+    down: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Crash {
+    fn crash(&self) {
+        self.down.store(true, Ordering::SeqCst);
+        for tcp in self.connections.lock().unwrap().drain(..) {
+            let _ = tcp.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn start_again(&self) {
+        self.down.store(false, Ordering::SeqCst);
+    }
+
+    fn backend(&self, name: &str, record: &Record, runs: &Runs) -> Backend {
+        let (label, record, runs, crash) =
+            (name.to_string(), record.clone(), runs.clone(), self.clone());
+        Backend::start(name, move |mut connection| {
+            if let Ok(tcp) = connection.tcp.try_clone() {
+                crash.connections.lock().unwrap().push(tcp);
+            }
+            // While it is down a connection ends before anything is read.
+            while !crash.down.load(Ordering::SeqCst) {
+                let Some(request) = Message::read(&mut connection.reader) else {
+                    return;
+                };
+                note_run(&label, &record, &runs, &request);
+                std::thread::sleep(Duration::from_millis(40));
+                let id = request.header("x-correlation-id").unwrap_or("");
+                if connection
+                    .tcp
+                    .write_all(response(200, "", &answer_for(id)).as_bytes())
+                    .is_err()
+                {
+                    return;
+                }
+            }
+        })
+    }
+}
+
 fn sleep(seconds: f64) {
     std::thread::sleep(Duration::from_secs_f64(seconds));
 }
 
 fn main() {
-    limit_time();
+    guard();
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| ".".into()));
     let record = Record::create(&folder);
     let runs = Runs::default();
     let kinds = ["fast-8", "mid-7", "slow-8"];
     let zones = ["ikeja", "lekki", "apapa"];
     let mut entries = Vec::new();
+    let crash = Crash::default();
     for n in 0..BACKENDS {
-        let backend = Backend::sound(&format!("s-{n}"), &record, &runs, Duration::from_millis(40));
+        let name = format!("s-{n}");
+        let backend = match n {
+            0 => crash.backend(&name, &record, &runs),
+            _ => Backend::sound(&name, &record, &runs, Duration::from_millis(40)),
+        };
         entries.push(backend.entry(zones[n / 3], kinds[n % 3]));
     }
     let discovery = Discovery::start(&record, &entries);
@@ -88,7 +141,13 @@
         }
     }
     sleep(4.0);
-    // The machine of s-0 goes: its process has ended, and the list no longer has it. Every proxy has been told so.
+    // s-0 crashes, and the list leaves it out some time later, within the `notice_s` of the site. It is back 9 s after the
+    // crash, and the list says so within the `add_s` of the site.
+    if trouble() {
+        record.line("backend s-0: crashes");
+        crash.crash();
+    }
+    sleep(0.6);
     if trouble() {
         discovery.publish(Entry {
             status: "DELETED",
@@ -104,12 +163,19 @@
                 .map_or(0, |a| a.status())
         })
         .collect();
-    sleep(3.0);
-    // It has started again.
-    discovery.publish(Entry {
-        since_ms: unix_ms(),
-        ..entries[0].clone()
-    });
+    sleep(2.4);
+    let started_ms = unix_ms();
+    if trouble() {
+        record.line("backend s-0: starts again");
+        crash.start_again();
+    }
+    sleep(0.6);
+    if trouble() {
+        discovery.publish(Entry {
+            since_ms: started_ms,
+            ..entries[0].clone()
+        });
+    }
     sleep(12.0);
     stop.store(true, Ordering::SeqCst);
     for thread in threads {
@@ -143,8 +209,10 @@
         after.len(),
         runs.all().len()
     ));
-    if before == 0 || runs.all().len() < 500 {
-        record.say("could not run: too few requests were served");
+    if !alive || before == 0 || runs.all().len() < 500 {
+        record.say(
+            "could not run: a proxy ended, too few requests were served, or nothing was disrupted",
+        );
         std::process::exit(COULD_NOT_RUN);
     }
     std::process::exit(if after.is_empty() { HELD } else { BROKEN });
--- a/review/common.rs
+++ b/review/common.rs
@@ -422,8 +422,14 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
 
-/// Ends the case, and with it its proxies, if it takes longer than the 120 s that a script may run.
-pub fn limit_time() {
+/// Ends the case, and with it its proxies, with the code for a case that could not run: if it takes longer than the 120 s
+/// that a script may run, or if any of its threads panics.
+pub fn guard() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        std::process::exit(COULD_NOT_RUN);
+    }));
     std::thread::spawn(|| {
         std::thread::sleep(Duration::from_secs(115));
         eprintln!("could not run: took over 115 s");
