Log how far a streamed body came, and since when its client's bytes waited

Need: an attempt that ends within a long body left the line "connection ended, or the backend stopped reading".

Change: the stream records when a read had to wait for its peer; the upload derives from it when the proxy had last caught up with the client, and the line tells the bytes forwarded, when the last of them was, and when the client was last waited for. No behaviour changes.

--- a/src/net/downstream/upload.rs
+++ b/src/net/downstream/upload.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::Cell;
+use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -34,6 +35,12 @@
 
 /// How far a body was forwarded. Shared with the attempt, as hyper owns the body while it is sent.
 pub struct UploadProgress {
+    client: PeerMonitor,
+    /// Since when a reader waits for the next frame; `None` while nothing reads the body.
+    waiting_since: Cell<Option<Instant>>,
+    /// When a frame last arrived for which the client had been waited for.
+    caught_up_at: Cell<Instant>,
+    bytes_forwarded: Cell<u64>,
     last_forwarded_at: Cell<Instant>,
     /// The last byte was forwarded: from then on the backend may execute the request.
     has_ended: Cell<bool>,
@@ -41,14 +48,32 @@
 }
 
 impl UploadProgress {
-    fn new() -> UploadProgress {
+    fn new(client: PeerMonitor) -> UploadProgress {
         UploadProgress {
+            client,
+            waiting_since: Cell::new(None),
+            caught_up_at: Cell::new(Instant::now()),
+            bytes_forwarded: Cell::new(0),
             last_forwarded_at: Cell::new(Instant::now()),
             has_ended: Cell::new(false),
             on_end: Cell::new(None),
         }
     }
 
+    /// Returns the latest time that is known to be before the client sent the body's last byte: the last time at which
+    /// the proxy waited for the client. As long as the client's bytes wait for the proxy, the last byte may be among
+    /// them, also where it cannot be observed from here, such as in buffers of the client's machine.
+    pub fn last_byte_sent_after(&self) -> Instant {
+        let waits_for_client = self
+            .waiting_since
+            .get()
+            .is_some_and(|since| self.client.awaits_input_since(since));
+        match waits_for_client {
+            true => Instant::now(),
+            false => self.caught_up_at.get(),
+        }
+    }
+
     /// Waits until nothing has been forwarded for `timeout`, as the backend no longer reads. Never returns once the
     /// whole body was forwarded.
     pub async fn stalled(&self, timeout: Duration) {
@@ -70,10 +95,25 @@
         self.on_end.set(Some(Box::new(callback)));
     }
 
+    fn reader_waits(&self, now: Instant) {
+        if self.waiting_since.get().is_none() {
+            self.waiting_since.set(Some(now));
+        }
+    }
+
     fn record_forwarded(&self, now: Instant) {
+        let waiting_since = self.waiting_since.take();
+        if let Some(at) = waiting_since.and_then(|since| self.client.wait_ended_since(since)) {
+            self.caught_up_at.set(at);
+        }
         self.last_forwarded_at.set(now);
     }
 
+    fn add_bytes(&self, bytes: usize) {
+        let total = self.bytes_forwarded.get() + bytes as u64;
+        self.bytes_forwarded.set(total);
+    }
+
     fn mark_ended(&self) {
         self.has_ended.set(true);
         if let Some(callback) = self.on_end.take() {
@@ -82,6 +122,20 @@
     }
 }
 
+impl fmt::Display for UploadProgress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let unforwarded_time = self.last_forwarded_at.get().elapsed();
+        let unread_time = self.last_byte_sent_after().elapsed();
+        write!(
+            f,
+            "{} bytes forwarded, the last of them {} ms ago, last waited for the client {} ms ago",
+            self.bytes_forwarded.get(),
+            unforwarded_time.as_millis(),
+            unread_time.as_millis()
+        )
+    }
+}
+
 /// A client's request body. Reading fails if it arrives too slowly; time in which nothing reads it does not count.
 pub struct Upload {
     /// Bytes that were read before the body was known to be too long to buffer.
@@ -94,7 +148,6 @@
     timer: Pin<Box<Sleep>>,
     /// A reader waits for the next frame.
     has_waiting_reader: bool,
-    client: PeerMonitor,
     pub progress: Rc<UploadProgress>,
 }
 
@@ -109,8 +162,7 @@
             last_active_at: Instant::now(),
             timer: Box::pin(tokio::time::sleep_until(deadline)),
             has_waiting_reader: false,
-            client,
-            progress: Rc::new(UploadProgress::new()),
+            progress: Rc::new(UploadProgress::new(client)),
         }
     }
 
@@ -127,6 +179,7 @@
     fn take_prefix(&mut self) -> Option<Bytes> {
         let prefix = self.prefix.take()?;
         self.progress.record_forwarded(Instant::now());
+        self.progress.add_bytes(prefix.len());
         if self.incoming.is_end_stream() {
             self.progress.mark_ended();
         }
@@ -155,6 +208,7 @@
 
     fn frame_arrived(&mut self, frame: &Frame<Bytes>) {
         let bytes = frame.data_ref().map_or(0, Bytes::len);
+        self.progress.add_bytes(bytes);
         self.deadline += Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_S);
         if self.incoming.is_end_stream() {
             self.progress.mark_ended();
@@ -176,6 +230,7 @@
         let now = Instant::now();
         self.resume(now);
         let Poll::Ready(next) = Pin::new(&mut self.incoming).poll_frame(cx) else {
+            self.progress.reader_waits(now);
             ready!(self.poll_timeout(cx));
             return Poll::Ready(Some(Err(UploadError::Slow)));
         };
@@ -185,7 +240,7 @@
         // A client's disconnect may have arrived long ago but be read only now, right behind the body's last byte. The
         // last byte is then not forwarded, so that the backend does not execute the request.
         let is_complete = next.is_none() || self.incoming.is_end_stream();
-        if is_complete && self.client.has_closed() {
+        if is_complete && self.progress.client.has_closed() {
             return Poll::Ready(Some(Err(UploadError::Malformed)));
         }
         Poll::Ready(match next {
--- a/src/net/observed_stream.rs
+++ b/src/net/observed_stream.rs
@@ -1,7 +1,8 @@
 //! TCP stream for hyper whose state the proxy can also observe.
 //!
-//! [`ObservedStream`] tells whether a request was completely written, and whether the peer has closed or sent anything
-//! according to the kernel. [`PeerMonitor`] observes the peer without keeping the stream open.
+//! [`ObservedStream`] tells whether a request was completely written, whether the peer has closed or sent anything
+//! according to the kernel, and whether reads had to wait for the peer. [`PeerMonitor`] observes the peer without keeping
+//! the stream open.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -36,6 +37,21 @@
     pub fn has_closed(&self) -> bool {
         self.0.upgrade().is_none_or(|inner| inner.has_closed())
     }
+
+    /// Returns whether nothing was read since `since` and a read waits for the peer: it has not sent anything that was
+    /// not read before.
+    pub fn awaits_input_since(&self, since: Instant) -> bool {
+        self.0.upgrade().is_some_and(|inner| {
+            inner.is_awaiting_input.get() && inner.last_received_at.get() < since
+        })
+    }
+
+    /// Returns when a read that had to wait for the peer last got bytes, if it was at `since` or later. The peer sent
+    /// them just then.
+    pub fn wait_ended_since(&self, since: Instant) -> Option<Instant> {
+        let wait_ended_at = self.0.upgrade()?.wait_ended_at.get();
+        (wait_ended_at >= since).then_some(wait_ended_at)
+    }
 }
 
 struct Inner {
@@ -47,6 +63,10 @@
     /// Whether something was read since the last `mark_idle`.
     has_received: Cell<bool>,
     last_received_at: Cell<Instant>,
+    /// Whether a read waits for the peer to send.
+    is_awaiting_input: Cell<bool>,
+    /// When a read that had to wait for the peer last got bytes.
+    wait_ended_at: Cell<Instant>,
     /// Whether closing it sends a reset.
     resets_on_close: Cell<bool>,
 }
@@ -58,6 +78,21 @@
         let mut peer_close = [PollFd::new(&self.tcp, PollFlags::RDHUP)];
         poll(&mut peer_close, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
     }
+
+    /// Records that a read is not ready. A task without budget left waits for its next turn, not for the peer.
+    fn read_is_pending(&self) {
+        if tokio::task::coop::has_budget_remaining() {
+            self.is_awaiting_input.set(true);
+        }
+    }
+
+    fn received(&self, now: Instant) {
+        self.has_received.set(true);
+        self.last_received_at.set(now);
+        if self.is_awaiting_input.replace(false) {
+            self.wait_ended_at.set(now);
+        }
+    }
 }
 
 impl ObservedStream {
@@ -70,6 +105,8 @@
             body_bytes_left: Cell::new(0),
             has_received: Cell::new(false),
             last_received_at: Cell::new(Instant::now()),
+            is_awaiting_input: Cell::new(false),
+            wait_ended_at: Cell::new(Instant::now()),
             resets_on_close: Cell::new(false),
         }))
     }
@@ -187,12 +224,15 @@
         let mut chunk = [0; READ_CHUNK_BYTES];
         let capacity = buf.remaining().min(chunk.len());
         loop {
-            ready!(self.0.tcp.poll_read_ready(cx))?;
+            let Poll::Ready(ready) = self.0.tcp.poll_read_ready(cx) else {
+                self.0.read_is_pending();
+                return Poll::Pending;
+            };
+            ready?;
             match self.0.tcp.try_read(&mut chunk[..capacity]) {
                 Ok(n) => {
                     if n > 0 {
-                        self.0.has_received.set(true);
-                        self.0.last_received_at.set(Instant::now());
+                        self.0.received(Instant::now());
                     }
                     buf.put_slice(&chunk[..n]);
                     return Poll::Ready(Ok(()));
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -303,7 +303,10 @@
     }
     match error {
         Some(error) => target.log_failure(error_chain(error)),
-        None => target.log_failure("connection ended, or the backend stopped reading"),
+        None => match status.upload.as_ref().filter(|_| is_upload_cut) {
+            Some(upload) => target.log_failure(format!("body not forwarded to its end: {upload}")),
+            None => target.log_failure("connection ended, or request not sent in time"),
+        },
     }
     if !status.is_sent() {
         return Outcome::ConnectFailed;
