Count a streamed body's time from the client's last byte, not from its forwarding

Cause: a body over 64 KiB is read only as fast as its backend takes it, and its request had no deadline until the last byte had been forwarded; its time then began anew.

Change: the deadline of a request whose body streams counts from the last moment at which the proxy had to wait for the client. What the client sends after it, the last byte among it, was sent later, so the deadline is never after the client's. While the client's bytes wait it stands; it moves on when the proxy has caught up. The same deadline is told to the backend and holds once the body was forwarded. At the deadline an attempt that does not have the last byte is ended as one that was not processed. A client that is still writing, faster than its backend reads, cannot be told apart from one that is done, and has the same limit.

--- a/src/balancer/deadline.rs
+++ b/src/balancer/deadline.rs
@@ -40,7 +40,8 @@
 }
 
 impl Balancer {
-    /// Finds the requests to give up or to hedge. Requests whose body or response is streaming have no time limit.
+    /// Finds the requests to give up or to hedge. A streaming response has no time limit, and the host ends a request
+    /// whose body is still streaming at its deadline.
     pub(super) fn due_requests(&self, now: Time) -> DueRequests {
         let mut due = DueRequests::default();
         for (&id, request) in &self.requests.pending {
--- a/src/net/downstream/server/request.rs
+++ b/src/net/downstream/server/request.rs
@@ -6,7 +6,7 @@
 use crate::net::host::{Answer, Host, PendingRequest};
 use crate::net::observed_stream::ObservedStream;
 use crate::net::upstream::{ForwardedRequest, RequestBody, ResponseBody, StreamedUpload};
-use crate::net::{strip_hop_by_hop, MAX_BUFFERED_BODY_BYTES};
+use crate::net::{strip_hop_by_hop, to_duration, MAX_BUFFERED_BODY_BYTES};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
@@ -121,10 +121,16 @@
             .map_or(max_time, Micros::from_secs_f64)
             .min(max_time);
         let upload = Upload::new(body, client.peer_monitor(), started_at);
-        let body = receive(upload, time_left).await?;
+        let received = receive(upload).await?;
         // The time of a buffered request starts with its last byte.
         let margin = self.host.response_margin();
         let time_left = Micros(time_left.0.saturating_sub(margin.0));
+        let body = match received {
+            Either::Left(complete) => RequestBody::Buffered(complete),
+            Either::Right(upload) => {
+                RequestBody::Streaming(StreamedUpload::new(upload, to_duration(time_left)))
+            }
+        };
         let arrival = self.arrival(class, &head.headers, time_left);
         let mut headers = head.headers;
         strip_hop_by_hop(&mut headers);
@@ -163,7 +169,7 @@
             .ok_or(RequestError::UnknownClass)
     }
 
-    /// Waits for the final answer, and ends the request at its deadline.
+    /// Waits for the final answer, and ends the request at its deadline, which may move on before it is reached.
     async fn final_answer(
         &self,
         id: RequestId,
@@ -171,18 +177,19 @@
         body: &RequestBody,
     ) -> Option<Answer> {
         let mut answer = pin!(answer);
-        loop {
-            let deadline = self.host.clock.instant(self.host.request_deadline(id));
+        while let Some(deadline) = self.host.request_deadline(id) {
+            if deadline <= Instant::now() {
+                self.host.deadline_expired(id);
+                break;
+            }
             tokio::select! {
                 biased;
                 answer = answer.as_mut() => return answer.ok(),
-                () = upload_sent(body) => {} // its deadline is known from now on
-                () = tokio::time::sleep_until(deadline) => {
-                    self.host.deadline_expired(id);
-                    return answer.await.ok();
-                }
+                () = upload_sent(body) => {} // its deadline is final from now on
+                () = tokio::time::sleep_until(deadline) => {}
             }
         }
+        answer.await.ok()
     }
 }
 
@@ -252,15 +259,15 @@
     (number.is_finite() && number >= 0.0).then_some(number)
 }
 
-/// Buffers a body up to [`MAX_BUFFERED_BODY_BYTES`]; a longer one becomes a streamed upload.
-async fn receive(mut upload: Upload, time_left: Micros) -> Result<RequestBody, UploadError> {
+/// Buffers a body up to [`MAX_BUFFERED_BODY_BYTES`]. Returns the upload of a longer one, which has to be streamed.
+async fn receive(mut upload: Upload) -> Result<Either<Bytes, Upload>, UploadError> {
     let mut received = BytesMut::new();
     while upload
         .length()
         .is_none_or(|n| n <= MAX_BUFFERED_BODY_BYTES as u64)
     {
         match upload.frame().await {
-            None => return Ok(RequestBody::Buffered(received.freeze())),
+            None => return Ok(Either::Left(received.freeze())),
             Some(frame) => {
                 received.extend_from_slice(frame?.data_ref().unwrap_or(&Bytes::new()));
             }
@@ -272,8 +279,7 @@
     if !received.is_empty() {
         upload.put_back(received.freeze());
     }
-    let streamed = StreamedUpload::new(upload, time_left);
-    Ok(RequestBody::Streaming(streamed))
+    Ok(Either::Right(upload))
 }
 
 /// Reads the rest of a streamed body that no backend took: a client that is still sending reads the response only once
--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -6,8 +6,9 @@
 use super::state::{Answer, AttemptKey, InFlightAttempt, OpenRequest, State};
 use super::Host;
 use crate::net::observed_stream::PeerMonitor;
+use crate::net::to_micros;
 use crate::net::upstream::{AttemptResult, Progress, RequestBody, ServedResponse};
-use meadowproxy::{AttemptEnd, AttemptNumber, BackendId, Event, Micros, Outcome, RequestId, Time};
+use meadowproxy::{AttemptEnd, AttemptNumber, BackendId, Event, Outcome, RequestId, Time};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::time::Instant;
@@ -28,11 +29,7 @@
         open_request.attempts += 1;
         s.counters.attempts += 1;
         let forwarded = open_request.forwarded.clone();
-        let deadline = match &forwarded.body {
-            RequestBody::Buffered(_) => open_request.deadline,
-            RequestBody::Streaming(upload) => now + upload.time_left,
-        };
-        let deadline = self.clock.instant(deadline);
+        let deadline = open_request.deadline();
         let Some(record) = s.backends.get(&backend) else {
             return;
         };
@@ -107,7 +104,7 @@
         Some(duplicate_deadline.map_or(own_deadline, |deadline| deadline.min(own_deadline)))
     }
 
-    /// Handles that the last byte of a streamed body was sent: the request's time starts now.
+    /// Handles that the last byte of a streamed body was sent: the backend owes a response from now on.
     pub(super) fn upload_finished(self: &Rc<Self>, request: RequestId, attempt: AttemptNumber) {
         let now = self.clock.now();
         let time_left = {
@@ -115,16 +112,14 @@
             if let Some(in_flight) = s.attempts.get_mut(&AttemptKey { request, attempt }) {
                 in_flight.sent_at = now;
             }
-            let Some(open_request) = s.requests.get_mut(&request) else {
+            let Some(open_request) = s.requests.get(&request) else {
                 return;
             };
             let RequestBody::Streaming(upload) = &open_request.forwarded.body else {
                 return;
             };
             upload.mark_sent();
-            let time_left_us = upload.time_left.0.saturating_sub(self.response_margin().0);
-            open_request.deadline = now + Micros(time_left_us);
-            open_request.deadline - now
+            to_micros(upload.deadline().saturating_duration_since(Instant::now()))
         };
         self.handle_event(Event::UploadFinished {
             request,
--- a/src/net/host/attempts/tests.rs
+++ b/src/net/host/attempts/tests.rs
@@ -4,7 +4,9 @@
 use crate::net::discovery::endpoint_list::List;
 use crate::net::host::state::{InFlightAttempt, OpenRequest};
 use crate::net::host::PendingRequest;
+use meadowproxy::Micros;
 use meadowproxy::{ClassId, Config, EndpointUpdate, Idempotency, KeyScope, RequestClass};
+use std::time::Duration;
 use tokio::sync::oneshot;
 
 const BACKEND: BackendId = BackendId(0);
@@ -44,7 +46,7 @@
     s.attempts.clear();
     let forwarded = s.requests[&id].forwarded.clone();
     let (answer, wait) = oneshot::channel();
-    let deadline = host.clock.now() + Micros(60_000_000);
+    let buffered_deadline = Instant::now() + Duration::from_secs(60);
     let attempts = sent_ago_us.len() as u32;
     let (class, idempotency) = (
         ClassId(0),
@@ -61,7 +63,7 @@
             idempotency,
             first_possible_run_at: None,
             answer,
-            deadline,
+            buffered_deadline,
             attempts,
         },
     );
--- a/src/net/host/requests.rs
+++ b/src/net/host/requests.rs
@@ -2,13 +2,14 @@
 //!
 //! [`Host::accept_request`] starts one. It ends with its [`Answer`], the client's disconnect, or its deadline.
 
-use super::state::{Answer, OpenRequest, DEADLINE_UNKNOWN};
+use super::state::{Answer, OpenRequest};
 use super::Host;
 use crate::net::upstream::{AttemptResult, ForwardedRequest, RequestBody};
-use meadowproxy::{Event, Idempotency, Outcome, RequestArrival, RequestId, Time};
+use meadowproxy::{Event, Idempotency, RequestArrival, RequestId};
 use std::rc::Rc;
 use tokio::sync::oneshot;
-use tracing::warn;
+use tokio::time::Instant;
+use tracing::{debug, warn};
 
 /// A request that was accepted and waits for its final answer.
 pub struct PendingRequest {
@@ -25,17 +26,14 @@
         idempotency: Idempotency,
     ) -> PendingRequest {
         let (answer, receiver) = oneshot::channel();
-        let deadline = match forwarded.body {
-            RequestBody::Buffered(_) => self.clock.now() + arrival.time_left,
-            RequestBody::Streaming(_) => DEADLINE_UNKNOWN,
-        };
+        let buffered_deadline = self.clock.instant(self.clock.now() + arrival.time_left);
         let request = OpenRequest {
             forwarded: forwarded.clone(),
             class: arrival.class,
             idempotency,
             first_possible_run_at: None,
             answer,
-            deadline,
+            buffered_deadline,
             attempts: 0,
         };
         let id = self.state.borrow_mut().add_request(request);
@@ -47,13 +45,13 @@
         }
     }
 
-    /// Returns the request's deadline, or [`DEADLINE_UNKNOWN`] while its body is still arriving or once it is over.
-    pub fn request_deadline(&self, id: RequestId) -> Time {
-        self.state
-            .borrow()
-            .requests
-            .get(&id)
-            .map_or(DEADLINE_UNKNOWN, |request| request.deadline)
+    /// Returns until when the request has to be answered; `None` once it is over. The deadline of a request whose body
+    /// is streamed may have moved on when it is reached, see [`StreamedUpload::deadline`].
+    ///
+    /// [`StreamedUpload::deadline`]: crate::net::upstream::StreamedUpload::deadline
+    pub fn request_deadline(&self, id: RequestId) -> Option<Instant> {
+        let s = self.state.borrow();
+        s.requests.get(&id).map(OpenRequest::deadline)
     }
 
     /// Ends a request whose client disconnected before its answer.
@@ -69,16 +67,10 @@
         self.cancel_attempts(id);
     }
 
-    /// Ends a request at its deadline. Its attempts are reported as timed out, on which the balancer decides the final
-    /// answer; if it does not, the request is answered as timed out.
+    /// Ends a request at its deadline. Its attempts are ended, on which the balancer decides the final answer; if it does
+    /// not, the request is answered as timed out.
     pub fn deadline_expired(self: &Rc<Self>, id: RequestId) {
-        for attempt in self.in_flight_attempts(id) {
-            self.attempt_ended(
-                id,
-                attempt,
-                AttemptResult::without_response(Outcome::TimedOut),
-            );
-        }
+        self.end_attempts_at_deadline(id);
         let request = self.state.borrow_mut().requests.remove(&id);
         if let Some(request) = request {
             warn!(
@@ -93,4 +85,25 @@
             self.cancel_attempts(id);
         }
     }
+
+    fn end_attempts_at_deadline(self: &Rc<Self>, id: RequestId) {
+        let outcome = {
+            let s = self.state.borrow();
+            let Some(request) = s.requests.get(&id) else {
+                return;
+            };
+            if let RequestBody::Streaming(upload) = &request.forwarded.body {
+                debug!(
+                    event = "upload_expired",
+                    "request {} is at its deadline: {}",
+                    id.0,
+                    upload.progress()
+                );
+            }
+            request.outcome_at_deadline()
+        };
+        for attempt in self.in_flight_attempts(id) {
+            self.attempt_ended(id, attempt, AttemptResult::without_response(outcome));
+        }
+    }
 }
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -2,20 +2,18 @@
 
 use super::backend_directory::BackendDirectory;
 use super::timers::TimerQueue;
-use crate::net::upstream::{ForwardedRequest, ServedResponse};
+use crate::net::upstream::{ForwardedRequest, RequestBody, ServedResponse};
 use imbl::Vector;
 use meadowproxy::settings::Names;
 use meadowproxy::{
-    Action, AttemptNumber, BackendId, Balancer, ClassId, Event, Idempotency, Micros, RequestClass,
-    RequestId, Time,
+    Action, AttemptNumber, BackendId, Balancer, ClassId, Event, Idempotency, Micros, Outcome,
+    RequestClass, RequestId, Time,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
-
-/// The deadline of a request whose body is still arriving.
-pub const DEADLINE_UNKNOWN: Time = Time(u64::MAX / 4);
+use tokio::time::Instant;
 
 /// The final answer to a request.
 pub enum Answer {
@@ -41,11 +39,31 @@
     /// Of the attempts that have ended and may have been executed, when the first was sent.
     pub first_possible_run_at: Option<Time>,
     pub answer: oneshot::Sender<Answer>,
-    pub deadline: Time,
+    /// Until when it has to be answered if its body was complete when it arrived.
+    pub buffered_deadline: Instant,
     /// The number of attempts dispatched so far.
     pub attempts: u32,
 }
 
+impl OpenRequest {
+    /// Returns until when the request has to be answered.
+    pub fn deadline(&self) -> Instant {
+        match &self.forwarded.body {
+            RequestBody::Buffered(_) => self.buffered_deadline,
+            RequestBody::Streaming(upload) => upload.deadline(),
+        }
+    }
+
+    /// Returns the outcome of attempts that are in flight at the deadline: a backend does not execute a request before
+    /// it has the body's last byte.
+    pub fn outcome_at_deadline(&self) -> Outcome {
+        match &self.forwarded.body {
+            RequestBody::Streaming(upload) if !upload.has_ended() => Outcome::ConnectFailed,
+            _ => Outcome::TimedOut,
+        }
+    }
+}
+
 /// Identifies an attempt of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct AttemptKey {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -59,6 +59,11 @@
     Duration::from_micros(micros.0)
 }
 
+/// Converts a [`Duration`] into the balancer's microseconds.
+pub fn to_micros(duration: Duration) -> meadowproxy::Micros {
+    meadowproxy::Micros(duration.as_micros() as u64)
+}
+
 /// Removes the headers that apply to one connection only: hop-by-hop headers, those that `Connection` names, and the
 /// body's framing, which hyper sets anew.
 pub fn strip_hop_by_hop(headers: &mut hyper::HeaderMap) {
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -15,12 +15,14 @@
 pub use pool::ConnectionPool;
 
 use crate::net::downstream::response_stream::ResponseStream;
-use crate::net::downstream::upload::Upload;
+use crate::net::downstream::upload::{Upload, UploadProgress};
 use crate::net::observed_stream::PeerMonitor;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
-use meadowproxy::{Micros, Outcome};
+use meadowproxy::Outcome;
 use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -45,21 +47,40 @@
 /// A body that is streamed to the first backend that takes it.
 pub struct StreamedUpload {
     source: RefCell<Option<Upload>>,
-    /// How long the client waits after it has sent the last byte.
-    pub time_left: Micros,
+    progress: Rc<UploadProgress>,
+    /// How long after the body's last byte the request has to be answered.
+    time_left: Duration,
     sent: Notify,
 }
 
 impl StreamedUpload {
-    /// Creates a body that no attempt has taken yet.
-    pub fn new(source: Upload, time_left: Micros) -> StreamedUpload {
+    /// Creates a body that no attempt has taken yet. `time_left` is counted from the body's last byte.
+    pub fn new(source: Upload, time_left: Duration) -> StreamedUpload {
         StreamedUpload {
+            progress: source.progress.clone(),
             source: RefCell::new(Some(source)),
             time_left,
             sent: Notify::new(),
         }
     }
 
+    /// Returns until when the request has to be answered. It moves on whenever the proxy has to wait for the client, and
+    /// no longer once the last byte was forwarded. While the client's bytes wait for the proxy or for the backend it
+    /// stands, as the last byte may be among them: a client may rely on an answer in time whatever the backend does.
+    pub fn deadline(&self) -> Instant {
+        self.progress.last_byte_sent_after() + self.time_left
+    }
+
+    /// Returns whether the last byte was forwarded to a backend, which may execute the request from then on.
+    pub fn has_ended(&self) -> bool {
+        self.progress.has_ended()
+    }
+
+    /// Returns how far the body was forwarded, for the log.
+    pub fn progress(&self) -> &UploadProgress {
+        &self.progress
+    }
+
     /// Waits until the last byte was sent to a backend.
     pub async fn sent(&self) {
         self.sent.notified().await;
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -5,7 +5,7 @@
 use crate::net::observed_stream::ObservedStream;
 use crate::net::MAX_BUFFERED_BODY_BYTES;
 use meadowproxy::settings::NetworkSettings;
-use meadowproxy::BackendId;
+use meadowproxy::{BackendId, Micros};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
