--- a/tests/upload_deadlines.rs
+++ b/tests/upload_deadlines.rs
@@ -6,6 +6,7 @@
 use rig::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// More than a connection to a backend takes without its being read, and less than both connections together do.
@@ -179,3 +180,39 @@
     }
     assert_eq!(client.response().expect("no answer").status(), 200);
 }
+
+/// Guards against time that a backend was told and the client no longer had: the whole time, for a body that had waited
+/// for capacity.
+#[test]
+fn the_time_that_a_body_waited_for_capacity_is_not_told_to_its_backend() {
+    const WAIT: Duration = Duration::from_millis(400);
+    /// How much more than the client's time a backend may be told.
+    const SLACK_S: f64 = 0.15;
+    let gate = Arc::new(Gate::default());
+    let wait = gate.clone();
+    let backend = BackendServer::start(move |_| Reply::Gate(wait.clone()));
+    let proxy = Proxy::start(&[entry("b0", backend.address, "SERVING")]);
+    let mut clients: Vec<_> = (0..20).map(|_| proxy.client()).collect();
+    clients.iter_mut().for_each(|c| c.send(&read_request(3.0)));
+    std::thread::sleep(Duration::from_millis(200)); // until the backend is full
+    let mut client = proxy.client();
+    client.send(&Framing::Length.head(3.0));
+    let mut writer = client.0.get_ref().try_clone().unwrap();
+    let writing = std::thread::spawn(move || writer.write_all(&Framing::Length.body()));
+    std::thread::sleep(WAIT);
+    gate.open();
+    assert_eq!(client.response().expect("no answer").status(), 200);
+    writing.join().unwrap().unwrap();
+    let request = loop {
+        let request = backend.next_request();
+        if request.start_line.starts_with("POST") {
+            break request;
+        }
+    };
+    let told: f64 = request.header("x-time-left").unwrap().parse().unwrap();
+    let left = 3.0 - WAIT.as_secs_f64();
+    assert!(
+        told <= left + SLACK_S,
+        "told {told} s, the client had {left} s"
+    );
+}
