Carry out operators' calls about backends that were listed once, with no record left

Cause: "ever listed" was answered by whether there is a record, and the host removes a backend's record once it is not listed, has no attempt in flight and no state in the balancer: in the traced run 0.1 to 1.5 s after the list, 4.5 s and more before the calls. After that the name could not be told from one that never was.

A call about one of them is carried out; the ban is kept by name and holds when the backend is listed again. Related paths: the call back was refused likewise; a new version that was started while the backend was not listed did not know the name, which processes now record in their shared folder; a name that only a maintenance window has is no longer taken for a listed one. A refused call is logged. The check in records_of_replaced_backends_are_removed that there is no record is made by known_names; the line that repeated it now asks for what was listed and what never was.

--- a/src/net/admin/disabled_backends.rs
+++ b/src/net/admin/disabled_backends.rs
@@ -5,6 +5,7 @@
 //! never overwrite each other's changes. The file `out-HEX` means that the backend is disabled. The modification time
 //! of `back-HEX` is when it was last enabled. `HEX` is the backend's id.
 
+use super::listed_names_file::ListedNamesFile;
 use crate::net::host::{DisableReason, Host};
 use crate::net::state::snapshot_keeper::SnapshotKeeper;
 use meadowproxy::Time;
@@ -32,6 +33,8 @@
     keeper: Option<Rc<SnapshotKeeper>>,
     /// Ids of disabled backends whose files were in the folder when it was last read, or were created since.
     on_disk: RefCell<BTreeSet<String>>,
+    /// Records in the folder which backends were listed once.
+    listed_names: Option<ListedNamesFile>,
     /// The warnings that were logged; each is logged once.
     logged: RefCell<BTreeSet<String>>,
 }
@@ -83,11 +86,15 @@
         folder: Option<PathBuf>,
         keeper: Option<Rc<SnapshotKeeper>>,
     ) -> Rc<DisabledBackends> {
+        let listed_names = folder
+            .as_deref()
+            .map(|folder| ListedNamesFile::restore(host.clone(), folder));
         let this = DisabledBackends {
             host,
             folder,
             keeper,
             on_disk: RefCell::default(),
+            listed_names,
             logged: RefCell::default(),
         };
         this.reconcile_with_snapshot();
@@ -150,9 +157,14 @@
         }
     }
 
-    /// Disables the backend, which receives no more requests. Returns false if no backend with this id is known.
+    /// Disables the backend, which receives no more requests until it is enabled, whatever the endpoint list says. Returns
+    /// false if no backend with this id was ever listed.
     pub fn disable(&self, id: &str) -> bool {
         if !self.host.disable_backend(id, DisableReason::Operator) {
+            info!(
+                backend = id,
+                "control: {id} is not disabled, as it was never listed"
+            );
             return false;
         }
         info!(backend = id, "control: {id} is disabled");
@@ -161,10 +173,14 @@
         true
     }
 
-    /// Enables the backend again. Returns false if no backend with this id is known. A repeated call changes nothing,
-    /// so that the backend's slow start does not start over.
+    /// Enables the backend again. Returns false if no backend with this id was ever listed. A repeated call changes
+    /// nothing, so that the backend's slow start does not start over.
     pub fn enable(&self, id: &str) -> bool {
-        if !self.host.is_known_backend(id) {
+        if !self.host.was_listed(id) {
+            info!(
+                backend = id,
+                "control: {id} is not enabled, as it was never listed"
+            );
             return false;
         }
         let is_on_disk = self.disabled_file(id).is_some_and(|file| file.exists());
@@ -210,6 +226,9 @@
         while self.folder.is_some() {
             tokio::time::sleep(FOLDER_CHECK_INTERVAL).await;
             self.apply_folder_changes();
+            if let Some(listed_names) = &self.listed_names {
+                listed_names.append_new();
+            }
         }
     }
 
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -4,6 +4,7 @@
 //! - [`listener`]: the address of the server, which a reload may change.
 //! - [`routes`]: the paths and methods of the calls, and the decoding of their targets.
 //! - [`disabled_backends`]: backends that operators disable and enable.
+//! - `listed_names_file`: the names of backends that were listed once, for the next process.
 //! - [`prometheus`]: the metrics in Prometheus' text format.
 //!
 //! Calls about this process are answered at once, and calls that disable or enable a backend once the change is on
@@ -11,6 +12,7 @@
 //! answers them asynchronously.
 
 pub mod disabled_backends;
+mod listed_names_file;
 pub mod listener;
 pub mod prometheus;
 mod routes;
--- a/src/net/host/disabled.rs
+++ b/src/net/host/disabled.rs
@@ -3,6 +3,7 @@
 //! A backend is enabled again once its last [`DisableReason`] has ended.
 
 use super::backend_directory::DisableReason;
+use super::listed_names::NameHash;
 use super::Host;
 use meadowproxy::{BackendId, Event, Time};
 use std::net::SocketAddr;
@@ -17,16 +18,17 @@
         record.is_some_and(|record| record.reasons.contains(reason))
     }
 
-    /// Disables the backend for a reason. Returns false if no backend of that name is known.
+    /// Disables the backend for a reason, whether it is listed now or not. Returns false, and changes nothing, if it was
+    /// never listed.
     pub fn disable_backend(self: &Rc<Self>, name: &str, reason: DisableReason) -> bool {
-        let is_known = self.is_known_backend(name);
-        if is_known {
+        let was_listed = self.was_listed(name);
+        if was_listed {
             self.disable_even_if_unlisted(name, reason);
         }
-        is_known
+        was_listed
     }
 
-    /// Disables the backend for a reason, even if no endpoint list has contained it yet.
+    /// Disables the backend for a reason, even if no endpoint list of this process has contained it yet.
     pub fn disable_even_if_unlisted(self: &Rc<Self>, name: &str, reason: DisableReason) {
         if let Some(backend) = self.add_reason(name, reason) {
             self.handle_event(Event::BackendDisabled { backend });
@@ -40,10 +42,14 @@
         let id = s.get_or_create_id(name, SocketAddr::from(([0, 0, 0, 0], 0)));
         if id.0 == next_id {
             info!(
-                "backend {} is {name}, which no endpoint list has contained yet",
+                "backend {} is {name}, which is not in the endpoint list",
                 id.0
             );
         }
+        if reason == DisableReason::Operator {
+            // Operators can disable only what was listed, if not in this process then in the one that they called.
+            s.listed_names.add(NameHash::of(name));
+        }
         let record = s.backends.get_mut(&id)?;
         let was_enabled = record.reasons.is_empty();
         record.reasons.insert(reason);
--- a/src/net/host/endpoints.rs
+++ b/src/net/host/endpoints.rs
@@ -1,6 +1,7 @@
 //! Applies updates of the endpoint list, and reports the status of each backend in it.
 
 use super::backend_directory::{BackendRecord, DisableReason};
+use super::listed_names::NameHash;
 use super::state::State;
 use super::Host;
 use crate::net::discovery::endpoint_list::{Endpoint, EntryChunks, List, ListEntry};
@@ -59,6 +60,9 @@
         let entry = self.names.backend_for(&endpoint.row, id);
         if let Some(record) = self.backends.get_mut(&id) {
             record.address = endpoint.address;
+            if record.entry.is_none() {
+                self.listed_names.add(NameHash::of(&endpoint.name));
+            }
             if record.entry.as_ref() != Some(&entry) {
                 record.entry = Some(entry.clone());
                 changed.push(id);
@@ -194,6 +198,7 @@
     }
 
     /// Removes the records of backends that are no longer needed. If such a name is listed again it gets a new id.
+    /// [`Host::was_listed`] still knows the name.
     fn remove_unused_backends(&self) {
         let mut s = self.state.borrow_mut();
         if s.unlisted.is_empty() {
@@ -210,12 +215,25 @@
         }
         for record in s.backends.remove(&forgettable) {
             s.ids_by_name.remove(&record.name);
+            if record.entry.is_some() {
+                s.listed_names.add(NameHash::of(&record.name)); // it may have been forgotten as one of the oldest
+            }
         }
     }
 
-    /// Returns whether there is a record of a backend of that name.
-    pub fn is_known_backend(&self, name: &str) -> bool {
-        self.state.borrow().ids_by_name.contains_key(name)
+    /// Returns whether an endpoint list contains the backend or contained it once, in this process or an earlier one.
+    pub fn was_listed(&self, name: &str) -> bool {
+        self.state.borrow().was_listed(name)
+    }
+
+    /// Remembers names that an earlier process had in its list.
+    pub fn restore_listed_names(&self, names: &[NameHash]) {
+        self.state.borrow_mut().listed_names.restore(names);
+    }
+
+    /// Returns the names that were listed for the first time since the last call.
+    pub fn take_new_listed_names(&self) -> Vec<NameHash> {
+        self.state.borrow_mut().listed_names.take_new()
     }
 
     /// Returns the status of every known backend that was in an endpoint list.
--- a/src/net/host/endpoints/tests.rs
+++ b/src/net/host/endpoints/tests.rs
@@ -128,7 +128,7 @@
             draining_status.listed && !draining_status.serving && draining_status.readiness == 0.0,
             "{malformed} {update:?}: {draining_status:?}"
         );
-        assert!(!host.is_known_backend("never"));
+        assert!(!host.was_listed("never") && !known_names(&host).contains(&"never".to_string()));
         host.update_endpoints(update, &list(vec![entry(serde_json::json!({}))]));
         let serving_status = status(&host);
         assert!(
@@ -258,7 +258,7 @@
             ),
         }
         assert_eq!(known_names(&host), vec!["b".to_string(), new]);
-        assert!(!host.is_known_backend(&old));
+        assert!(host.was_listed(&old) && !host.was_listed(&format!("r{}", n + 2)));
     }
     assert_eq!(
         host.state.borrow().next_backend_id,
@@ -267,6 +267,49 @@
     );
 }
 
+/// Guards against an operator's call that was rejected, as if it named no backend, while a crashed backend was not listed:
+/// the backend can be disabled, and is disabled when it is listed again.
+#[test]
+fn a_backend_whose_record_was_removed_can_be_disabled_until_it_is_listed_again() {
+    let host = host();
+    host.update_endpoints(
+        EndpointUpdate::Incremental,
+        &list_of([entry_with_status("b", "DELETED")], false),
+    );
+    assert!(known_names(&host).is_empty(), "the record was not removed");
+    assert!(!host.disable_backend("never", DisableReason::Operator));
+    assert!(host.disable_backend("b", DisableReason::Operator));
+    host.update_endpoints(
+        EndpointUpdate::Full,
+        &list_of([entry_with_status("b", "SERVING")], true),
+    );
+    assert!(status(&host).disabled_by_operator);
+    assert_eq!(status(&host).readiness, 0.0);
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    let id = host.state.borrow().ids_by_name["b"];
+    assert!(!host.may_send(host.example_request().id, AttemptNumber(0), id, address));
+    assert!(host.enable_backend("b", DisableReason::Operator, host.clock.now()));
+    assert!(status(&host).readiness > 0.0);
+}
+
+/// A backend that an operator enabled while it was not listed can be disabled again. A maintenance window does not make
+/// a name one that was listed.
+#[test]
+fn operators_can_name_what_was_listed_and_nothing_else() {
+    let host = host();
+    host.update_endpoints(EndpointUpdate::Full, &list_of([], true));
+    for _ in 0..2 {
+        assert!(host.disable_backend("b", DisableReason::Operator));
+        assert!(host.enable_backend("b", DisableReason::Operator, host.clock.now()));
+        host.update_endpoints(EndpointUpdate::Full, &list_of([], true));
+        assert!(known_names(&host).is_empty());
+    }
+    host.disable_even_if_unlisted("planned", DisableReason::MaintenanceWindow);
+    assert!(!host.disable_backend("planned", DisableReason::Operator));
+    host.disable_even_if_unlisted("of-another-process", DisableReason::Operator);
+    assert!(host.was_listed("of-another-process"));
+}
+
 /// A disabled backend that is no longer listed stays known, and is still disabled when it is listed again.
 #[test]
 fn a_disabled_backend_stays_known_after_it_is_unlisted() {
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -4,6 +4,7 @@
 //! - `attempts`: handles attempts at backends, from their dispatch to their end.
 //! - `endpoints`: applies updates of the endpoint list; `backend_directory` stores what is known of each backend.
 //! - `disabled`: disables backends for operators and maintenance windows.
+//! - `listed_names`: remembers which names were listed, for operators' calls.
 //! - `learned_state`: exports and restores the state that survives a restart.
 //! - `timers`: fires the balancer's timers.
 //! - `report`: log lines and metrics on traffic.
@@ -17,6 +18,7 @@
 #[cfg(test)]
 mod example;
 mod learned_state;
+mod listed_names;
 mod report;
 mod requests;
 mod state;
@@ -24,6 +26,7 @@
 
 pub use backend_directory::DisableReason;
 pub use endpoints::BackendStatus;
+pub use listed_names::NameHash;
 pub use requests::PendingRequest;
 pub use state::Answer;
 
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -1,6 +1,7 @@
 //! The host's mutable state: requests, attempts, backends, timers and counters.
 
 use super::backend_directory::BackendDirectory;
+use super::listed_names::{ListedNames, NameHash};
 use super::timers::TimerQueue;
 use crate::net::upstream::{ForwardedRequest, RequestBody, ServedResponse};
 use imbl::Vector;
@@ -137,6 +138,8 @@
     pub next_backend_id: u32,
     /// The known backends that are not in the endpoint list.
     pub unlisted: BTreeSet<BackendId>,
+    /// The names that were listed once, with and without a record.
+    pub listed_names: ListedNames,
     pub requests: HashMap<RequestId, OpenRequest>,
     pub attempts: HashMap<AttemptKey, InFlightAttempt>,
     pub timers: TimerQueue,
@@ -161,6 +164,7 @@
             backends: BackendDirectory::default(),
             next_backend_id: 0,
             unlisted: BTreeSet::new(),
+            listed_names: ListedNames::default(),
             requests: HashMap::new(),
             attempts: HashMap::new(),
             timers: TimerQueue::default(),
@@ -190,6 +194,16 @@
         true
     }
 
+    /// Returns whether an endpoint list contains the backend or contained it once, in this process or an earlier one.
+    pub fn was_listed(&self, name: &str) -> bool {
+        let record = self
+            .ids_by_name
+            .get(name)
+            .and_then(|id| self.backends.get(id));
+        record.is_some_and(|record| record.entry.is_some())
+            || self.listed_names.contains(NameHash::of(name))
+    }
+
     /// Returns the number of attempts in flight by backend.
     pub fn in_flight_by_backend(&self) -> BTreeMap<BackendId, u32> {
         let mut counts = BTreeMap::new();
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -302,6 +302,35 @@
     );
 }
 
+/// Guards against a new version that rejects an operator's call about a backend that was not listed while it was started.
+#[test]
+fn a_new_version_can_disable_what_only_the_old_one_had_in_its_list() {
+    let (a, b) = (
+        BackendServer::start(|_| ok("a")),
+        BackendServer::start(|_| ok("b")),
+    );
+    let ((_socket, passed), tmp) = (inherited_socket(), tmp());
+    let known = entries(&[&a, &b]);
+    let start =
+        |known: &[String]| Proxy::with_control(known, SETTINGS, &[passed.clone(), tmp.clone()]);
+    let old = start(&known);
+    old.wait_until_serving();
+    std::thread::sleep(Duration::from_millis(300)); // until the old version has recorded its list
+    let new = start(&known[1..]);
+    new.wait_until_serving();
+    drop(old);
+    let status = |line: &str| new.control_request(line).status();
+    assert_eq!(status("PUT /maintenance/enter?who=never"), 404);
+    assert_eq!(status("PUT /maintenance/enter?who=b0"), 200);
+    drop(new);
+    let listed_again = start(&known);
+    listed_again.wait_until_serving();
+    for _ in 0..30 {
+        assert_eq!(listed_again.request(&read_request(3.0)).body, b"b");
+    }
+    assert_eq!(a.request_count(), 0);
+}
+
 /// If the directory for disabled backends cannot be written, a backend is still disabled in this process.
 #[test]
 fn a_missing_directory_does_not_enable_a_disabled_backend() {
