--- a/tests/isolation.rs
+++ b/tests/isolation.rs
@@ -3,7 +3,7 @@
 
 mod rig;
 
-use rig::snapshot_files::{files, wait_for_new};
+use rig::snapshot_files::{files, only_file, wait_for_new};
 use rig::*;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -223,6 +223,7 @@
         200
     );
     wait_for_new(&dir);
+    let file_of_old_address = only_file(&dir);
     let text = std::fs::read_to_string(&first.config_path).unwrap();
     std::fs::write(
         &first.config_path,
@@ -233,6 +234,11 @@
     until("the new discovery address was not applied in time", || {
         first.log_count("discovery at 127.0.0.1:10") > 0
     });
+    // The thread that writes snapshots moves the file after that line.
+    until(
+        "the snapshot was not moved in time",
+        || matches!(files(&dir).as_slice(), [file] if *file != file_of_old_address),
+    );
     drop(first); // SIGKILL
     let old = start_with_snapshots(&dir, &known, &settings(), "");
     assert!(
