--- a/src/net/downstream/upload.rs
+++ b/src/net/downstream/upload.rs
@@ -64,14 +64,16 @@
     /// the proxy waited for the client. As long as the client's bytes wait for the proxy, the last byte may be among
     /// them, also where it cannot be observed from here, such as in buffers of the client's machine.
     pub fn last_byte_sent_after(&self) -> Instant {
-        let waits_for_client = self
-            .waiting_since
-            .get()
-            .is_some_and(|since| self.client.awaits_input_since(since));
-        match waits_for_client {
-            true => Instant::now(),
-            false => self.caught_up_at.get(),
+        let caught_up_at = self.caught_up_at.get();
+        let Some(waiting_since) = self.waiting_since.get() else {
+            return caught_up_at;
+        };
+        if self.client.awaits_input_since(waiting_since) {
+            return Instant::now();
         }
+        // The next frame may have been read, and not have reached its reader yet.
+        let wait_ended_at = self.client.wait_ended_since(waiting_since);
+        wait_ended_at.unwrap_or(caught_up_at)
     }
 
     /// Waits until nothing has been forwarded for `timeout`, as the backend no longer reads. Never returns once the
@@ -103,8 +105,9 @@
 
     fn record_forwarded(&self, now: Instant) {
         let waiting_since = self.waiting_since.take();
-        if let Some(at) = waiting_since.and_then(|since| self.client.wait_ended_since(since)) {
-            self.caught_up_at.set(at);
+        let wait_ended_at = waiting_since.and_then(|since| self.client.wait_ended_since(since));
+        if let Some(wait_ended_at) = wait_ended_at {
+            self.caught_up_at.set(wait_ended_at);
         }
         self.last_forwarded_at.set(now);
     }
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -301,12 +301,12 @@
         // The client's body ended early: the backend never executes the request.
         return Outcome::NotSent;
     }
-    match error {
-        Some(error) => target.log_failure(error_chain(error)),
-        None => match status.upload.as_ref().filter(|_| is_upload_cut) {
-            Some(upload) => target.log_failure(format!("body not forwarded to its end: {upload}")),
-            None => target.log_failure("connection ended, or request not sent in time"),
-        },
+    match (error, &status.upload) {
+        (Some(error), _) => target.log_failure(error_chain(error)),
+        (None, Some(upload)) if is_upload_cut => {
+            target.log_failure(format!("body not forwarded to its end: {upload}"));
+        }
+        (None, _) => target.log_failure("connection ended, or request not sent in time"),
     }
     if !status.is_sent() {
         return Outcome::ConnectFailed;
