--- a/tests/stored_formats.rs
+++ b/tests/stored_formats.rs
@@ -440,7 +440,7 @@
     let mut child = command.stderr(Stdio::null()).spawn().unwrap();
     let (started_at, mut found) = (Instant::now(), Vec::new());
     let is_complete = |found: &[String]| {
-        found.len() == 2
+        found.len() == 3
             && !found
                 .iter()
                 .any(|f| f.contains("/.process") || f.ends_with(".part"))
