--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -10,11 +10,12 @@
   exit 2
 fi
 ulimit -n 8192 2>/dev/null || true
+folder=$(mktemp -d) || exit 2
 # The case and all that it starts are one process group, which is ended whatever ends this script.
 set -m
-ROOT=$root RECORD=$here/record.txt "$program" </dev/null &
+ROOT=$root RECORD=$here/record.txt TMPDIR=$folder "$program" </dev/null &
 group=$!
-trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$folder"' EXIT
 trap 'exit 2' HUP INT TERM
 wait "$group"
 case $? in
