--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -515,10 +515,13 @@
         cannot_run("the proxy is not ready after 30 s");
     }
 
+    /// Sends a signal. A case whose signal does not arrive could not run.
     pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill")
-            .args([format!("-{signal}"), self.pid().to_string()])
-            .status();
+        let arguments = [format!("-{signal}"), self.pid().to_string()];
+        let sent = Command::new("kill").args(arguments).status();
+        if !sent.is_ok_and(|status| status.success()) {
+            cannot_run(&format!("SIG{signal} could not be sent"));
+        }
     }
 
     /// Replaces the configuration file as a whole, and sends SIGHUP.
