Answer requests that complete late in a shutdown before the platform's kill

Cause: such a request got its class's whole time from its last byte, while the platform kills the process 0.7 s after the longest deadline (3 s at most), counted from SIGTERM.

Change: ShutdownDeadlines (src/balancer/graceful_shutdown.rs) brings the deadline of a request that completes over 0.5 s after SIGTERM forward to 0.25 s before the kill, for buffered and streamed bodies. A request whose class usually takes longer than that is answered 503 before any attempt.

The test a_request_that_completes_late_in_a_shutdown_is_answered_before_the_kill failed before ("head: no answer before the kill") and passes in six framings; a_request_that_completes_late_in_a_shutdown_is_served_if_there_is_time passes before and after.

--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -20,6 +20,7 @@
 mod estimators;
 mod final_answers;
 mod fleet_load;
+pub mod graceful_shutdown;
 mod hardware_class;
 mod hedging;
 mod hot_restart;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod settings;
 
 pub use balancer::discovery_polling::{queued_discovery_poll_timeout, DISCOVERY_POLL_TIMEOUT};
+pub use balancer::graceful_shutdown::ShutdownDeadlines;
 pub use balancer::{halb_shares, Balancer, HardwareClassCapacity};
 pub use interface::*;
 
--- a/src/net/downstream/server.rs
+++ b/src/net/downstream/server.rs
@@ -8,6 +8,7 @@
 mod request;
 mod shutdown;
 
+use crate::net::downstream::shutdown_clock::ShutdownClock;
 use crate::net::host::Host;
 use crate::net::observed_stream::ObservedStream;
 use client_connection::{ClientConnection, IdleKind};
@@ -80,7 +81,7 @@
     clients: RefCell<HashMap<u64, Rc<ClientConnection>>>,
     next_key: Cell<u64>,
     is_accepting: Cell<bool>,
-    is_stopping: Cell<bool>,
+    shutdown: Rc<ShutdownClock>,
     /// Notified when a connection is closed or half closed.
     client_closed: Notify,
     last_accept_log: Cell<Time>,
@@ -104,7 +105,7 @@
             clients: RefCell::default(),
             next_key: Cell::new(0),
             is_accepting: Cell::new(false),
-            is_stopping: Cell::new(false),
+            shutdown: Rc::default(),
             client_closed: Notify::new(),
             last_accept_log: Cell::default(),
         })
--- a/src/net/downstream/server/client_connection.rs
+++ b/src/net/downstream/server/client_connection.rs
@@ -240,7 +240,7 @@
         let mut response = answer.unwrap_or_else(|error| error.response());
         let is_last = has_client_disconnected
             || client.is_closing.get()
-            || self.is_stopping.get()
+            || self.shutdown.has_begun()
             || self.client_count() > self.max_clients.get();
         if is_last {
             let close = HeaderValue::from_static("close");
--- a/src/net/downstream/server/request.rs
+++ b/src/net/downstream/server/request.rs
@@ -6,7 +6,7 @@
 use crate::net::host::{Answer, Host, PendingRequest};
 use crate::net::observed_stream::ObservedStream;
 use crate::net::upstream::{ForwardedRequest, RequestBody, ResponseBody, StreamedUpload};
-use crate::net::{strip_hop_by_hop, to_duration, MAX_BUFFERED_BODY_BYTES};
+use crate::net::{strip_hop_by_hop, to_duration, to_micros, MAX_BUFFERED_BODY_BYTES};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
@@ -39,6 +39,9 @@
     /// A client that closed only its sending side still receives this response.
     #[error("the client closed the connection")]
     ClientClosed,
+    /// It completed so late in a shutdown that it could not be served before the process ends.
+    #[error("the proxy is shutting down")]
+    ShuttingDown,
 }
 
 impl RequestError {
@@ -46,6 +49,7 @@
         match self {
             RequestError::UnknownClass => StatusCode::NOT_FOUND,
             RequestError::Upload(UploadError::Slow) => StatusCode::REQUEST_TIMEOUT,
+            RequestError::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -125,13 +129,16 @@
         // The time of a buffered request starts with its last byte.
         let margin = self.host.response_margin();
         let time_left = Micros(time_left.0.saturating_sub(margin.0));
+        let time_until_answer = self.time_until_answer(class, time_left)?;
         let body = match received {
             Either::Left(complete) => RequestBody::Buffered(complete),
-            Either::Right(upload) => {
-                RequestBody::Streaming(StreamedUpload::new(upload, to_duration(time_left)))
-            }
+            Either::Right(upload) => RequestBody::Streaming(StreamedUpload::new(
+                upload,
+                to_duration(time_left),
+                self.shutdown.clone(),
+            )),
         };
-        let arrival = self.arrival(class, &head.headers, time_left);
+        let arrival = self.arrival(class, &head.headers, time_until_answer);
         let mut headers = head.headers;
         strip_hop_by_hop(&mut headers);
         let forwarded = ForwardedRequest {
@@ -148,6 +155,23 @@
         })
     }
 
+    /// Returns how long a request that completes now may take: `time_left`, or less while the process shuts down. A
+    /// request that a shutdown leaves too little time is rejected before any attempt, which does the client no harm.
+    fn time_until_answer(&self, class: ClassId, time_left: Micros) -> Result<Micros, RequestError> {
+        let now = Instant::now();
+        let deadline = now + to_duration(time_left);
+        let answer_by = self.shutdown.answer_by(now, deadline);
+        if answer_by == deadline {
+            return Ok(time_left);
+        }
+        let time_until_answer = to_micros(answer_by.saturating_duration_since(now));
+        if self.host.is_feasible(class, time_until_answer) {
+            Ok(time_until_answer)
+        } else {
+            Err(RequestError::ShuttingDown)
+        }
+    }
+
     /// Builds the balancer's description of a request; the host replaces its id.
     fn arrival(&self, class: ClassId, headers: &HeaderMap, time_left: Micros) -> RequestArrival {
         let tenant = header_text(headers, "x-account");
--- a/src/net/downstream/server/shutdown.rs
+++ b/src/net/downstream/server/shutdown.rs
@@ -18,7 +18,7 @@
 impl Server {
     /// Shuts the server down. With `successor_accepts` another process accepts the clients that still arrive.
     pub(super) async fn shut_down(self: &Rc<Self>, listener: TcpListener, successor_accepts: bool) {
-        self.is_stopping.set(true);
+        self.shutdown.begin(self.longest_deadline());
         if successor_accepts {
             info!("another process accepts new clients; the listener is closed");
             drop(listener);
--- a/src/net/host/requests.rs
+++ b/src/net/host/requests.rs
@@ -5,7 +5,7 @@
 use super::state::{Answer, OpenRequest};
 use super::Host;
 use crate::net::upstream::{AttemptResult, ForwardedRequest, RequestBody};
-use meadowproxy::{Event, Idempotency, RequestArrival, RequestId};
+use meadowproxy::{ClassId, Event, Idempotency, Micros, RequestArrival, RequestId};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -54,6 +54,11 @@
         s.requests.get(&id).map(OpenRequest::deadline)
     }
 
+    /// Returns whether a request of the class can be expected to be served within `time_left`.
+    pub fn is_feasible(&self, class: ClassId, time_left: Micros) -> bool {
+        self.state.borrow().balancer.is_feasible(class, time_left)
+    }
+
     /// Ends a request whose client disconnected before its answer.
     pub fn client_disconnected(self: &Rc<Self>, id: RequestId) {
         {
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -15,6 +15,7 @@
 pub use pool::ConnectionPool;
 
 use crate::net::downstream::response_stream::ResponseStream;
+use crate::net::downstream::shutdown_clock::ShutdownClock;
 use crate::net::downstream::upload::{Upload, UploadProgress};
 use crate::net::observed_stream::PeerMonitor;
 use bytes::Bytes;
@@ -50,16 +51,18 @@
     progress: Rc<UploadProgress>,
     /// How long after the body's last byte the request has to be answered.
     time_left: Duration,
+    shutdown: Rc<ShutdownClock>,
     sent: Notify,
 }
 
 impl StreamedUpload {
     /// Creates a body that no attempt has taken yet. `time_left` is counted from the body's last byte.
-    pub fn new(source: Upload, time_left: Duration) -> StreamedUpload {
+    pub fn new(source: Upload, time_left: Duration, shutdown: Rc<ShutdownClock>) -> StreamedUpload {
         StreamedUpload {
             progress: source.progress.clone(),
             source: RefCell::new(Some(source)),
             time_left,
+            shutdown,
             sent: Notify::new(),
         }
     }
@@ -68,7 +71,9 @@
     /// no longer once the last byte was forwarded. While the client's bytes wait for the proxy or for the backend it
     /// stands, as the last byte may be among them: a client may rely on an answer in time whatever the backend does.
     pub fn deadline(&self) -> Instant {
-        self.progress.last_byte_sent_after() + self.time_left
+        let completed_at = self.progress.last_byte_sent_after();
+        self.shutdown
+            .answer_by(completed_at, completed_at + self.time_left)
     }
 
     /// Returns whether the last byte was forwarded to a backend, which may execute the request from then on.
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -284,3 +284,106 @@
     }
     assert_eq!(backend.request_count(), 0);
 }
+
+/// The platform kills the proxy this long after SIGTERM where the longest deadline is 3 s.
+const KILL_AFTER: Duration = Duration::from_millis(3_700);
+/// When the clients of a shutdown write the last byte of their requests, after SIGTERM.
+const LATE_COMPLETION: Duration = Duration::from_millis(1_500);
+
+/// A request that its client writes in two parts.
+struct SplitRequest {
+    name: &'static str,
+    text: String,
+    /// The length of the first part in bytes.
+    first: usize,
+}
+
+/// Requests in all framings, each with 3 s, that are split within the head or within the body.
+fn split_requests() -> Vec<SplitRequest> {
+    let long_body = "x".repeat(200_000);
+    let chunked = |data: &str| {
+        let body = format!("{:x}\r\n{data}\r\n0\r\n\r\n", data.len());
+        pay_request(3.0)
+            .replace("Content-Length: 4", "Transfer-Encoding: chunked")
+            .replace("cash", &body)
+    };
+    let requests = [
+        ("head", read_request(3.0)),
+        (
+            "HTTP/1.0",
+            read_request(3.0).replace("HTTP/1.1", "HTTP/1.0"),
+        ),
+        ("body", pay_request(3.0)),
+        ("chunked body", chunked("cash")),
+        (
+            "long body",
+            pay_request(3.0)
+                .replace("Length: 4", "Length: 200000")
+                .replace("cash", &long_body),
+        ),
+        ("long chunked body", chunked(&long_body)),
+    ];
+    let split = |(name, text): (&'static str, String)| SplitRequest {
+        first: text.len() - 2,
+        name,
+        text,
+    };
+    requests.map(split).into()
+}
+
+/// Guards against requests that were complete late in a shutdown, ran at a backend, and had no answer when the platform
+/// killed the proxy.
+#[test]
+fn a_request_that_completes_late_in_a_shutdown_is_answered_before_the_kill() {
+    let backend = BackendServer::start(|_| Reply::NoResponse);
+    let proxy = start_with_backend(&backend);
+    let requests = split_requests();
+    let mut clients: Vec<Client> = requests.iter().map(|_| proxy.client()).collect();
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        client.send(&request.text[..request.first]);
+    }
+    assert_eq!(proxy.request(READY).status(), 200); // by now the first parts have arrived
+    proxy.terminate();
+    let terminated_at = Instant::now();
+    std::thread::sleep(LATE_COMPLETION);
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        client.send(&request.text[request.first..]);
+    }
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        let time_left = KILL_AFTER.saturating_sub(terminated_at.elapsed());
+        client
+            .0
+            .get_ref()
+            .set_read_timeout(Some(time_left.max(Duration::from_millis(1))))
+            .unwrap();
+        let answer = client
+            .response()
+            .unwrap_or_else(|| panic!("{}: no answer before the kill", request.name));
+        assert!(answer.status() >= 500, "{}", request.name);
+    }
+}
+
+/// A request that completes late in a shutdown and can still be served before the kill is served.
+#[test]
+fn a_request_that_completes_late_in_a_shutdown_is_served_if_there_is_time() {
+    let backend = BackendServer::start(|_| {
+        std::thread::sleep(Duration::from_millis(300));
+        ok("x")
+    });
+    let proxy = start_with_backend(&backend);
+    let requests = split_requests();
+    let mut clients: Vec<Client> = requests.iter().map(|_| proxy.client()).collect();
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        client.send(&request.text[..request.first]);
+    }
+    assert_eq!(proxy.request(READY).status(), 200);
+    proxy.terminate();
+    std::thread::sleep(LATE_COMPLETION);
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        client.send(&request.text[request.first..]);
+    }
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        let answer = client.response();
+        assert_eq!(answer.map(|a| a.status()), Some(200), "{}", request.name);
+    }
+}
