Keep a connection busy until its response is written to the socket

Cause: a connection counted as idle once hyper had taken the response's last frame. hyper still held bytes that the socket did not accept, and the shutdown, which waits for busy connections only, ended the process. Closing for capacity met the same mark.

Change: ObservedStream::on_flushed runs when hyper has written all that it holds, and only then is the connection idle. Buffered responses and the proxy's own go the same way, in one type, ResponseBody.

Moved rows: a connection whose client takes nothing of the last bytes is no longer closed for capacity; it is dropped after 120 s.

--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! - [`server`]: accepts connections within the process's limits, serves their requests, and shuts down gracefully.
 //! - [`upload`]: reads a client's request body, with timeouts.
+//! - [`response_body`]: the body of any response, as hyper reads it for the client.
 //! - [`response_stream`]: the body of a response that is streamed to a client.
 //! - [`shutdown_clock`]: brings deadlines forward while the process shuts down.
 
+pub mod response_body;
 pub mod response_stream;
 pub mod server;
 pub mod shutdown_clock;
--- a/src/net/downstream/response_stream.rs
+++ b/src/net/downstream/response_stream.rs
@@ -22,20 +22,10 @@
     End,
 }
 
-/// How the stream of a response ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StreamEnd {
-    /// The client has received all of it, or has disconnected.
-    Finished,
-    /// The backend ended it early.
-    Truncated,
-}
-
-/// The body of a streamed response, as hyper reads it for the client.
+/// The body of a streamed response.
 pub struct ResponseStream {
     chunks: mpsc::Receiver<ResponseChunk>,
     bytes_left: Option<u64>,
-    on_end: Option<Box<dyn FnOnce(StreamEnd)>>,
 }
 
 impl ResponseStream {
@@ -45,21 +35,9 @@
         let stream = ResponseStream {
             chunks,
             bytes_left: length,
-            on_end: None,
         };
         (sender, stream)
     }
-
-    /// Sets a callback that runs once, when the stream is truncated or dropped.
-    pub fn on_end(&mut self, callback: impl FnOnce(StreamEnd) + 'static) {
-        self.on_end = Some(Box::new(callback));
-    }
-
-    fn end(&mut self, end: StreamEnd) {
-        if let Some(callback) = self.on_end.take() {
-            callback(end);
-        }
-    }
 }
 
 impl Body for ResponseStream {
@@ -77,10 +55,7 @@
                 Some(Ok(Frame::data(data)))
             }
             Some(ResponseChunk::End) => None,
-            None => {
-                self.end(StreamEnd::Truncated);
-                Some(Err(TruncatedResponse))
-            }
+            None => Some(Err(TruncatedResponse)),
         })
     }
 
@@ -93,9 +68,3 @@
             .map_or_else(SizeHint::new, SizeHint::with_exact)
     }
 }
-
-impl Drop for ResponseStream {
-    fn drop(&mut self) {
-        self.end(StreamEnd::Finished);
-    }
-}
--- a/src/net/downstream/server/client_connection.rs
+++ b/src/net/downstream/server/client_connection.rs
@@ -2,12 +2,11 @@
 //!
 //! [`ClientConnection::idle_state`] tells the server whether a connection can be closed for capacity.
 
-use super::request::{plain_response, OutgoingBody, RequestError};
+use super::request::{plain_response, RequestError};
 use super::{Server, EVENT_LOOP_TURN, FIRST_REQUEST_GRACE};
-use crate::net::downstream::response_stream::{ResponseStream, StreamEnd};
+use crate::net::downstream::response_body::{BodyEnd, ResponseBody};
 use crate::net::observed_stream::ObservedStream;
 use crate::net::MAX_BUFFERED_BODY_BYTES;
-use http_body_util::Either;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
@@ -28,6 +27,9 @@
 const FIRST_HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A closing connection that has not ended after this time is dropped: its client does not read.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// A connection whose client takes nothing of a response's last bytes for this time is dropped. It is long, as the kernel
+/// accepts more only once the client has read a good part of what its buffers hold.
+const UNREAD_RESPONSE_TIMEOUT: Duration = Duration::from_secs(120);
 const READY_PATH: &str = "/-/ready";
 
 /// States of an idle connection, in the order in which they are closed for capacity.
@@ -52,7 +54,7 @@
 /// A client's connection, as the server tracks it.
 pub struct ClientConnection {
     pub stream: ObservedStream,
-    /// A request has arrived whose response is not complete.
+    /// A request has arrived whose response was not completely written.
     pub is_busy: Cell<bool>,
     /// No complete request head has arrived yet.
     awaits_first_head: Cell<bool>,
@@ -82,6 +84,7 @@
 
     /// Marks the connection as half closed: no more responses are due on it.
     pub fn mark_half_closed(&self) {
+        self.stream.cancel_on_flushed(); // the callback refers to this connection
         self.is_half_closed.set(true);
         self.is_busy.set(false);
         self.is_closing.set(false);
@@ -157,6 +160,7 @@
                         return;
                     }
                 }
+                () = client.stream.write_stalled(UNREAD_RESPONSE_TIMEOUT) => return,
                 () = client.close.notified() => {
                     if client.is_closing.get() {
                         if !client.is_busy.get() && client.stream.has_partial_input() {
@@ -177,8 +181,9 @@
         self: &Rc<Self>,
         request: Request<Incoming>,
         client: &Rc<ClientConnection>,
-    ) -> Response<OutgoingBody> {
+    ) -> Response<ResponseBody> {
         client.is_busy.set(true);
+        client.stream.cancel_on_flushed(); // a pipelined request: the connection stays busy after the response before
         let started_at = if client.awaits_first_head.replace(false) {
             client.last_active_at.get()
         } else {
@@ -187,36 +192,34 @@
         let version = request.version();
         let started_at = self.host.clock.instant(started_at);
         let mut response = self.answer(request, client, started_at).await;
-        match response.body_mut() {
-            Either::Left(_) => self.mark_idle(client),
-            Either::Right(stream) => self.mark_idle_after(stream, client, version),
-        }
+        self.track_response(response.body_mut(), client, version);
         response
     }
 
-    /// Marks the connection idle when the stream ends. Where the response is delimited by the connection's end, a
-    /// truncated response resets the connection, so that the client can tell that it is incomplete.
-    fn mark_idle_after(
+    /// Marks the connection idle when the response was written to its socket: until then some of it is in hyper's buffer,
+    /// and closing the connection would truncate it. Where the response is delimited by the connection's end, a truncated
+    /// one resets the connection, so that the client can tell that it is incomplete.
+    fn track_response(
         self: &Rc<Self>,
-        stream: &mut ResponseStream,
+        body: &mut ResponseBody,
         client: &Rc<ClientConnection>,
         version: Version,
     ) {
         let server = self.clone();
         let client = client.clone();
-        let ends_with_connection =
-            version < Version::HTTP_11 && stream.size_hint().exact().is_none();
-        stream.on_end(move |end| {
-            if end == StreamEnd::Truncated && ends_with_connection {
+        let ends_with_connection = version < Version::HTTP_11 && body.size_hint().exact().is_none();
+        body.on_end(move |end| {
+            if end == BodyEnd::Truncated && ends_with_connection {
                 client.stream.reset_on_close();
             }
-            server.mark_idle(&client);
+            client.stream.mark_idle();
+            let stream = client.stream.clone();
+            stream.on_flushed(move || server.mark_idle(&client));
         });
     }
 
     fn mark_idle(&self, client: &ClientConnection) {
         client.last_active_at.set(self.host.clock.now());
-        client.stream.mark_idle();
         client.is_busy.set(false);
     }
 
@@ -226,7 +229,7 @@
         request: Request<Incoming>,
         client: &ClientConnection,
         started_at: Instant,
-    ) -> Response<OutgoingBody> {
+    ) -> Response<ResponseBody> {
         let answer = match request.uri().path() {
             READY_PATH => Ok(plain_response(StatusCode::OK, "ready\n")),
             // hyper does not read, and so does not see the client's end, while bytes that it cannot use yet precede it.
--- a/src/net/downstream/server/request.rs
+++ b/src/net/downstream/server/request.rs
@@ -1,14 +1,14 @@
 //! Handles one request: validates it, reads its body, passes it to the host, and builds the response.
 
 use super::{RequestRules, Server};
-use crate::net::downstream::response_stream::ResponseStream;
+use crate::net::downstream::response_body::ResponseBody;
 use crate::net::downstream::upload::{Upload, UploadError};
 use crate::net::host::{Answer, Host, PendingRequest};
 use crate::net::observed_stream::ObservedStream;
-use crate::net::upstream::{ForwardedRequest, RequestBody, ResponseBody, StreamedUpload};
+use crate::net::upstream::{ForwardedRequest, RequestBody, ServedBody, StreamedUpload};
 use crate::net::{strip_hop_by_hop, to_duration, to_micros, MAX_BUFFERED_BODY_BYTES};
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Either, Full};
+use http_body_util::{BodyExt, Either};
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::http::request::Parts;
@@ -20,9 +20,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// The body of a response to a client.
-pub type OutgoingBody = Either<Full<Bytes>, ResponseStream>;
-
 /// Why a request is rejected before it is forwarded. The texts are sent to the client.
 #[derive(Debug, Error)]
 pub enum RequestError {
@@ -55,14 +52,14 @@
     }
 
     /// Builds the response that reports the error to the client.
-    pub fn response(&self) -> Response<OutgoingBody> {
+    pub fn response(&self) -> Response<ResponseBody> {
         plain_response(self.status(), format!("{self}\n"))
     }
 }
 
 /// Builds a response with a short text body.
-pub fn plain_response(status: StatusCode, text: impl Into<Bytes>) -> Response<OutgoingBody> {
-    let mut response = Response::new(Either::Left(Full::new(text.into())));
+pub fn plain_response(status: StatusCode, text: impl Into<Bytes>) -> Response<ResponseBody> {
+    let mut response = Response::new(ResponseBody::buffered(text.into()));
     *response.status_mut() = status;
     response
 }
@@ -81,7 +78,7 @@
         request: Request<Incoming>,
         client: &ObservedStream,
         started_at: Instant,
-    ) -> Result<Response<OutgoingBody>, RequestError> {
+    ) -> Result<Response<ResponseBody>, RequestError> {
         let rules = self.rules.borrow().clone(); // a request keeps the rules that were in force when it arrived
         let admitted = self
             .validate_and_read(request, client, started_at, &rules)
@@ -235,12 +232,12 @@
     path.as_str().parse().map_err(|_| RequestError::NoPath)
 }
 
-fn response_to(answer: Option<Answer>, max_retry_after: Micros) -> Response<OutgoingBody> {
+fn response_to(answer: Option<Answer>, max_retry_after: Micros) -> Response<ResponseBody> {
     match answer {
         Some(Answer::Served(served)) => {
             let mut response = Response::new(match served.body {
-                ResponseBody::Buffered(body) => Either::Left(Full::new(body)),
-                ResponseBody::Streaming(stream) => Either::Right(stream),
+                ServedBody::Buffered(body) => ResponseBody::buffered(body),
+                ServedBody::Streaming(stream) => ResponseBody::streaming(stream),
             });
             *response.headers_mut() = served.headers;
             response
--- a/src/net/downstream/server/shutdown.rs
+++ b/src/net/downstream/server/shutdown.rs
@@ -96,7 +96,7 @@
         rules.deadlines.iter().max().copied().unwrap_or_default()
     }
 
-    fn is_any_busy(&self) -> bool {
+    pub(super) fn is_any_busy(&self) -> bool {
         let clients = self.clients.borrow();
         clients.values().any(|client| client.is_busy.get())
     }
--- a/src/net/downstream/server/tests.rs
+++ b/src/net/downstream/server/tests.rs
@@ -91,6 +91,40 @@
     });
 }
 
+/// Guards against responses that were cut in hyper's buffer by a shutdown or for capacity, as their connection seemed idle:
+/// it is busy until the last byte was written to its socket.
+#[test]
+fn a_connection_is_busy_until_its_response_is_written() {
+    const REQUESTS: usize = 400;
+    const SOCKET_BUFFER_BYTES: usize = 4_096;
+    with_server(async |server, listener| {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+        let socket = socket.unwrap();
+        socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES).unwrap();
+        let address = listener.local_addr().unwrap();
+        socket.connect(&address.into()).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let mut client: std::net::TcpStream = socket.into();
+        let tcp = listener.accept().await.unwrap().0;
+        let accepted = socket2::SockRef::from(&tcp);
+        accepted.set_send_buffer_size(SOCKET_BUFFER_BYTES).unwrap();
+        server.add_client(tcp);
+        client.write_all(&READY.repeat(REQUESTS)).unwrap();
+        tokio::time::sleep(Duration::from_millis(200)).await; // all are answered, more than the kernel takes
+        assert!(server.is_any_busy(), "a shutdown would end the process");
+        assert!(
+            !server.close_least_useful(Duration::ZERO),
+            "the connection would be closed for capacity"
+        );
+        for _ in 0..REQUESTS {
+            let (answer, _) = received(&mut client, "ready\n").await;
+            assert!(answer.ends_with("ready\n"), "{answer}");
+        }
+        assert!(!server.is_any_busy());
+        assert!(server.close_least_useful(Duration::ZERO));
+    });
+}
+
 /// A half-closed connection is the first to be closed for capacity, without waiting for its linger timeout.
 #[test]
 fn a_half_closed_connection_is_closed_first() {
--- a/src/net/host/attempts/tests.rs
+++ b/src/net/host/attempts/tests.rs
@@ -212,7 +212,7 @@
 
 fn served(text: &'static str) -> AttemptResult {
     let body =
-        crate::net::upstream::ResponseBody::Buffered(bytes::Bytes::from_static(text.as_bytes()));
+        crate::net::upstream::ServedBody::Buffered(bytes::Bytes::from_static(text.as_bytes()));
     AttemptResult {
         outcome: Outcome::Ok,
         response: Some(ServedResponse {
@@ -225,10 +225,10 @@
 /// Of several outcomes in one turn of the event loop the first becomes the final answer.
 #[tokio::test]
 async fn the_first_of_several_outcomes_in_one_turn_is_the_answer() {
-    use crate::net::upstream::ResponseBody;
+    use crate::net::upstream::ServedBody;
     let text = |answer: Answer| match answer {
         Answer::Served(ServedResponse {
-            body: ResponseBody::Buffered(body),
+            body: ServedBody::Buffered(body),
             ..
         }) => String::from_utf8(body.to_vec()).unwrap(),
         _ => "no response".into(),
--- a/src/net/host/endpoints/tests.rs
+++ b/src/net/host/endpoints/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::net::host::PendingRequest;
-use crate::net::upstream::{AttemptResult, ResponseBody, ServedResponse};
+use crate::net::upstream::{AttemptResult, ServedBody, ServedResponse};
 use meadowproxy::{AttemptNumber, Outcome};
 
 fn host() -> Rc<Host> {
@@ -437,7 +437,7 @@
         .run_until(async {
             let host = host();
             let PendingRequest { id, answer: _wait } = host.example_request();
-            let body = ResponseBody::Buffered(bytes::Bytes::new());
+            let body = ServedBody::Buffered(bytes::Bytes::new());
             host.response_started(
                 id,
                 AttemptNumber(0),
--- a/src/net/observed_stream.rs
+++ b/src/net/observed_stream.rs
@@ -69,6 +69,11 @@
     wait_ended_at: Cell<Instant>,
     /// Whether closing it sends a reset.
     resets_on_close: Cell<bool>,
+    /// Runs once everything that hyper has buffered was written.
+    on_flushed: Cell<Option<Box<dyn FnOnce()>>>,
+    /// Whether [`Inner::on_flushed`] is set.
+    is_flush_awaited: Cell<bool>,
+    last_written_at: Cell<Instant>,
 }
 
 impl Inner {
@@ -108,6 +113,9 @@
             is_awaiting_input: Cell::new(false),
             wait_ended_at: Cell::new(Instant::now()),
             resets_on_close: Cell::new(false),
+            on_flushed: Cell::new(None),
+            is_flush_awaited: Cell::new(false),
+            last_written_at: Cell::new(Instant::now()),
         }))
     }
 
@@ -135,6 +143,7 @@
 
     fn wrote(&self, bytes: &[u8]) {
         let s = &self.0;
+        s.last_written_at.set(Instant::now());
         for (at, byte) in bytes.iter().enumerate() {
             if s.head_end_matched.get() == HEAD_END_BYTES {
                 let body_bytes = bytes.len() - at;
@@ -181,6 +190,33 @@
         }
     }
 
+    /// Sets a callback that runs once hyper has written everything that it holds for this stream.
+    pub fn on_flushed(&self, callback: impl FnOnce() + 'static) {
+        self.0.on_flushed.set(Some(Box::new(callback)));
+        self.0.is_flush_awaited.set(true);
+        self.0.last_written_at.set(Instant::now());
+    }
+
+    /// Removes the callback of [`ObservedStream::on_flushed`].
+    pub fn cancel_on_flushed(&self) {
+        self.0.on_flushed.take();
+        self.0.is_flush_awaited.set(false);
+    }
+
+    /// Waits until nothing was written for `timeout` while a flush is awaited.
+    pub async fn write_stalled(&self, timeout: Duration) {
+        loop {
+            let idle_since = match self.0.is_flush_awaited.get() {
+                true => self.0.last_written_at.get(),
+                false => Instant::now(),
+            };
+            if idle_since.elapsed() >= timeout {
+                return;
+            }
+            tokio::time::sleep_until(idle_since + timeout).await;
+        }
+    }
+
     /// Marks the connection as idle: input from now on counts as new.
     pub fn mark_idle(&self) {
         self.0.has_received.set(false);
@@ -262,7 +298,13 @@
             }
         }
     }
+
+    /// hyper calls this once it has written everything that it holds.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.is_flush_awaited.set(false);
+        if let Some(callback) = self.0.on_flushed.take() {
+            callback();
+        }
         Poll::Ready(Ok(()))
     }
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -6,7 +6,7 @@
     error_chain, forward_body, outcome_of, strip_backend_headers, BackendResponse,
     BufferedResponse, StreamingResponse, BACKEND_STALL_TIMEOUT,
 };
-use super::{AttemptResult, ForwardedRequest, Progress, RequestBody, ResponseBody, ServedResponse};
+use super::{AttemptResult, ForwardedRequest, Progress, RequestBody, ServedBody, ServedResponse};
 use crate::net::connection_driver::{drive_past_close, drive_until_closed};
 use crate::net::downstream::response_stream::ResponseStream;
 use crate::net::downstream::upload::UploadProgress;
@@ -169,7 +169,7 @@
                 outcome,
                 response: Some(ServedResponse {
                     headers: strip_backend_headers(&mut head.headers),
-                    body: ResponseBody::Buffered(body),
+                    body: ServedBody::Buffered(body),
                 }),
             },
             (outcome, Ok(_)) => {
@@ -207,7 +207,7 @@
         let (chunks, stream) = ResponseStream::new(length);
         progress.response_started(ServedResponse {
             headers: strip_backend_headers(&mut head.headers),
-            body: ResponseBody::Streaming(stream),
+            body: ServedBody::Streaming(stream),
         });
         // The backend may send everything long before the client has read it. For the backend's idle timeout the
         // connection may be idle from here on.
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -105,11 +105,11 @@
 /// A backend's response that is forwarded to the client.
 pub struct ServedResponse {
     pub headers: HeaderMap,
-    pub body: ResponseBody,
+    pub body: ServedBody,
 }
 
-/// A response's body.
-pub enum ResponseBody {
+/// The body of a backend's response.
+pub enum ServedBody {
     /// Complete in memory.
     Buffered(Bytes),
     /// Forwarded as it arrives.
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -5,7 +5,7 @@
 
 use rig::*;
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -387,3 +387,91 @@
         assert_eq!(answer.map(|a| a.status()), Some(200), "{}", request.name);
     }
 }
+
+/// Connects a client whose kernel holds little of what the client has not read.
+fn client_with_small_buffer(proxy: &Proxy) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(100_000).unwrap();
+    socket.connect(&proxy.address.into()).unwrap();
+    let tcp: TcpStream = socket.into();
+    tcp.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    tcp
+}
+
+/// Starts a backend that answers each request with `length` bytes, chunked if `is_chunked`.
+fn start_long_backend(length: usize, is_chunked: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut tcp in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                while tcp.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {
+                    let body = vec![b'x'; length];
+                    let (framing, end) = match is_chunked {
+                        true => (
+                            format!("Transfer-Encoding: chunked\r\n\r\n{length:x}"),
+                            &b"\r\n0\r\n\r\n"[..],
+                        ),
+                        false => (format!("Content-Length: {length}\r\n"), &b""[..]),
+                    };
+                    let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n");
+                    let message = [head.as_bytes(), &body, end].concat();
+                    if tcp.write_all(&message).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against responses whose last bytes were in hyper's buffer when the proxy exited, or when it closed their
+/// connections because they seemed idle.
+#[test]
+fn a_shutdown_waits_until_the_last_bytes_of_responses_are_written() {
+    /// More than the kernel takes, so that the last bytes of the response stay in the proxy.
+    const LONG: usize = 24_000_000;
+    /// Longer than a turn of the proxy's event loop, after which it may exit.
+    const READ_PAUSE: Duration = Duration::from_millis(50);
+    const PIECE: u64 = 500_000;
+    let forms = [
+        ("Content-Length", LONG, false, "HTTP/1.1"),
+        ("chunked", LONG, true, "HTTP/1.1"),
+        ("HTTP/1.0", LONG, false, "HTTP/1.0"),
+        ("HTTP/1.0 of unknown length", LONG, true, "HTTP/1.0"),
+    ];
+    let play = |(name, length, is_chunked, version): (&str, usize, bool, &str)| {
+        let address = start_long_backend(length, is_chunked);
+        let mut proxy = Proxy::with_settings(
+            &[entry("b0", address, "SERVING")],
+            1024,
+            &settings_with_deadline(300),
+        );
+        let request = read_request(0.3).replace("HTTP/1.1", version);
+        let mut client = client_with_small_buffer(&proxy);
+        client.write_all(request.as_bytes()).unwrap();
+        std::thread::sleep(Duration::from_millis(200)); // the response has begun
+        proxy.terminate();
+        let mut received = Vec::new();
+        let ended = loop {
+            std::thread::sleep(READ_PAUSE);
+            match (&mut client).take(PIECE).read_to_end(&mut received) {
+                Ok(0) => break Ok(()),
+                Ok(_) => {}
+                Err(error) => break Err(error),
+            }
+        };
+        let data = received.iter().filter(|byte| **byte == b'x').count();
+        assert!(
+            data >= length,
+            "{name}: {data} of {length} bytes, {ended:?}"
+        );
+        assert!(proxy.child.wait().unwrap().success());
+    };
+    std::thread::scope(|scope| {
+        for form in forms {
+            scope.spawn(move || play(form));
+        }
+    });
+}
