Close paused requests while connections wait in the backlog

Cause: at the limit of connections one that holds a part of a head could be closed after 1 s without input, one within a body not at all. The backlog behind them waited, and the proxy cannot see for how long.

Change: while the backlog waits, connections whose client has paused within a request for 0.1 s can be closed, the longest pause first; then long uploads that wait for a backend are rejected with 503.

Moved rows: a client that pauses over 0.1 s within a request can lose its connection at the limit, after 1 s before; bodies too.

--- a/src/net/downstream/server.rs
+++ b/src/net/downstream/server.rs
@@ -39,6 +39,9 @@
 const EVENT_LOOP_TURN: Duration = Duration::from_millis(20);
 /// Delay before a failed accept is retried, unless a backend connection was closed for it.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
+/// The backlog is closed unread if within this time fewer than [`CONNECTIONS_ABOVE_LIMIT`] of its connections could be
+/// accepted: their requests' time runs, which the proxy cannot see.
+const BACKLOG_WINDOW: Duration = Duration::from_millis(400);
 /// Minimum interval between two log lines about failed accepts.
 const ACCEPT_LOG_INTERVAL: Micros = Micros(1_000_000);
 
@@ -85,6 +88,62 @@
     /// Notified when a connection is closed or half closed.
     client_closed: Notify,
     last_accept_log: Cell<Time>,
+    backlog_progress: Cell<BacklogProgress>,
+}
+
+/// How many connections were accepted one by one, each in the place of another, and since when.
+#[derive(Clone, Copy)]
+struct BacklogProgress {
+    since: Instant,
+    accepted: usize,
+}
+
+impl BacklogProgress {
+    fn new() -> BacklogProgress {
+        BacklogProgress {
+            since: Instant::now(),
+            accepted: 0,
+        }
+    }
+
+    /// Returns the progress after a connection was accepted, the last possible one if `is_at_limit`.
+    fn after_accept(self, is_at_limit: bool) -> BacklogProgress {
+        let accepted = self.accepted + 1;
+        if is_at_limit && accepted < CONNECTIONS_ABOVE_LIMIT {
+            BacklogProgress { accepted, ..self }
+        } else {
+            BacklogProgress::new()
+        }
+    }
+
+    fn is_stalled(self) -> bool {
+        self.since.elapsed() >= BACKLOG_WINDOW
+    }
+}
+
+/// Why a connection has to be closed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Pressure {
+    /// More than the maximum are open; some more can be accepted.
+    AboveLimit,
+    /// No more can be accepted, and others may wait in the backlog.
+    BacklogWaits,
+    /// The process has no free descriptor.
+    OutOfDescriptors,
+}
+
+impl Pressure {
+    /// Returns whether a connection of this kind may be closed that has been idle for `idle_time`.
+    fn may_close(self, kind: IdleKind, idle_time: Duration) -> bool {
+        match (kind, self) {
+            (IdleKind::JustConnected, Pressure::AboveLimit) => idle_time >= FIRST_REQUEST_GRACE,
+            (IdleKind::JustConnected, Pressure::BacklogWaits) => idle_time >= EVENT_LOOP_TURN,
+            (IdleKind::PausedRequest | IdleKind::WaitingUpload, pressure) => {
+                pressure != Pressure::AboveLimit
+            }
+            _ => true,
+        }
+    }
 }
 
 /// An idle connection. The order of the fields is the order in which idle connections are closed.
@@ -108,6 +167,7 @@
             shutdown: Rc::default(),
             client_closed: Notify::new(),
             last_accept_log: Cell::default(),
+            backlog_progress: Cell::new(BacklogProgress::new()),
         })
     }
 
@@ -152,19 +212,42 @@
     }
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        while self.client_count() >= self.max_clients.get() + CONNECTIONS_ABOVE_LIMIT {
+        while self.client_count() >= self.max_open_clients() {
+            if self.backlog_progress.get().is_stalled() {
+                self.close_backlog(listener).await;
+            }
             // A closing connection still holds its descriptor; accepting the whole backlog would use up the remaining
             // ones.
-            self.close_least_useful(EVENT_LOOP_TURN);
+            self.close_least_useful(Pressure::BacklogWaits);
             self.wait_for_client_close(EVENT_LOOP_TURN).await;
         }
         match listener.accept().await {
-            Ok((tcp, _)) => self.add_client(tcp),
+            Ok((tcp, _)) => {
+                let is_at_limit = self.client_count() + 1 >= self.max_open_clients();
+                let progress = self.backlog_progress.get();
+                self.backlog_progress
+                    .set(progress.after_accept(is_at_limit));
+                self.add_client(tcp);
+            }
             Err(error) if error.kind() == ErrorKind::ConnectionAborted => {} // it was closed while in the backlog
             Err(error) => self.accept_failed(&error).await,
         }
     }
 
+    fn max_open_clients(&self) -> usize {
+        self.max_clients.get() + CONNECTIONS_ABOVE_LIMIT
+    }
+
+    /// Closes the connections in the backlog without reading from them.
+    async fn close_backlog(&self, listener: &TcpListener) {
+        for _ in 0..BACKLOG {
+            let accepted = tokio::time::timeout(Duration::ZERO, listener.accept()).await;
+            if !matches!(accepted, Ok(Ok(_))) {
+                return;
+            }
+        }
+    }
+
     /// Handles a failed accept, such as one without a free descriptor: frees a connection or waits, and never exits.
     async fn accept_failed(&self, error: &io::Error) {
         let now = self.host.clock.now();
@@ -176,7 +259,9 @@
                 self.host.pool.open_connections()
             );
         }
-        if self.close_least_useful(Duration::ZERO) || !self.host.pool.close_longest_idle() {
+        if self.close_least_useful(Pressure::OutOfDescriptors)
+            || !self.host.pool.close_longest_idle()
+        {
             self.wait_for_client_close(ACCEPT_RETRY_DELAY).await;
         }
     }
@@ -185,18 +270,23 @@
         let _ = tokio::time::timeout(limit, self.client_closed.notified()).await;
     }
 
-    /// Closes the idle connection that comes first by [`IdleKind`] and then by idle time. Connections younger than
-    /// `min_age` that have not sent a request are skipped. Returns false if no connection can be closed.
-    fn close_least_useful(&self, min_age: Duration) -> bool {
+    /// Closes the idle connection that comes first by [`IdleKind`] and then by idle time, among those that may be closed
+    /// under this pressure. Returns false if there is none.
+    fn close_least_useful(&self, pressure: Pressure) -> bool {
         let clients = self.clients.borrow();
         // Only the chosen connections are checked for unread input: checking all of them at each accept would cost more
         // than the accepts.
-        let mut candidates = self.close_candidates(&clients, min_age);
+        let mut candidates = self.close_candidates(&clients, pressure);
         while let Some(Reverse(candidate)) = candidates.pop() {
             let client = &clients[&candidate.key];
-            if candidate.kind == IdleKind::HalfClosed || !client.stream.has_unread_input() {
+            let ignores_input = matches!(
+                candidate.kind,
+                IdleKind::HalfClosed | IdleKind::WaitingUpload
+            );
+            if ignores_input || !client.stream.has_unread_input() {
                 client.is_closing.set(true); // a call before the connection closes picks another one
                 client.close.notify_one();
+                client.reject.notify_one();
                 return true;
             }
         }
@@ -206,25 +296,26 @@
     fn close_candidates(
         &self,
         clients: &HashMap<u64, Rc<ClientConnection>>,
-        min_age: Duration,
+        pressure: Pressure,
     ) -> BinaryHeap<Reverse<CloseCandidate>> {
         let now = Instant::now();
         let candidate = |(key, client): (&u64, &Rc<ClientConnection>)| {
             let since = self.host.clock.instant(client.last_active_at.get());
             let idle = client.idle_state(now, since)?;
-            let is_spared = idle.kind == IdleKind::JustConnected && now - idle.since < min_age;
-            (!is_spared).then_some(Reverse(CloseCandidate {
-                kind: idle.kind,
-                idle_since: idle.since,
-                key: *key,
-            }))
+            pressure
+                .may_close(idle.kind, now - idle.since)
+                .then_some(Reverse(CloseCandidate {
+                    kind: idle.kind,
+                    idle_since: idle.since,
+                    key: *key,
+                }))
         };
         clients.iter().filter_map(candidate).collect()
     }
 
     fn add_client(self: &Rc<Self>, tcp: TcpStream) {
         if self.client_count() >= self.max_clients.get() {
-            self.close_least_useful(FIRST_REQUEST_GRACE);
+            self.close_least_useful(Pressure::AboveLimit);
         }
         let key = self.next_key.get();
         self.next_key.set(key + 1);
--- a/src/net/downstream/server/client_connection.rs
+++ b/src/net/downstream/server/client_connection.rs
@@ -5,6 +5,7 @@
 use super::request::{plain_response, RequestError};
 use super::{Server, EVENT_LOOP_TURN, FIRST_REQUEST_GRACE};
 use crate::net::downstream::response_body::{BodyEnd, ResponseBody};
+use crate::net::downstream::upload::UploadProgress;
 use crate::net::observed_stream::ObservedStream;
 use crate::net::MAX_BUFFERED_BODY_BYTES;
 use hyper::body::{Body, Incoming};
@@ -13,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
 use meadowproxy::Time;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -21,8 +22,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A connection that has sent part of a request's head and nothing more for this time may be closed for capacity.
-const HEAD_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// A connection that has sent part of a request and nothing more for this time may be closed for capacity.
+const REQUEST_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same while no more connections can be accepted: each that waits in the backlog may carry a request whose time
+/// runs.
+const REQUEST_PAUSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// A connection without a complete request head by this time after connecting is closed; its end is due within 3 s.
 const FIRST_HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A closing connection that has not ended after this time is dropped: its client does not read.
@@ -39,10 +43,14 @@
     HalfClosed,
     /// No request has arrived on it.
     NoRequestYet,
-    /// It is between two requests, or its client stopped sending within a request's head.
+    /// It is between two requests, or its client stopped sending within a request.
     BetweenRequests,
     /// It has just connected; its first request may be in transit.
     JustConnected,
+    /// Its client has paused within a request, and may just be slow.
+    PausedRequest,
+    /// Its client uploads a long body that waits for a backend.
+    WaitingUpload,
 }
 
 /// The state of an idle connection, and since when it has been idle.
@@ -56,6 +64,8 @@
     pub stream: ObservedStream,
     /// A request has arrived whose response was not completely written.
     pub is_busy: Cell<bool>,
+    /// The body of the last request.
+    upload: RefCell<Option<Rc<UploadProgress>>>,
     /// No complete request head has arrived yet.
     awaits_first_head: Cell<bool>,
     /// When it was accepted or completed its last response.
@@ -66,6 +76,8 @@
     is_half_closed: Cell<bool>,
     /// Requests its graceful close.
     pub close: Notify,
+    /// Requests that an upload that waits for a backend is rejected.
+    pub reject: Notify,
 }
 
 impl ClientConnection {
@@ -74,11 +86,13 @@
         ClientConnection {
             stream,
             is_busy: Cell::new(false),
+            upload: RefCell::default(),
             awaits_first_head: Cell::new(true),
             last_active_at: Cell::new(now),
             is_closing: Cell::new(false),
             is_half_closed: Cell::new(false),
             close: Notify::new(),
+            reject: Notify::new(),
         }
     }
 
@@ -90,22 +104,63 @@
         self.is_closing.set(false);
     }
 
+    /// Sets the body of the request that has just arrived.
+    pub fn receive_body(&self, upload: Rc<UploadProgress>) {
+        *self.upload.borrow_mut() = Some(upload);
+    }
+
+    /// Returns whether a part of a request has arrived, also of one that was rejected before its body was complete.
+    fn is_within_request(&self) -> bool {
+        let is_body_incomplete =
+            matches!(&*self.upload.borrow(), Some(upload) if !upload.has_ended());
+        let is_head_incomplete = || !self.is_busy.get() && self.stream.last_received_at().is_some();
+        is_body_incomplete || is_head_incomplete()
+    }
+
+    fn upload_awaits_backend(&self) -> bool {
+        matches!(&*self.upload.borrow(), Some(upload) if upload.awaits_backend())
+    }
+
+    /// Waits until the request has to be rejected to make room. Only an upload that waits for a backend is.
+    async fn rejected_for_capacity(&self) {
+        loop {
+            self.reject.notified().await;
+            if self.upload_awaits_backend() {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether it can be closed at once, as no response is due on it.
+    fn can_be_dropped(&self) -> bool {
+        self.is_within_request() && self.stream.awaits_input() && !self.stream.has_unread_input()
+    }
+
     /// Returns its idle state, or `None` if it is in use or already closing. Unread input in the kernel is not
     /// considered here; the caller checks it for the selected connection only.
     pub fn idle_state(&self, now: Instant, since: Instant) -> Option<IdleState> {
-        if self.is_busy.get() || self.is_closing.get() {
+        if self.is_closing.get() {
             return None;
         }
         let idle = |kind, since| Some(IdleState { kind, since });
         if self.is_half_closed.get() {
             return idle(IdleKind::HalfClosed, since);
         }
-        if let Some(received_at) = self.stream.last_received_at() {
-            let has_stalled = now - received_at >= HEAD_STALL_TIMEOUT;
-            return match has_stalled {
-                true => idle(IdleKind::BetweenRequests, received_at),
-                false => None,
+        if self.upload_awaits_backend() {
+            return idle(IdleKind::WaitingUpload, self.stream.last_read_at());
+        }
+        if self.is_within_request() {
+            let paused_at = self.stream.last_read_at();
+            let kind = match now.saturating_duration_since(paused_at) {
+                _ if !self.stream.awaits_input() => return None,
+                pause if pause >= REQUEST_STALL_TIMEOUT => IdleKind::BetweenRequests,
+                pause if pause >= REQUEST_PAUSE_TIMEOUT => IdleKind::PausedRequest,
+                _ => return None,
             };
+            return idle(kind, paused_at);
+        }
+        if self.is_busy.get() {
+            return None;
         }
         if !self.awaits_first_head.get() {
             return idle(IdleKind::BetweenRequests, since);
@@ -163,8 +218,8 @@
                 () = client.stream.write_stalled(UNREAD_RESPONSE_TIMEOUT) => return,
                 () = client.close.notified() => {
                     if client.is_closing.get() {
-                        if !client.is_busy.get() && client.stream.has_partial_input() {
-                            return; // only part of a request's head arrived: no response is due
+                        if client.can_be_dropped() {
+                            return;
                         }
                         close_timeout.as_mut().reset(Instant::now() + CLOSE_TIMEOUT);
                     }
@@ -235,8 +290,9 @@
             // hyper does not read, and so does not see the client's end, while bytes that it cannot use yet precede it.
             _ => tokio::select! {
                 biased;
-                answer = self.proxy(request, &client.stream, started_at) => answer,
+                answer = self.proxy(request, client, started_at) => answer,
                 () = client.stream.closed_by_peer() => Err(RequestError::ClientClosed),
+                () = client.rejected_for_capacity() => Err(RequestError::NoCapacity),
             },
         };
         let has_client_disconnected = answer.is_err() && client.stream.peer_monitor().has_closed();
--- a/src/net/downstream/server/request.rs
+++ b/src/net/downstream/server/request.rs
@@ -1,10 +1,10 @@
 //! Handles one request: validates it, reads its body, passes it to the host, and builds the response.
 
+use super::client_connection::ClientConnection;
 use super::{RequestRules, Server};
 use crate::net::downstream::response_body::ResponseBody;
 use crate::net::downstream::upload::{Upload, UploadError};
 use crate::net::host::{Answer, Host, PendingRequest};
-use crate::net::observed_stream::ObservedStream;
 use crate::net::upstream::{ForwardedRequest, RequestBody, ServedBody, StreamedUpload};
 use crate::net::{strip_hop_by_hop, to_duration, to_micros, MAX_BUFFERED_BODY_BYTES};
 use bytes::{Bytes, BytesMut};
@@ -36,6 +36,9 @@
     /// A client that closed only its sending side still receives this response.
     #[error("the client closed the connection")]
     ClientClosed,
+    /// It is a long upload that waits for a backend while other clients cannot connect.
+    #[error("the proxy has no capacity")]
+    NoCapacity,
     /// It completed so late in a shutdown that it could not be served before the process ends.
     #[error("the proxy is shutting down")]
     ShuttingDown,
@@ -46,7 +49,9 @@
         match self {
             RequestError::UnknownClass => StatusCode::NOT_FOUND,
             RequestError::Upload(UploadError::Slow) => StatusCode::REQUEST_TIMEOUT,
-            RequestError::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+            RequestError::NoCapacity | RequestError::ShuttingDown => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -76,7 +81,7 @@
     pub(super) async fn proxy(
         self: &Rc<Self>,
         request: Request<Incoming>,
-        client: &ObservedStream,
+        client: &ClientConnection,
         started_at: Instant,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let rules = self.rules.borrow().clone(); // a request keeps the rules that were in force when it arrived
@@ -104,7 +109,7 @@
     async fn validate_and_read(
         &self,
         request: Request<Incoming>,
-        client: &ObservedStream,
+        client: &ClientConnection,
         started_at: Instant,
         rules: &RequestRules,
     ) -> Result<AdmittedRequest, RequestError> {
@@ -121,7 +126,8 @@
         let time_left = header_number(&head.headers, "x-time-left")
             .map_or(max_time, Micros::from_secs_f64)
             .min(max_time);
-        let upload = Upload::new(body, client.peer_monitor(), started_at);
+        let upload = Upload::new(body, client.stream.peer_monitor(), started_at);
+        client.receive_body(upload.progress.clone());
         let received = receive(upload).await?;
         // The time of a buffered request starts with its last byte.
         let margin = self.host.response_margin();
@@ -143,7 +149,7 @@
             uri: origin_form(&head.uri)?,
             headers,
             body,
-            client: Some(client.peer_monitor()),
+            client: Some(client.stream.peer_monitor()),
         };
         Ok(AdmittedRequest {
             arrival,
--- a/src/net/downstream/server/shutdown.rs
+++ b/src/net/downstream/server/shutdown.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: answers the requests already accepted, then closes the connections.
 
-use super::{Server, EVENT_LOOP_TURN};
+use super::{Pressure, Server, EVENT_LOOP_TURN};
 use crate::net::to_duration;
 use std::io::ErrorKind;
 use std::pin::pin;
@@ -60,7 +60,7 @@
                 }
                 Err(_) => {
                     // Out of descriptors: each connection that closes frees one.
-                    let _ = self.close_least_useful(Duration::ZERO)
+                    let _ = self.close_least_useful(Pressure::OutOfDescriptors)
                         || self.host.pool.close_longest_idle();
                     self.wait_for_client_close(EVENT_LOOP_TURN).await;
                 }
--- a/src/net/downstream/server/tests.rs
+++ b/src/net/downstream/server/tests.rs
@@ -56,7 +56,7 @@
         client.write_all(READY).unwrap();
         let (answer, _) = received(&mut client, "ready\n").await;
         assert!(!answer.contains("connection: close"), "{answer}");
-        assert!(server.close_least_useful(Duration::ZERO));
+        assert!(server.close_least_useful(Pressure::OutOfDescriptors));
         client.write_all(READY).unwrap();
         let (answer, ended_orderly) = received(&mut client, "").await;
         assert!(
@@ -75,7 +75,7 @@
         let mut client = connect(&server, &listener).await;
         client.write_all(READY).unwrap();
         received(&mut client, "ready\n").await;
-        assert!(server.close_least_useful(Duration::ZERO));
+        assert!(server.close_least_useful(Pressure::OutOfDescriptors));
         let (rest, ended_orderly) = received(&mut client, "").await;
         assert!(rest.is_empty() && ended_orderly, "{rest}");
         client.write_all(READY).unwrap(); // the client has not seen the close yet
@@ -113,7 +113,7 @@
         tokio::time::sleep(Duration::from_millis(200)).await; // all are answered, more than the kernel takes
         assert!(server.is_any_busy(), "a shutdown would end the process");
         assert!(
-            !server.close_least_useful(Duration::ZERO),
+            !server.close_least_useful(Pressure::OutOfDescriptors),
             "the connection would be closed for capacity"
         );
         for _ in 0..REQUESTS {
@@ -121,7 +121,7 @@
             assert!(answer.ends_with("ready\n"), "{answer}");
         }
         assert!(!server.is_any_busy());
-        assert!(server.close_least_useful(Duration::ZERO));
+        assert!(server.close_least_useful(Pressure::OutOfDescriptors));
     });
 }
 
@@ -143,7 +143,7 @@
             2,
             "the malformed request's connection is not lingering"
         );
-        assert!(server.close_least_useful(Duration::ZERO));
+        assert!(server.close_least_useful(Pressure::OutOfDescriptors));
         let before = Instant::now();
         while server.client_count() > 1 {
             tokio::task::yield_now().await; // does not wait for a timer
@@ -173,7 +173,7 @@
             silent.push(connect(&server, &listener).await);
         }
         let before = UNREAD_CHECKS.get();
-        assert!((0..8).all(|_| server.close_least_useful(Duration::ZERO)));
+        assert!((0..8).all(|_| server.close_least_useful(Pressure::OutOfDescriptors)));
         assert_eq!(
             UNREAD_CHECKS.get() - before,
             8 + 8,
@@ -197,7 +197,7 @@
         received(&mut idle, "ready\n").await;
         let mut silent = connect(&server, &listener).await;
         tokio::time::sleep(FIRST_REQUEST_GRACE).await; // until then its request may be in transit
-        assert!(server.close_least_useful(FIRST_REQUEST_GRACE));
+        assert!(server.close_least_useful(Pressure::AboveLimit));
         assert_eq!(received(&mut silent, "").await, (String::new(), true));
         idle.write_all(READY).unwrap();
         assert!(received(&mut idle, "ready\n").await.0.ends_with("ready\n"));
@@ -212,14 +212,14 @@
         for _ in 0..8 + CONNECTIONS_ABOVE_LIMIT {
             silent.push(connect(&server, &listener).await);
         }
-        assert!(server.close_least_useful(Duration::ZERO));
+        assert!(server.close_least_useful(Pressure::OutOfDescriptors));
         server.client_closed.notified().await; // the first selected connection is half closed
         assert_eq!(
             server.client_count(),
             8 + CONNECTIONS_ABOVE_LIMIT,
             "a half-closed connection no longer counts"
         );
-        assert!(server.close_least_useful(Duration::ZERO));
+        assert!(server.close_least_useful(Pressure::OutOfDescriptors));
         server.client_closed.notified().await;
         assert_eq!(server.client_count(), 8 + CONNECTIONS_ABOVE_LIMIT - 1);
     });
--- a/src/net/downstream/upload.rs
+++ b/src/net/downstream/upload.rs
@@ -42,6 +42,8 @@
     caught_up_at: Cell<Instant>,
     bytes_forwarded: Cell<u64>,
     last_forwarded_at: Cell<Instant>,
+    /// The request waits for a backend, and nothing reads the body.
+    awaits_backend: Cell<bool>,
     /// The last byte was forwarded: from then on the backend may execute the request.
     has_ended: Cell<bool>,
     on_end: Cell<Option<Box<dyn FnOnce()>>>,
@@ -55,6 +57,7 @@
             caught_up_at: Cell::new(Instant::now()),
             bytes_forwarded: Cell::new(0),
             last_forwarded_at: Cell::new(Instant::now()),
+            awaits_backend: Cell::new(false),
             has_ended: Cell::new(false),
             on_end: Cell::new(None),
         }
@@ -87,6 +90,16 @@
         }
     }
 
+    /// Returns whether the request waits for a backend to send the body to.
+    pub fn awaits_backend(&self) -> bool {
+        self.awaits_backend.get()
+    }
+
+    /// Records whether the request waits for a backend to send the body to.
+    pub fn set_awaits_backend(&self, awaits_backend: bool) {
+        self.awaits_backend.set(awaits_backend);
+    }
+
     /// Returns whether the last byte was forwarded.
     pub fn has_ended(&self) -> bool {
         self.has_ended.get()
--- a/src/net/observed_stream.rs
+++ b/src/net/observed_stream.rs
@@ -228,9 +228,14 @@
         self.0.has_received.get().then_some(received_at)
     }
 
-    /// Returns whether bytes were read since `mark_idle`, and no more are waiting in the kernel.
-    pub fn has_partial_input(&self) -> bool {
-        self.last_received_at().is_some() && !self.has_unread_input()
+    /// Returns when bytes were last read, or when the stream was opened.
+    pub fn last_read_at(&self) -> Instant {
+        self.0.last_received_at.get()
+    }
+
+    /// Returns whether a read waits for the peer to send.
+    pub fn awaits_input(&self) -> bool {
+        self.0.is_awaiting_input.get()
     }
 
     /// Returns whether bytes were read since `mark_idle` or are waiting in the kernel, or the peer has closed. Queries
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -58,6 +58,7 @@
 impl StreamedUpload {
     /// Creates a body that no attempt has taken yet. `time_left` is counted from the body's last byte.
     pub fn new(source: Upload, time_left: Duration, shutdown: Rc<ShutdownClock>) -> StreamedUpload {
+        source.progress.set_awaits_backend(true);
         StreamedUpload {
             progress: source.progress.clone(),
             source: RefCell::new(Some(source)),
@@ -98,6 +99,7 @@
 
     /// Takes the body; `None` if an attempt has already taken it.
     pub fn take(&self) -> Option<Upload> {
+        self.progress.set_awaits_backend(false);
         self.source.take()
     }
 }
