Forward a response of unknown length before its request is given up

Cause: such a response was buffered for up to 1 s or 64 KiB, and given up at the request's time before either.

Change: a response of unknown length of which something has come is forwarded shortly before the request is given up.

--- a/src/balancer/deadline.rs
+++ b/src/balancer/deadline.rs
@@ -40,6 +40,11 @@
 }
 
 impl Balancer {
+    /// Returns the resolution of timers: a request in flight is given up so long before its deadline.
+    pub fn timer_resolution(&self) -> Micros {
+        self.config.timer_resolution
+    }
+
     /// Finds the requests to give up or to hedge. A streaming response has no time limit, and the host ends a request
     /// whose body is still streaming at its deadline.
     pub(super) fn due_requests(&self, now: Time) -> DueRequests {
--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -6,8 +6,8 @@
 use super::state::{Answer, AttemptKey, InFlightAttempt, OpenRequest, State};
 use super::Host;
 use crate::net::observed_stream::PeerMonitor;
-use crate::net::to_micros;
 use crate::net::upstream::{AttemptResult, Progress, RequestBody, ServedResponse};
+use crate::net::{to_duration, to_micros};
 use meadowproxy::{AttemptEnd, AttemptNumber, BackendId, Event, Outcome, RequestId, Time};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -264,6 +264,11 @@
         Some(self.host.clock.instant(deadline))
     }
 
+    fn forward_by(&self) -> Option<Instant> {
+        let deadline = self.host.request_deadline(self.request)?;
+        deadline.checked_sub(to_duration(self.host.forwarding_margin()))
+    }
+
     fn upload_started(&self) {
         self.host.handle_event(Event::UploadStarted {
             request: self.request,
--- a/src/net/host/mod.rs
+++ b/src/net/host/mod.rs
@@ -48,6 +48,10 @@
 /// Maximum of the reserved time, with the timer lag.
 const MAX_RESPONSE_MARGIN: Micros = Micros(20_000);
 
+/// A response that has begun is forwarded so many timer resolutions before its request's deadline, as the balancer gives
+/// the request up one of them before it.
+const FORWARDING_MARGIN_TICKS: u64 = 4;
+
 /// A verdict of this proxy for the other proxies of its fleet, with the name of the backend that it is about.
 pub type NamedVerdict = (String, Verdict);
 
@@ -109,6 +113,13 @@
         Micros(margin_us.min(MAX_RESPONSE_MARGIN.0))
     }
 
+    /// Returns how long before its deadline a request's response must be forwarded, for the balancer not to give the
+    /// request up.
+    pub fn forwarding_margin(&self) -> Micros {
+        let resolution = self.state.borrow().balancer.timer_resolution();
+        Micros(FORWARDING_MARGIN_TICKS * resolution.0 + self.response_margin().0)
+    }
+
     /// Sends this proxy's verdicts to `sender` from now on.
     pub fn publish_verdicts_to(&self, sender: mpsc::Sender<NamedVerdict>) {
         *self.verdict_sender.borrow_mut() = Some(sender);
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -110,7 +110,7 @@
         let exchanged = tokio::select! {
             biased; // checked first, so that nothing is written after the send deadline
             () = status.expired(send_deadline) => None,
-            exchanged = exchange(&mut connection, request, &status) => exchanged,
+            exchanged = exchange(&mut connection, request, &status, progress) => exchanged,
         };
         self.finish(target, connection, &status, exchanged, progress)
             .await
@@ -276,6 +276,7 @@
     connection: &mut PooledConnection,
     request: Request<OutgoingBody>,
     status: &SendStatus,
+    progress: &Rc<impl Progress + 'static>,
 ) -> ExchangeResult {
     let PooledConnection {
         sender, connection, ..
@@ -288,7 +289,7 @@
         if !status.is_sent() {
             return Ok(BackendResponse::BeforeRequestSent(outcome_of(&response)));
         }
-        Ok(BackendResponse::read(response).await)
+        Ok(BackendResponse::read(response, progress.forward_by()).await)
     };
     drive_until_closed(connection, work).await
 }
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -143,6 +143,9 @@
     /// Returns the time by which the last byte of a buffered request must be sent, if there is one. Called right before
     /// the first byte.
     fn send_deadline(&self) -> Option<Instant>;
+    /// Returns until when a response that has begun must be forwarded, before the request is given up. Called when the
+    /// response's head has arrived.
+    fn forward_by(&self) -> Option<Instant>;
     /// A streamed body has begun to be sent; it cannot be sent again.
     fn upload_started(&self);
     /// The last byte of a streamed body was sent.
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// A response of unknown length is buffered at most this long before its first bytes are forwarded.
 const MAX_BUFFERING_TIME: Duration = Duration::from_secs(1);
@@ -59,8 +60,12 @@
 }
 
 impl BackendResponse {
-    /// Reads a response until it is complete or has to be streamed.
-    pub async fn read(response: Response<Incoming>) -> BackendResponse {
+    /// Reads a response until it is complete or has to be streamed. One of unknown length is streamed from `forward_by` on
+    /// at the latest, as it may turn out to be a long one, of which only the first bytes are due in time.
+    pub async fn read(
+        response: Response<Incoming>,
+        forward_by: Option<Instant>,
+    ) -> BackendResponse {
         let outcome = outcome_of(&response);
         let (head, mut body) = response.into_parts();
         let buffered = |head, body| {
@@ -86,7 +91,9 @@
             return streaming(head, Bytes::new(), body);
         }
         let mut received = BytesMut::new();
-        let mut buffering_timeout = pin!(tokio::time::sleep(MAX_BUFFERING_TIME));
+        let buffered_until = Instant::now() + MAX_BUFFERING_TIME;
+        let buffered_until = forward_by.map_or(buffered_until, |due| due.min(buffered_until));
+        let mut buffering_timeout = pin!(tokio::time::sleep_until(buffered_until));
         loop {
             let may_stream = outcome == Outcome::Ok && length.is_none() && !received.is_empty();
             let frame = tokio::select! {
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -47,6 +47,9 @@
     fn send_deadline(&self) -> Option<Instant> {
         None
     }
+    fn forward_by(&self) -> Option<Instant> {
+        None
+    }
     fn upload_started(&self) {}
     fn upload_finished(&self) {}
     fn response_started(&self, _: ServedResponse) {}
@@ -103,6 +106,9 @@
     fn send_deadline(&self) -> Option<Instant> {
         self.0
     }
+    fn forward_by(&self) -> Option<Instant> {
+        None
+    }
     fn upload_started(&self) {}
     fn upload_finished(&self) {}
     fn response_started(&self, _: ServedResponse) {}
