Serve long bodies that their backends read steadily, also slower than clients write

Cause: the deadline moved on only when the proxy had to wait for the client, which never happens while the backend is the slower one.

Change: a client can write its last byte only when all but a send buffer of the bytes before it have arrived. It stands while nothing arrives, so that a backend that hangs delays no answer.

A test that was wrong: the_time_that_a_body_waited_for_capacity_is_not_told_to_its_backend sent 6 MB, of which at most 4.2 MB can be written while the request waits. So the last byte was sent after the wait, and its time had not begun. It now sends 3 MB, which the client's send buffer holds; the bound on the time that is told is the same.

--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! - [`server`]: accepts connections within the process's limits, serves their requests, and shuts down gracefully.
 //! - [`upload`]: reads a client's request body, with timeouts.
+//! - [`arrival_history`]: bounds the time at which a client wrote the last byte of its upload.
 //! - [`response_body`]: the body of any response, as hyper reads it for the client.
 //! - [`response_stream`]: the body of a response that is streamed to a client.
 //! - [`shutdown_clock`]: brings deadlines forward while the process shuts down.
 
+pub mod arrival_history;
 pub mod response_body;
 pub mod response_stream;
 pub mod server;
--- a/src/net/downstream/upload.rs
+++ b/src/net/downstream/upload.rs
@@ -2,10 +2,11 @@
 //!
 //! [`Upload`] is the body; [`UploadProgress`] observes how far it was forwarded while hyper owns it.
 
+use super::arrival_history::{ArrivalHistory, CLIENT_SEND_BUFFER_BYTES};
 use crate::net::observed_stream::PeerMonitor;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
@@ -40,6 +41,9 @@
     waiting_since: Cell<Option<Instant>>,
     /// When a frame last arrived for which the client had been waited for.
     caught_up_at: Cell<Instant>,
+    /// The body's length in bytes, if the client stated one.
+    length: Cell<Option<u64>>,
+    arrivals: RefCell<ArrivalHistory>,
     bytes_forwarded: Cell<u64>,
     last_forwarded_at: Cell<Instant>,
     /// The request waits for a backend, and nothing reads the body.
@@ -55,6 +59,8 @@
             client,
             waiting_since: Cell::new(None),
             caught_up_at: Cell::new(Instant::now()),
+            length: Cell::new(None),
+            arrivals: RefCell::new(ArrivalHistory::new(Instant::now())),
             bytes_forwarded: Cell::new(0),
             last_forwarded_at: Cell::new(Instant::now()),
             awaits_backend: Cell::new(false),
@@ -64,9 +70,22 @@
     }
 
     /// Returns the latest time that is known to be before the client sent the body's last byte: the last time at which
-    /// the proxy waited for the client. As long as the client's bytes wait for the proxy, the last byte may be among
-    /// them, also where it cannot be observed from here, such as in buffers of the client's machine.
+    /// the proxy waited for the client, or at which the client's send buffer had no room for that byte.
     pub fn last_byte_sent_after(&self) -> Instant {
+        self.last_wait_for_client().max(self.last_lack_of_room())
+    }
+
+    /// Returns a time by which the client has sent the body's last byte if its bytes have ceased to arrive, see
+    /// [`UploadProgress::last_byte_sent_after`].
+    pub fn last_byte_sent_by(&self) -> Instant {
+        let last_arrival = self.arrivals.borrow().last_arrival();
+        last_arrival.max(self.last_byte_sent_after())
+    }
+
+    /// Returns the last time at which the proxy waited for the client. As long as the client's bytes wait for the proxy,
+    /// the last byte may be among them, also where it cannot be observed from here, such as in buffers of the client's
+    /// machine.
+    fn last_wait_for_client(&self) -> Instant {
         let caught_up_at = self.caught_up_at.get();
         let Some(waiting_since) = self.waiting_since.get() else {
             return caught_up_at;
@@ -79,6 +98,24 @@
         wait_ended_at.unwrap_or(caught_up_at)
     }
 
+    /// Returns the last time at which the client's send buffer cannot have had room for the body's last byte.
+    fn last_lack_of_room(&self) -> Instant {
+        let now = Instant::now();
+        let received = self.bytes_forwarded.get();
+        if self.has_ended() {
+            return self.arrivals.borrow().not_written_before(received);
+        }
+        let arrived = received + self.client.unread_bytes();
+        self.arrivals.borrow_mut().record(arrived, now);
+        match self.length.get() {
+            Some(length) if arrived + CLIENT_SEND_BUFFER_BYTES < length => now,
+            length => self
+                .arrivals
+                .borrow()
+                .not_written_before(length.unwrap_or(arrived)),
+        }
+    }
+
     /// Waits until nothing has been forwarded for `timeout`, as the backend no longer reads. Never returns once the
     /// whole body was forwarded.
     pub async fn stalled(&self, timeout: Duration) {
@@ -128,6 +165,10 @@
     fn add_bytes(&self, bytes: usize) {
         let total = self.bytes_forwarded.get() + bytes as u64;
         self.bytes_forwarded.set(total);
+        if self.arrivals.borrow().is_sample_due(total) {
+            let arrived = total + self.client.unread_bytes();
+            self.arrivals.borrow_mut().record(arrived, Instant::now());
+        }
     }
 
     fn mark_ended(&self) {
@@ -171,6 +212,8 @@
     /// Creates an upload whose timeout starts at `started_at`.
     pub fn new(incoming: Incoming, client: PeerMonitor, started_at: Instant) -> Upload {
         let deadline = started_at + BASE_TIMEOUT;
+        let progress = UploadProgress::new(client);
+        progress.length.set(incoming.size_hint().exact());
         Upload {
             prefix: None,
             incoming,
@@ -178,7 +221,7 @@
             last_active_at: Instant::now(),
             timer: Box::pin(tokio::time::sleep_until(deadline)),
             has_waiting_reader: false,
-            progress: Rc::new(UploadProgress::new(client)),
+            progress: Rc::new(progress),
         }
     }
 
--- a/src/net/host/attempts.rs
+++ b/src/net/host/attempts.rs
@@ -119,7 +119,11 @@
                 return;
             };
             upload.mark_sent();
-            to_micros(upload.deadline().saturating_duration_since(Instant::now()))
+            to_micros(
+                upload
+                    .answer_deadline()
+                    .saturating_duration_since(Instant::now()),
+            )
         };
         self.handle_event(Event::UploadFinished {
             request,
--- a/src/net/host/requests.rs
+++ b/src/net/host/requests.rs
@@ -46,12 +46,12 @@
     }
 
     /// Returns until when the request has to be answered; `None` once it is over. The deadline of a request whose body
-    /// is streamed may have moved on when it is reached, see [`StreamedUpload::deadline`].
+    /// is streamed may have moved on when it is reached, see [`StreamedUpload::answer_deadline`].
     ///
-    /// [`StreamedUpload::deadline`]: crate::net::upstream::StreamedUpload::deadline
+    /// [`StreamedUpload::answer_deadline`]: crate::net::upstream::StreamedUpload::answer_deadline
     pub fn request_deadline(&self, id: RequestId) -> Option<Instant> {
         let s = self.state.borrow();
-        s.requests.get(&id).map(OpenRequest::deadline)
+        s.requests.get(&id).map(OpenRequest::answer_deadline)
     }
 
     /// Returns whether a request of the class can be expected to be served within `time_left`.
--- a/src/net/host/state.rs
+++ b/src/net/host/state.rs
@@ -47,7 +47,7 @@
 }
 
 impl OpenRequest {
-    /// Returns until when the request has to be answered.
+    /// Returns until when the client waits for the answer.
     pub fn deadline(&self) -> Instant {
         match &self.forwarded.body {
             RequestBody::Buffered(_) => self.buffered_deadline,
@@ -55,6 +55,16 @@
         }
     }
 
+    /// Returns until when the request has to be answered, see [`StreamedUpload::answer_deadline`].
+    ///
+    /// [`StreamedUpload::answer_deadline`]: crate::net::upstream::StreamedUpload::answer_deadline
+    pub fn answer_deadline(&self) -> Instant {
+        match &self.forwarded.body {
+            RequestBody::Buffered(_) => self.buffered_deadline,
+            RequestBody::Streaming(upload) => upload.answer_deadline(),
+        }
+    }
+
     /// Returns the outcome of attempts that are in flight at the deadline: a backend does not execute a request before
     /// it has the body's last byte.
     pub fn outcome_at_deadline(&self) -> Outcome {
--- a/src/net/observed_stream.rs
+++ b/src/net/observed_stream.rs
@@ -46,6 +46,14 @@
         })
     }
 
+    /// Returns how many bytes of the peer wait in the kernel.
+    pub fn unread_bytes(&self) -> u64 {
+        let inner = self.0.upgrade();
+        inner.map_or(0, |inner| {
+            rustix::io::ioctl_fionread(&inner.tcp).unwrap_or(0)
+        })
+    }
+
     /// Returns when a read that had to wait for the peer last got bytes, if it was at `since` or later. The peer sent
     /// them just then.
     pub fn wait_ended_since(&self, since: Instant) -> Option<Instant> {
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -45,6 +45,10 @@
     Streaming(StreamedUpload),
 }
 
+/// How long after its time an answer may come without harm, though it is of no use: less than the half second that
+/// clients of long uploads are promised.
+const MAX_LATE_ANSWER: Duration = Duration::from_millis(350);
+
 /// A body that is streamed to the first backend that takes it.
 pub struct StreamedUpload {
     source: RefCell<Option<Upload>>,
@@ -68,15 +72,26 @@
         }
     }
 
-    /// Returns until when the request has to be answered. It moves on whenever the proxy has to wait for the client, and
-    /// no longer once the last byte was forwarded. While the client's bytes wait for the proxy or for the backend it
-    /// stands, as the last byte may be among them: a client may rely on an answer in time whatever the backend does.
+    /// Returns until when the client waits at least. It moves on whenever the client cannot have sent the last byte yet,
+    /// and no longer once that was forwarded. While the client's bytes wait for the proxy or for the backend it stands, as
+    /// the last byte may be among them.
     pub fn deadline(&self) -> Instant {
         let completed_at = self.progress.last_byte_sent_after();
         self.shutdown
             .answer_by(completed_at, completed_at + self.time_left)
     }
 
+    /// Returns until when the request has to be answered: the deadline, or later by the time for which the client may
+    /// have gone on to send after all, within the time in which a late answer does no harm. A client may rely on it
+    /// whatever the backend does.
+    pub fn answer_deadline(&self) -> Instant {
+        let earliest = self.progress.last_byte_sent_after();
+        let latest = self.progress.last_byte_sent_by();
+        let uncertainty = (latest - earliest).min(MAX_LATE_ANSWER);
+        self.shutdown
+            .answer_by(earliest, earliest + self.time_left + uncertainty)
+    }
+
     /// Returns whether the last byte was forwarded to a backend, which may execute the request from then on.
     pub fn has_ended(&self) -> bool {
         self.progress.has_ended()
--- a/tests/upload_deadlines.rs
+++ b/tests/upload_deadlines.rs
@@ -188,6 +188,8 @@
     const WAIT: Duration = Duration::from_millis(400);
     /// How much more than the client's time a backend may be told.
     const SLACK_S: f64 = 0.15;
+    /// Fits into the client's send buffer, so that the last byte may have been sent before the wait.
+    const SENT_BYTES: usize = 3_000_000;
     let gate = Arc::new(Gate::default());
     let wait = gate.clone();
     let backend = BackendServer::start(move |_| Reply::Gate(wait.clone()));
@@ -196,9 +198,11 @@
     clients.iter_mut().for_each(|c| c.send(&read_request(3.0)));
     std::thread::sleep(Duration::from_millis(200)); // until the backend is full
     let mut client = proxy.client();
-    client.send(&Framing::Length.head(3.0));
+    let header = format!("Content-Length: {SENT_BYTES}");
+    let request = pay_request(3.0).replace("Content-Length: 4", &header);
+    client.send(request.strip_suffix("cash").unwrap());
     let mut writer = client.0.get_ref().try_clone().unwrap();
-    let writing = std::thread::spawn(move || writer.write_all(&Framing::Length.body()));
+    let writing = std::thread::spawn(move || writer.write_all(&vec![b'x'; SENT_BYTES]));
     std::thread::sleep(WAIT);
     gate.open();
     assert_eq!(client.response().expect("no answer").status(), 200);
