Keep buffered bodies, heads and streams within the memory limit of the settings

Cause: limits.memory_mb was not used; a connection could hold 64 KiB of a body, of a head and of a response, and 128 KiB of a body for its backend, in buffers that grew by doubling.

Change: MemoryBudget gives buffered bodies a quarter of memory_mb. What does not fit is rejected with 503 after paused connections were closed, or streamed if it is a response. The limit on heads falls from 64 to 16 KiB with the number of clients. FlushPacer hands streamed bodies to hyper as the peer takes them. Read buffers stay at 8 KiB.

--- a/src/net/config/file.rs
+++ b/src/net/config/file.rs
@@ -54,11 +54,12 @@
 pub(super) struct Limits {
     /// Number of file descriptors that the process may have open.
     pub sockets: usize,
-    /// Number of CPU cores, for the platform that runs the proxy. The proxy uses neither this nor `memory_mb`.
+    /// Number of CPU cores, for the platform that runs the proxy. The proxy does not use it.
     #[serde(skip_serializing_if = "Option::is_none")]
     cores: Option<f64>,
+    /// Memory that the process may use, in megabytes.
     #[serde(skip_serializing_if = "Option::is_none")]
-    memory_mb: Option<f64>,
+    pub memory_mb: Option<f64>,
 }
 
 impl Default for Limits {
--- a/src/net/config/node.rs
+++ b/src/net/config/node.rs
@@ -32,6 +32,8 @@
     pub seed: u64,
     /// Number of file descriptors that the process may have open.
     pub max_descriptors: usize,
+    /// Memory that the process may use, in megabytes; unlimited if `None`.
+    pub memory_mb: Option<f64>,
     /// Endpoint list to start with, as far as the file contains one.
     pub known: KnownEndpoints,
     /// Digest of the settings.
@@ -105,6 +107,7 @@
             listen: file.listen,
             discovery: file.discovery,
             admin_address,
+            memory_mb: file.limits.memory_mb,
             max_descriptors: file.limits.sockets.max(MIN_DESCRIPTORS),
             known,
             settings_digest: settings.digest(&[]),
--- a/src/net/config/reload.rs
+++ b/src/net/config/reload.rs
@@ -236,6 +236,8 @@
             self.keys = Arc::new(node.keys.clone());
         }
         self.apply_descriptor_limit(node.max_descriptors);
+        let memory_budget = self.host.pool.memory_budget();
+        memory_budget.set_process_limit(node.memory_mb);
         self.apply_settings(change);
         self.fleet_overrides
             .set_file(self.in_force.clone(), node.file_version);
--- a/src/net/downstream/response_body.rs
+++ b/src/net/downstream/response_body.rs
@@ -1,11 +1,12 @@
 //! Body of a response as hyper reads it for a client's connection.
 
 use super::response_stream::{ResponseStream, TruncatedResponse};
+use crate::net::flush_pacer::{FlushPacer, MAX_UNFLUSHED_BYTES};
+use crate::net::observed_stream::ObservedStream;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 /// How a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,20 +18,21 @@
 }
 
 enum Source {
-    Buffered(Full<Bytes>),
+    Buffered(Bytes),
     Streaming(ResponseStream),
 }
 
 /// The body of a response to a client.
 pub struct ResponseBody {
     source: Source,
+    pacer: Option<FlushPacer>,
     on_end: Option<Box<dyn FnOnce(BodyEnd)>>,
 }
 
 impl ResponseBody {
     /// Creates a body that is complete in memory.
     pub fn buffered(bytes: Bytes) -> ResponseBody {
-        ResponseBody::new(Source::Buffered(Full::new(bytes)))
+        ResponseBody::new(Source::Buffered(bytes))
     }
 
     /// Creates a body that is forwarded as it arrives.
@@ -41,10 +43,16 @@
     fn new(source: Source) -> ResponseBody {
         ResponseBody {
             source,
+            pacer: None,
             on_end: None,
         }
     }
 
+    /// Hands the body over as the client's connection takes it.
+    pub fn pace(&mut self, connection: ObservedStream) {
+        self.pacer = Some(FlushPacer::new(connection));
+    }
+
     /// Sets a callback that runs once, when the body is truncated or dropped.
     pub fn on_end(&mut self, callback: impl FnOnce(BodyEnd) + 'static) {
         self.on_end = Some(Box::new(callback));
@@ -61,9 +69,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         match &mut self.source {
-            Source::Buffered(body) => Pin::new(body)
-                .poll_frame(cx)
-                .map_err(|never| match never {}),
+            Source::Buffered(body) if body.is_empty() => Poll::Ready(None),
+            Source::Buffered(body) => {
+                let part = body.split_to(body.len().min(MAX_UNFLUSHED_BYTES));
+                Poll::Ready(Some(Ok(Frame::data(part))))
+            }
             Source::Streaming(stream) => Pin::new(stream).poll_frame(cx),
         }
     }
@@ -77,7 +87,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
+        if let Some(pacer) = &mut self.pacer {
+            ready!(pacer.poll_ready(cx));
+        }
         let frame = self.poll_source(cx);
+        if let (Some(pacer), Poll::Ready(Some(Ok(frame)))) = (&mut self.pacer, &frame) {
+            pacer.handed_over(frame.data_ref().map_or(0, Bytes::len));
+        }
         if matches!(frame, Poll::Ready(Some(Err(_)))) {
             self.end(BodyEnd::Truncated);
         }
@@ -86,14 +102,14 @@
 
     fn is_end_stream(&self) -> bool {
         match &self.source {
-            Source::Buffered(body) => body.is_end_stream(),
+            Source::Buffered(body) => body.is_empty(),
             Source::Streaming(stream) => stream.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
-            Source::Buffered(body) => body.size_hint(),
+            Source::Buffered(body) => SizeHint::with_exact(body.len() as u64),
             Source::Streaming(stream) => stream.size_hint(),
         }
     }
--- a/src/net/downstream/server.rs
+++ b/src/net/downstream/server.rs
@@ -293,6 +293,22 @@
         false
     }
 
+    /// Closes the connection whose client has paused within a request for the longest time, if there is one.
+    fn close_paused_request(&self) -> bool {
+        let now = Instant::now();
+        let clients = self.clients.borrow();
+        let paused = clients.values().filter_map(|client| {
+            let paused_at = client.paused_since(now)?;
+            (!client.is_closing.get()).then_some((paused_at, client))
+        });
+        let Some((_, client)) = paused.min_by_key(|(paused_at, _)| *paused_at) else {
+            return false;
+        };
+        client.is_closing.set(true);
+        client.close.notify_one();
+        true
+    }
+
     fn close_candidates(
         &self,
         clients: &HashMap<u64, Rc<ClientConnection>>,
--- a/src/net/downstream/server/client_connection.rs
+++ b/src/net/downstream/server/client_connection.rs
@@ -7,7 +7,6 @@
 use crate::net::downstream::response_body::{BodyEnd, ResponseBody};
 use crate::net::downstream::upload::UploadProgress;
 use crate::net::observed_stream::ObservedStream;
-use crate::net::MAX_BUFFERED_BODY_BYTES;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
@@ -34,6 +33,11 @@
 /// A connection whose client takes nothing of a response's last bytes for this time is dropped. It is long, as the kernel
 /// accepts more only once the client has read a good part of what its buffers hold.
 const UNREAD_RESPONSE_TIMEOUT: Duration = Duration::from_secs(120);
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// A head of this length is accepted however many connections are open.
+const MIN_HEAD_LIMIT_BYTES: usize = 16 * 1024;
+/// The part of the memory budget that incomplete heads may take.
+const HEADS_BUDGET_DIVISOR: usize = 2;
 const READY_PATH: &str = "/-/ready";
 
 /// States of an idle connection, in the order in which they are closed for capacity.
@@ -136,6 +140,15 @@
         self.is_within_request() && self.stream.awaits_input() && !self.stream.has_unread_input()
     }
 
+    /// Returns since when its client has paused within a request, if it has for [`REQUEST_PAUSE_TIMEOUT`].
+    pub fn paused_since(&self, now: Instant) -> Option<Instant> {
+        let paused_at = self.stream.last_read_at();
+        let is_paused = self.is_within_request()
+            && self.stream.awaits_input()
+            && now.saturating_duration_since(paused_at) >= REQUEST_PAUSE_TIMEOUT;
+        is_paused.then_some(paused_at)
+    }
+
     /// Returns its idle state, or `None` if it is in use or already closing. Unread input in the kernel is not
     /// considered here; the caller checks it for the selected connection only.
     pub fn idle_state(&self, now: Instant, since: Instant) -> Option<IdleState> {
@@ -150,14 +163,12 @@
             return idle(IdleKind::WaitingUpload, self.stream.last_read_at());
         }
         if self.is_within_request() {
-            let paused_at = self.stream.last_read_at();
-            let kind = match now.saturating_duration_since(paused_at) {
-                _ if !self.stream.awaits_input() => return None,
-                pause if pause >= REQUEST_STALL_TIMEOUT => IdleKind::BetweenRequests,
-                pause if pause >= REQUEST_PAUSE_TIMEOUT => IdleKind::PausedRequest,
-                _ => return None,
+            let paused_at = self.paused_since(now)?;
+            let has_stalled = now - paused_at >= REQUEST_STALL_TIMEOUT;
+            return match has_stalled {
+                true => idle(IdleKind::BetweenRequests, paused_at),
+                false => idle(IdleKind::PausedRequest, paused_at),
             };
-            return idle(kind, paused_at);
         }
         if self.is_busy.get() {
             return None;
@@ -193,7 +204,7 @@
             Ok::<_, Infallible>(response)
         });
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_BUFFERED_BODY_BYTES);
+        builder.max_buf_size(self.max_head_bytes());
         let mut connection = pin!(builder.serve_connection(client.stream.clone(), service));
         let mut close_timeout = pin!(tokio::time::sleep(Duration::MAX));
         let mut head_timeout = pin!(tokio::time::sleep(FIRST_HEAD_TIMEOUT));
@@ -232,6 +243,14 @@
         }
     }
 
+    /// Returns the longest head that a new connection may send, in bytes: [`MAX_HEAD_BYTES`], or less where so many
+    /// connections could use up the memory with heads.
+    fn max_head_bytes(&self) -> usize {
+        let budget = self.host.pool.memory_budget().limit_bytes() / HEADS_BUDGET_DIVISOR;
+        let share = budget / self.client_count().max(1);
+        share.clamp(MIN_HEAD_LIMIT_BYTES, MAX_HEAD_BYTES)
+    }
+
     async fn respond(
         self: &Rc<Self>,
         request: Request<Incoming>,
@@ -263,6 +282,7 @@
         let server = self.clone();
         let client = client.clone();
         let ends_with_connection = version < Version::HTTP_11 && body.size_hint().exact().is_none();
+        body.pace(client.stream.clone());
         body.on_end(move |end| {
             if end == BodyEnd::Truncated && ends_with_connection {
                 client.stream.reset_on_close();
--- a/src/net/downstream/server/request.rs
+++ b/src/net/downstream/server/request.rs
@@ -1,13 +1,14 @@
 //! Handles one request: validates it, reads its body, passes it to the host, and builds the response.
 
 use super::client_connection::ClientConnection;
-use super::{RequestRules, Server};
+use super::{RequestRules, Server, EVENT_LOOP_TURN};
 use crate::net::downstream::response_body::ResponseBody;
 use crate::net::downstream::upload::{Upload, UploadError};
 use crate::net::host::{Answer, Host, PendingRequest};
+use crate::net::memory_budget::BudgetedBuffer;
 use crate::net::upstream::{ForwardedRequest, RequestBody, ServedBody, StreamedUpload};
 use crate::net::{strip_hop_by_hop, to_duration, to_micros, MAX_BUFFERED_BODY_BYTES};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Either};
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
@@ -36,7 +37,8 @@
     /// A client that closed only its sending side still receives this response.
     #[error("the client closed the connection")]
     ClientClosed,
-    /// It is a long upload that waits for a backend while other clients cannot connect.
+    /// It is a long upload that waits for a backend while other clients cannot connect, or the memory budget does not
+    /// allow to buffer its body.
     #[error("the proxy has no capacity")]
     NoCapacity,
     /// It completed so late in a shutdown that it could not be served before the process ends.
@@ -62,6 +64,9 @@
     }
 }
 
+/// Most connections that are closed for a body that the memory budget does not allow.
+const MAX_CLOSED_FOR_MEMORY: usize = 8;
+
 /// Builds a response with a short text body.
 pub fn plain_response(status: StatusCode, text: impl Into<Bytes>) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::buffered(text.into()));
@@ -128,7 +133,7 @@
             .min(max_time);
         let upload = Upload::new(body, client.stream.peer_monitor(), started_at);
         client.receive_body(upload.progress.clone());
-        let received = receive(upload).await?;
+        let received = self.receive(upload).await?;
         // The time of a buffered request starts with its last byte.
         let margin = self.host.response_margin();
         let time_left = Micros(time_left.0.saturating_sub(margin.0));
@@ -158,6 +163,44 @@
         })
     }
 
+    /// Buffers a body up to [`MAX_BUFFERED_BODY_BYTES`]. Returns the upload of a longer one, which has to be streamed.
+    async fn receive(&self, mut upload: Upload) -> Result<Either<Bytes, Upload>, RequestError> {
+        let mut received = self.host.pool.memory_budget().buffer(upload.length());
+        let is_short = |upload: &Upload| {
+            let length = upload.length();
+            length.is_none_or(|n| n <= MAX_BUFFERED_BODY_BYTES as u64)
+        };
+        while is_short(&upload) && received.len() <= MAX_BUFFERED_BODY_BYTES {
+            let Some(frame) = upload.frame().await else {
+                return Ok(Either::Left(received.freeze()));
+            };
+            let data = frame?.into_data().unwrap_or_default();
+            if !self.extend(&mut received, &data).await {
+                tokio::task::spawn_local(drain(upload));
+                return Err(RequestError::NoCapacity);
+            }
+        }
+        if !received.is_empty() {
+            upload.put_back(received.freeze());
+        }
+        Ok(Either::Right(upload))
+    }
+
+    /// Extends a buffered body. Where the budget does not allow it, connections whose client has paused within a request
+    /// are closed first. Returns false if that does not suffice.
+    async fn extend(&self, received: &mut BudgetedBuffer, data: &[u8]) -> bool {
+        for _ in 0..MAX_CLOSED_FOR_MEMORY {
+            if received.extend(data).is_ok() {
+                return true;
+            }
+            if !self.close_paused_request() {
+                return false;
+            }
+            self.wait_for_client_close(EVENT_LOOP_TURN).await;
+        }
+        received.extend(data).is_ok()
+    }
+
     /// Returns how long a request that completes now may take: `time_left`, or less while the process shuts down. A
     /// request that a shutdown leaves too little time is rejected before any attempt, which does the client no harm.
     fn time_until_answer(&self, class: ClassId, time_left: Micros) -> Result<Micros, RequestError> {
@@ -286,29 +329,6 @@
     (number.is_finite() && number >= 0.0).then_some(number)
 }
 
-/// Buffers a body up to [`MAX_BUFFERED_BODY_BYTES`]. Returns the upload of a longer one, which has to be streamed.
-async fn receive(mut upload: Upload) -> Result<Either<Bytes, Upload>, UploadError> {
-    let mut received = BytesMut::new();
-    while upload
-        .length()
-        .is_none_or(|n| n <= MAX_BUFFERED_BODY_BYTES as u64)
-    {
-        match upload.frame().await {
-            None => return Ok(Either::Left(received.freeze())),
-            Some(frame) => {
-                received.extend_from_slice(frame?.data_ref().unwrap_or(&Bytes::new()));
-            }
-        }
-        if received.len() > MAX_BUFFERED_BODY_BYTES {
-            break;
-        }
-    }
-    if !received.is_empty() {
-        upload.put_back(received.freeze());
-    }
-    Ok(Either::Right(upload))
-}
-
 /// Reads the rest of a streamed body that no backend took: a client that is still sending reads the response only once
 /// its body has been read to the end.
 fn drain_unsent(body: &RequestBody) {
--- a/src/net/downstream/upload.rs
+++ b/src/net/downstream/upload.rs
@@ -3,7 +3,8 @@
 //! [`Upload`] is the body; [`UploadProgress`] observes how far it was forwarded while hyper owns it.
 
 use super::arrival_history::{ArrivalHistory, CLIENT_SEND_BUFFER_BYTES};
-use crate::net::observed_stream::PeerMonitor;
+use crate::net::flush_pacer::FlushPacer;
+use crate::net::observed_stream::{ObservedStream, PeerMonitor};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -205,6 +206,7 @@
     timer: Pin<Box<Sleep>>,
     /// A reader waits for the next frame.
     has_waiting_reader: bool,
+    pacer: Option<FlushPacer>,
     pub progress: Rc<UploadProgress>,
 }
 
@@ -221,10 +223,16 @@
             last_active_at: Instant::now(),
             timer: Box::pin(tokio::time::sleep_until(deadline)),
             has_waiting_reader: false,
+            pacer: None,
             progress: Rc::new(progress),
         }
     }
 
+    /// Hands the body over as the backend's connection takes it.
+    pub fn pace(&mut self, connection: ObservedStream) {
+        self.pacer = Some(FlushPacer::new(connection));
+    }
+
     /// Puts back the bytes that were read from the start of the body.
     pub fn put_back(&mut self, prefix: Bytes) {
         self.prefix = Some(prefix);
@@ -239,6 +247,9 @@
         let prefix = self.prefix.take()?;
         self.progress.record_forwarded(Instant::now());
         self.progress.add_bytes(prefix.len());
+        if let Some(pacer) = &mut self.pacer {
+            pacer.handed_over(prefix.len());
+        }
         if self.incoming.is_end_stream() {
             self.progress.mark_ended();
         }
@@ -268,6 +279,9 @@
     fn frame_arrived(&mut self, frame: &Frame<Bytes>) {
         let bytes = frame.data_ref().map_or(0, Bytes::len);
         self.progress.add_bytes(bytes);
+        if let Some(pacer) = &mut self.pacer {
+            pacer.handed_over(bytes);
+        }
         self.deadline += Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_S);
         if self.incoming.is_end_stream() {
             self.progress.mark_ended();
@@ -283,6 +297,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, UploadError>>> {
+        if let Some(pacer) = &mut self.pacer {
+            ready!(pacer.poll_ready(cx));
+        }
         if let Some(prefix) = self.take_prefix() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
--- a/src/net/observed_stream.rs
+++ b/src/net/observed_stream.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -20,8 +20,8 @@
 /// the peer to close.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(400);
 const MAX_LINGER_BYTES: usize = 1 << 20;
-/// Maximum size of a read, in bytes.
-const READ_CHUNK_BYTES: usize = 8192;
+/// Maximum size of a read, in bytes. hyper doubles a connection's read buffer, of 8 KiB at first, after a read that fills it.
+const READ_CHUNK_BYTES: usize = 8 * 1024 - 1;
 /// Length of the sequence that ends a request's head, CR LF CR LF, in bytes.
 const HEAD_END_BYTES: u8 = 4;
 
@@ -82,6 +82,10 @@
     /// Whether [`Inner::on_flushed`] is set.
     is_flush_awaited: Cell<bool>,
     last_written_at: Cell<Instant>,
+    /// Whether hyper holds bytes of a body that it has not written.
+    holds_unflushed: Cell<bool>,
+    /// The task that waits for these bytes to be written.
+    flush_waker: Cell<Option<Waker>>,
 }
 
 impl Inner {
@@ -124,6 +128,8 @@
             on_flushed: Cell::new(None),
             is_flush_awaited: Cell::new(false),
             last_written_at: Cell::new(Instant::now()),
+            holds_unflushed: Cell::new(false),
+            flush_waker: Cell::new(None),
         }))
     }
 
@@ -211,6 +217,20 @@
         self.0.is_flush_awaited.set(false);
     }
 
+    /// Records that hyper was given bytes to write.
+    pub fn expect_flush(&self) {
+        self.0.holds_unflushed.set(true);
+    }
+
+    /// Is ready once hyper has written everything that it holds for this stream.
+    pub fn poll_flushed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.0.holds_unflushed.get() {
+            return Poll::Ready(());
+        }
+        self.0.flush_waker.set(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
     /// Waits until nothing was written for `timeout` while a flush is awaited.
     pub async fn write_stalled(&self, timeout: Duration) {
         loop {
@@ -315,6 +335,10 @@
     /// hyper calls this once it has written everything that it holds.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.0.is_flush_awaited.set(false);
+        self.0.holds_unflushed.set(false);
+        if let Some(waker) = self.0.flush_waker.take() {
+            waker.wake();
+        }
         if let Some(callback) = self.0.on_flushed.take() {
             callback();
         }
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -10,6 +10,7 @@
 use crate::net::connection_driver::{drive_past_close, drive_until_closed};
 use crate::net::downstream::response_stream::ResponseStream;
 use crate::net::downstream::upload::UploadProgress;
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::observed_stream::ObservedStream;
 use http_body_util::{Either, Full};
 use hyper::Request;
@@ -49,6 +50,12 @@
     upload: Option<Rc<UploadProgress>>,
 }
 
+/// What is needed to read a response.
+struct ResponseReading<'a, P> {
+    progress: &'a Rc<P>,
+    budget: &'a MemoryBudget,
+}
+
 /// Tells whether the last byte of a request was sent. A backend does not execute the request before it has that byte.
 struct SendStatus {
     stream: ObservedStream,
@@ -107,10 +114,14 @@
         };
         let request = http_request(request, outgoing.body, time_left);
         let send_deadline = progress.send_deadline();
+        let reading = ResponseReading {
+            progress,
+            budget: self.memory_budget(),
+        };
         let exchanged = tokio::select! {
             biased; // checked first, so that nothing is written after the send deadline
             () = status.expired(send_deadline) => None,
-            exchanged = exchange(&mut connection, request, &status, progress) => exchanged,
+            exchanged = exchange(&mut connection, request, &status, reading) => exchanged,
         };
         self.finish(target, connection, &status, exchanged, progress)
             .await
@@ -243,7 +254,8 @@
             })
         }
         RequestBody::Streaming(upload) => {
-            let source = upload.take()?;
+            let mut source = upload.take()?;
+            source.pace(stream.clone());
             let upload = source.progress.clone();
             let finished = progress.clone();
             upload.on_end(move || finished.upload_finished());
@@ -276,7 +288,7 @@
     connection: &mut PooledConnection,
     request: Request<OutgoingBody>,
     status: &SendStatus,
-    progress: &Rc<impl Progress + 'static>,
+    reading: ResponseReading<'_, impl Progress + 'static>,
 ) -> ExchangeResult {
     let PooledConnection {
         sender, connection, ..
@@ -289,7 +301,8 @@
         if !status.is_sent() {
             return Ok(BackendResponse::BeforeRequestSent(outcome_of(&response)));
         }
-        Ok(BackendResponse::read(response, progress.forward_by()).await)
+        let forward_by = reading.progress.forward_by();
+        Ok(BackendResponse::read(response, forward_by, reading.budget).await)
     };
     drive_until_closed(connection, work).await
 }
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -5,6 +5,7 @@
 //! [`PooledConnection`] closes its socket, and the number of open connections falls at once.
 
 use super::connection::{ConnectionSlot, PooledConnection};
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::observed_stream::ObservedStream;
 use crate::net::to_duration;
 use meadowproxy::settings::NetworkSettings;
@@ -42,6 +43,7 @@
     /// Time after which an idle connection is no longer reused, see [`IDLE_TIMEOUT_FRACTION`].
     max_idle_time: Cell<Duration>,
     connect_timeout: Cell<Duration>,
+    memory_budget: MemoryBudget,
     /// Connection attempts since the last [`ConnectionPool::take_connect_count`].
     connect_count: Cell<u64>,
 }
@@ -57,6 +59,7 @@
             max_open: Cell::new(max_open),
             max_idle_time: Cell::new(max_idle_time(network)),
             connect_timeout: Cell::new(to_duration(network.connect_timeout)),
+            memory_budget: MemoryBudget::unlimited(),
             connect_count: Cell::new(0),
         }
     }
@@ -66,6 +69,11 @@
         self.open_count.get()
     }
 
+    /// Returns the budget for buffered bodies.
+    pub fn memory_budget(&self) -> &MemoryBudget {
+        &self.memory_budget
+    }
+
     /// Returns the number of connection attempts since the last call.
     pub fn take_connect_count(&self) -> u64 {
         self.connect_count.take()
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -2,8 +2,9 @@
 
 use crate::net::connection_driver::BoxError;
 use crate::net::downstream::response_stream::ResponseChunk;
+use crate::net::memory_budget::MemoryBudget;
 use crate::net::{strip_hop_by_hop, MAX_BUFFERED_BODY_BYTES};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -55,16 +56,19 @@
     pub head: Parts,
     /// The body's length in bytes, if known.
     pub length: Option<u64>,
-    pub received: Bytes,
+    /// What was received of the body, in parts.
+    pub received: Vec<Bytes>,
     pub rest: Incoming,
 }
 
 impl BackendResponse {
     /// Reads a response until it is complete or has to be streamed. One of unknown length is streamed from `forward_by` on
     /// at the latest, as it may turn out to be a long one, of which only the first bytes are due in time.
+    /// Where the budget does not allow to buffer it, it is streamed too.
     pub async fn read(
         response: Response<Incoming>,
         forward_by: Option<Instant>,
+        budget: &MemoryBudget,
     ) -> BackendResponse {
         let outcome = outcome_of(&response);
         let (head, mut body) = response.into_parts();
@@ -88,9 +92,9 @@
             })
         };
         if outcome == Outcome::Ok && length.is_some_and(|n| n > MAX_BUFFERED_BODY_BYTES as u64) {
-            return streaming(head, Bytes::new(), body);
+            return streaming(head, Vec::new(), body);
         }
-        let mut received = BytesMut::new();
+        let mut received = budget.buffer(length);
         let buffered_until = Instant::now() + MAX_BUFFERING_TIME;
         let buffered_until = forward_by.map_or(buffered_until, |due| due.min(buffered_until));
         let mut buffering_timeout = pin!(tokio::time::sleep_until(buffered_until));
@@ -100,19 +104,18 @@
                 biased;
                 frame = body.frame() => frame,
                 () = buffering_timeout.as_mut(), if may_stream => {
-                    return streaming(head, received.freeze(), body);
+                    return streaming(head, vec![received.freeze()], body);
                 }
             };
-            match frame {
+            let data = match frame {
                 None => return buffered(head, Ok(received.freeze())),
                 Some(Err(error)) => return buffered(head, Err(error.into())),
-                Some(Ok(frame)) => {
-                    received.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
-                }
-            }
-            if received.len() > MAX_BUFFERED_BODY_BYTES {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            let is_too_long = received.len() + data.len() > MAX_BUFFERED_BODY_BYTES;
+            if is_too_long || received.extend(&data).is_err() {
                 return match outcome {
-                    Outcome::Ok => streaming(head, received.freeze(), body),
+                    Outcome::Ok => streaming(head, vec![received.freeze(), data], body),
                     _ => buffered(head, Err(BodyError::TooLong.into())),
                 };
             }
@@ -122,20 +125,17 @@
 
 /// Forwards a streamed response chunk by chunk, for as long as the backend sends and the client reads.
 pub async fn forward_body(
-    received: Bytes,
+    received: Vec<Bytes>,
     mut rest: Incoming,
     chunks: mpsc::Sender<ResponseChunk>,
 ) -> Outcome {
-    let mut next = received;
-    loop {
-        if !next.is_empty() {
-            let sending = chunks.send(ResponseChunk::Data(next));
-            let sent = tokio::time::timeout(CLIENT_STALL_TIMEOUT, sending).await;
-            if !matches!(sent, Ok(Ok(()))) {
-                return Outcome::Cancelled;
-            }
+    for part in received {
+        if !forward_chunk(part, &chunks).await {
+            return Outcome::Cancelled;
         }
-        next = match tokio::time::timeout(BACKEND_STALL_TIMEOUT, rest.frame()).await {
+    }
+    loop {
+        let next = match tokio::time::timeout(BACKEND_STALL_TIMEOUT, rest.frame()).await {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(None) => {
                 // A client that knows the length may have stopped reading.
@@ -145,7 +145,20 @@
             Ok(Some(Err(_))) => return Outcome::Reset,
             Err(_) => return Outcome::TimedOut,
         };
+        if !forward_chunk(next, &chunks).await {
+            return Outcome::Cancelled;
+        }
+    }
+}
+
+/// Forwards a chunk; returns false if the client does not take it.
+async fn forward_chunk(data: Bytes, chunks: &mpsc::Sender<ResponseChunk>) -> bool {
+    if data.is_empty() {
+        return true;
     }
+    let sending = chunks.send(ResponseChunk::Data(data));
+    let sent = tokio::time::timeout(CLIENT_STALL_TIMEOUT, sending).await;
+    matches!(sent, Ok(Ok(())))
 }
 
 /// Strips the headers meant for the proxy, and takes those that are forwarded to the client.
--- a/src/startup/proxy.rs
+++ b/src/startup/proxy.rs
@@ -266,6 +266,7 @@
 fn new_host(node: &NodeConfig, in_force: &ActiveSettings) -> Rc<Host> {
     let limits = ConnectionLimits::for_single_process(node.max_descriptors);
     let pool = ConnectionPool::new(&in_force.network, limits.upstreams);
+    pool.memory_budget().set_process_limit(node.memory_mb);
     let balancer = Balancer::from_validated(in_force.config.clone(), node.seed);
     Host::new(
         balancer,
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -383,6 +383,18 @@
         Proxy::with_descriptor_limit(known, sockets, settings, 1024)
     }
 
+    /// Starts a proxy with [`SETTINGS`] and this memory limit in its configuration.
+    pub fn with_memory_mb(known: &[String], memory_mb: u64) -> Proxy {
+        let discovery = DiscoveryServer::start();
+        let config = config_json("127.0.0.1:0", discovery.address, 1024, known, SETTINGS);
+        let limit = format!("\"memory_mb\":{memory_mb}");
+        let config = config.replace("\"memory_mb\":192", &limit);
+        Proxy::run(
+            command_with_descriptor_limit(Some(&config), 1024),
+            discovery,
+        )
+    }
+
     /// Starts a proxy whose actual descriptor limit may differ from `sockets`, the one in its configuration.
     pub fn with_descriptor_limit(
         known: &[String],
