Let the test backend of upload rates read chunked bodies to their end

The test's backend counted chunk heads as data and answered up to 0.6 kB before a chunked body's end; such an answer is taken for none, as the request had not been sent.

Change: the backend reads a chunked body up to its last chunk. The expected status and time are the same.

--- a/tests/upload_rates.rs
+++ b/tests/upload_rates.rs
@@ -13,6 +13,8 @@
 const TIME_LEFT_S: f64 = 1.0;
 /// How long after its time a request may get its final answer, with the allowance for time limits on sockets.
 const GRACE: Duration = Duration::from_millis(550);
+/// The end of a chunked body.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 /// Interval at which a backend reads its next piece.
 const READ_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -35,6 +37,16 @@
     pause: Duration,
 }
 
+impl Upload {
+    /// Returns whether a body is complete of which `read` bytes have arrived, the last of them `tail`.
+    fn has_ended(&self, read: usize, tail: &[u8]) -> bool {
+        match self.framing {
+            Framing::Length => read >= self.bytes,
+            Framing::Chunked => tail == LAST_CHUNK,
+        }
+    }
+}
+
 /// Starts a backend that reads bodies as `upload` says, and answers once it has all of one.
 fn start_backend(upload: Upload) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -48,24 +60,22 @@
                     line.clear();
                 }
                 let begun = Instant::now();
-                let (mut left, mut read) = (upload.bytes, 0);
+                let (mut read, mut tail) = (0, Vec::new());
                 let mut piece = vec![0; upload.rate / 100];
-                while left > 0 {
-                    // Chunk heads are few, and count as data here.
-                    let size = piece.len().min(left);
-                    if reader.read_exact(&mut piece[..size]).is_err() {
+                while !upload.has_ended(read, &tail) {
+                    let Ok(size @ 1..) = reader.read(&mut piece) else {
                         return;
-                    }
-                    left -= size;
+                    };
                     read += size;
+                    tail.extend_from_slice(&piece[..size]);
+                    tail.drain(..tail.len().saturating_sub(LAST_CHUNK.len()));
                     if upload.hang_after.is_some_and(|after| read >= after) {
                         std::thread::sleep(TEST_TIMEOUT);
                         return;
                     }
                     let due = Duration::from_secs_f64(read as f64 / upload.rate as f64);
-                    std::thread::sleep(due.saturating_sub(begun.elapsed()).min(READ_INTERVAL));
                     while begun.elapsed() < due {
-                        std::thread::sleep(Duration::from_millis(1));
+                        std::thread::sleep(READ_INTERVAL.min(due.saturating_sub(begun.elapsed())));
                     }
                 }
                 let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
