Reproduce processes over their memory limit beside crowds that come again

Processes were killed for their memory beside crowds, while tests/memory_crowds.rs passes: it plays one kind on a fresh process, and its members connect once.

PROXY_BINARY runs the tests' rig on another build.

--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 pub mod config_changes;
+pub mod crowd;
 pub mod faults;
 pub mod fleet;
 pub mod lease_history;
@@ -481,6 +482,18 @@
         Proxy::run(command, discovery)
     }
 
+    /// Starts a proxy with this configuration file in JSON form and additional environment variables.
+    pub fn with_config(
+        config: &str,
+        descriptors: u32,
+        discovery: DiscoveryServer,
+        variables: &[(&str, String)],
+    ) -> Proxy {
+        let mut command = command_with_descriptor_limit(Some(config), descriptors);
+        command.envs(variables.iter().map(|(name, value)| (*name, value)));
+        Proxy::run(command, discovery)
+    }
+
     /// Runs the command and waits until the proxy logs that it listens.
     fn run(mut command: Command, discovery: DiscoveryServer) -> Proxy {
         let path = command
@@ -647,7 +660,10 @@
 fn command_with_descriptor_limit(config: Option<&str>, descriptors: u32) -> Command {
     let mut command = Command::new("sh");
     let line = format!("ulimit -n {descriptors}; exec \"$0\"");
-    command.args(["-c", &line, env!("CARGO_BIN_EXE_meadowproxy")]);
+    // `PROXY_BINARY` measures another build, such as the one before a change.
+    let binary = std::env::var("PROXY_BINARY");
+    let binary = binary.unwrap_or_else(|_| env!("CARGO_BIN_EXE_meadowproxy").into());
+    command.args(["-c", &line, &binary]);
     for name in [
         "NODE_CONFIG",
         "NODE_CONTROL",
